Add libs/net: event loop, HTTP server and client, UDP

Cause: daemon, stand-ins and tools need one transport with typed failures. Change: Beast and Asio behind pimpl; an error tells whether anything was sent (Unreachable, Unavailable) or may have been received (ConnectionLost, Timeout), which is what "not run" rests on.

--- /dev/null
+++ b/libs/net/include/net/httpclient.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/types.h"
+#include "net/eventloop.h"
+#include "net/http.h"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace fescuespring {
+
+// Outcome of an exchange. Errors: Unreachable (nothing was sent), Unavailable (no connection came
+// free in time, nothing was sent), ConnectionLost and Timeout (the request may have been received),
+// Malformed and TooLarge (an answer came that cannot be read).
+using HttpCallback = std::function<void(const Result<HttpResponse> &)>;
+
+struct HttpConnectionOptions
+{
+    Endpoint endpoint;
+    std::chrono::milliseconds connectTimeout{1000};
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
+
+    // Called when the other side closed the connection while no exchange was under way.
+    std::function<void()> onClosed = {};
+};
+
+// One kept-alive TCP connection with one exchange at a time. Destroying it closes the connection
+// and drops the callback of an exchange under way. Loop thread only.
+class HttpConnection
+{
+public:
+    HttpConnection(EventLoop &loop, HttpConnectionOptions options);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    // Sends a request, connecting first if need be. No exchange may be under way. After an error
+    // the connection is closed; the next exchange connects anew.
+    void send(HttpRequest request, std::chrono::milliseconds timeout, HttpCallback callback);
+
+    bool isOpen() const;
+    bool isBusy() const;
+    void close();
+
+private:
+    struct Data;
+    std::shared_ptr<Data> m_data;
+};
+
+struct HttpClientOptions
+{
+    Endpoint endpoint;
+    std::chrono::milliseconds connectTimeout{1000};
+    std::size_t maxConnections = 64;
+    std::size_t maxWaiting = 10000;
+    std::chrono::milliseconds idleTimeout{60000};
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
+};
+
+// A pool of kept-alive connections to one endpoint, for calls that do not care which connection
+// carries them. Nothing is ever sent twice. Loop thread only.
+class HttpClient
+{
+public:
+    HttpClient(EventLoop &loop, HttpClientOptions options);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    // The timeout covers waiting for a connection, connecting and the exchange.
+    void send(HttpRequest request, std::chrono::milliseconds timeout, HttpCallback callback);
+
+    const Endpoint &endpoint() const;
+
+private:
+    struct Data;
+    std::shared_ptr<Data> m_data;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/net/src/eventloopaccess.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "net/eventloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace fescuespring::detail {
+
+// Lets the sources of this library reach the io_context of a loop.
+struct EventLoopAccess
+{
+    static boost::asio::io_context &context(EventLoop &loop);
+};
+
+// The Asio endpoint of Protocol for an endpoint of ours; error is set if its IP is not a number.
+template <typename Protocol>
+typename Protocol::endpoint toAsio(const Endpoint &endpoint, boost::system::error_code &error)
+{
+    return {boost::asio::ip::make_address(endpoint.ip, error), endpoint.port};
+}
+
+template <typename AsioEndpoint>
+Endpoint fromAsio(const AsioEndpoint &endpoint)
+{
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+} // namespace fescuespring::detail
--- /dev/null
+++ b/libs/net/src/httpserver.cpp
@@ -0,0 +1,381 @@
+#include "net/httpserver.h"
+
+#include "eventloopaccess.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <unordered_map>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCodeOfBoost = boost::system::error_code;
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::uint32_t headerLimitBytes = 8 * 1024;
+constexpr std::size_t readChunkBytes = 4096;
+
+class Connection;
+
+using SharedPort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+struct HttpServer::Data : std::enable_shared_from_this<HttpServer::Data>
+{
+    Data(EventLoop &eventLoop, HttpServerOptions serverOptions)
+        : loop(eventLoop)
+        , options(std::move(serverOptions))
+        , acceptor(detail::EventLoopAccess::context(eventLoop))
+    {}
+
+    void accept();
+    void accepted(Tcp::socket socket);
+    void closed(HttpConnectionId id);
+    void drainStep();
+
+    void report(HttpServerEvent event) const
+    {
+        if (options.onEvent)
+            options.onEvent(event);
+    }
+
+    EventLoop &loop;
+    HttpServerOptions options;
+    Tcp::acceptor acceptor;
+    std::unordered_map<HttpConnectionId, std::shared_ptr<Connection>> connections;
+    HttpConnectionId lastConnection = 0;
+    bool draining = false;
+    std::function<void()> drained;
+};
+
+namespace {
+
+// One accepted connection: read a request, hand it over, write the answer, again.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    using ServerData = std::shared_ptr<void>;
+
+    struct Hooks
+    {
+        EventLoop &loop;
+        const HttpServerOptions &options;
+        std::function<bool()> isDraining;
+        std::function<void(HttpServerEvent)> report;
+        std::function<void(HttpConnectionId)> closed;
+    };
+
+    Connection(Tcp::socket socket, HttpConnectionId id, Hooks hooks)
+        : m_stream(std::move(socket))
+        , m_id(id)
+        , m_hooks(std::move(hooks))
+    {}
+
+    void start()
+    {
+        readFirst();
+    }
+
+    void closeIfIdle()
+    {
+        if (m_state == State::Idle)
+            close();
+    }
+
+    void close()
+    {
+        if (m_state == State::Closed)
+            return;
+        m_state = State::Closed;
+        m_stream.close();
+        m_hooks.closed(m_id);
+    }
+
+    // Closes without telling anybody; for the end of the server.
+    void abandon()
+    {
+        m_state = State::Closed;
+        m_stream.close();
+    }
+
+private:
+    enum class State {
+        Idle,
+        Reading,
+        Answering,
+        Closed,
+    };
+
+    // Waits for the first byte of a request under the idle timeout.
+    void readFirst()
+    {
+        if (m_hooks.isDraining()) {
+            close();
+            return;
+        }
+        m_parser.emplace();
+        m_parser->header_limit(headerLimitBytes);
+        m_parser->body_limit(m_hooks.options.maxBodyBytes);
+        if (m_buffer.size() > 0) {
+            readRest();
+            return;
+        }
+        m_state = State::Idle;
+        m_stream.expires_after(m_hooks.options.idleTimeout);
+        m_stream.async_read_some(
+                m_buffer.prepare(readChunkBytes),
+                [self = shared_from_this()](const ErrorCodeOfBoost &error, std::size_t bytes) {
+                    if (self->m_state == State::Closed)
+                        return;
+                    if (error) {
+                        self->close();
+                        return;
+                    }
+                    self->m_buffer.commit(bytes);
+                    self->readRest();
+                });
+    }
+
+    void readRest()
+    {
+        m_state = State::Reading;
+        m_stream.expires_after(m_hooks.options.readTimeout);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](const ErrorCodeOfBoost &error, std::size_t) {
+                             if (self->m_state == State::Closed)
+                                 return;
+                             if (error)
+                                 self->refuse(error);
+                             else
+                                 self->handle();
+                         });
+    }
+
+    void refuse(const ErrorCodeOfBoost &error)
+    {
+        if (error == beast::error::timeout) {
+            m_hooks.report(HttpServerEvent::SlowSender);
+            close();
+            return;
+        }
+        if (error == http::error::body_limit || error == http::error::header_limit) {
+            m_hooks.report(HttpServerEvent::TooLarge);
+            answerAndClose(413, "too-large");
+            return;
+        }
+        const bool peerClosed = error == http::error::end_of_stream
+                                || error.category() == asio::error::get_system_category()
+                                || error.category() == asio::error::get_misc_category();
+        if (peerClosed) {
+            close();
+            return;
+        }
+        m_hooks.report(HttpServerEvent::Malformed);
+        answerAndClose(400, "malformed");
+    }
+
+    void answerAndClose(int status, const std::string &reason)
+    {
+        m_keepAlive = false;
+        m_state = State::Answering;
+        write({.status = status, .body = R"({"outcome":"not-run","reason":")" + reason + "\"}"});
+    }
+
+    void handle()
+    {
+        m_state = State::Answering;
+        m_stream.expires_never();
+        auto &message = m_parser->get();
+        m_keepAlive = message.keep_alive();
+        const HttpRequest request{.method = std::string(message.method_string()),
+                                  .target = std::string(message.target()),
+                                  .body = std::move(message.body())};
+        m_hooks.options.handler(m_id, request, responder());
+    }
+
+    HttpResponder responder()
+    {
+        const std::uint64_t exchange = ++m_exchange;
+        return [weak = weak_from_this(), exchange, loop = &m_hooks.loop](HttpResponse response) {
+            if (loop->isLoopThread()) {
+                answer(weak, exchange, std::move(response));
+                return;
+            }
+            loop->post([weak, exchange, response = std::move(response)]() mutable {
+                answer(weak, exchange, std::move(response));
+            });
+        };
+    }
+
+    static void answer(const std::weak_ptr<Connection> &weak, std::uint64_t exchange,
+                       HttpResponse response)
+    {
+        const std::shared_ptr<Connection> self = weak.lock();
+        if (!self || self->m_state != State::Answering || self->m_exchange != exchange)
+            return;
+        ++self->m_exchange;
+        if (response.dropConnection)
+            self->close();
+        else
+            self->write(std::move(response));
+    }
+
+    void write(HttpResponse response)
+    {
+        m_response.emplace(static_cast<http::status>(response.status), 11);
+        m_response->set(http::field::content_type, response.contentType);
+        m_response->body() = std::move(response.body);
+        m_response->keep_alive(m_keepAlive && !m_hooks.isDraining());
+        m_response->prepare_payload();
+        m_stream.expires_after(m_hooks.options.readTimeout);
+        http::async_write(m_stream, *m_response,
+                          [self = shared_from_this()](const ErrorCodeOfBoost &error, std::size_t) {
+                              if (self->m_state == State::Closed)
+                                  return;
+                              if (error || !self->m_response->keep_alive())
+                                  self->close();
+                              else
+                                  self->readFirst();
+                          });
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::response<http::string_body>> m_response;
+    HttpConnectionId m_id;
+    Hooks m_hooks;
+    State m_state = State::Idle;
+    bool m_keepAlive = true;
+    std::uint64_t m_exchange = 0;
+};
+
+} // namespace
+
+void HttpServer::Data::accept()
+{
+    acceptor.async_accept(
+            [weak = weak_from_this()](const ErrorCodeOfBoost &error, Tcp::socket socket) {
+                const std::shared_ptr<Data> self = weak.lock();
+                if (!self || !self->acceptor.is_open())
+                    return;
+                if (!error)
+                    self->accepted(std::move(socket));
+                self->accept();
+            });
+}
+
+void HttpServer::Data::accepted(Tcp::socket socket)
+{
+    if (connections.size() >= options.maxConnections) {
+        report(HttpServerEvent::TooManyConnections);
+        return;
+    }
+    ErrorCodeOfBoost ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    const HttpConnectionId id = ++lastConnection;
+    auto connection = std::make_shared<Connection>(
+            std::move(socket), id,
+            Connection::Hooks{.loop = loop,
+                              .options = options,
+                              .isDraining = [this] { return draining; },
+                              .report = [this](HttpServerEvent event) { report(event); },
+                              .closed =
+                                      [this](HttpConnectionId which) {
+                                          closed(which);
+                                      }});
+    connections.emplace(id, connection);
+    connection->start();
+}
+
+void HttpServer::Data::closed(HttpConnectionId id)
+{
+    // The caller is a member of the connection: it must outlive this call.
+    const auto found = connections.find(id);
+    if (found == connections.end())
+        return;
+    const std::shared_ptr<Connection> connection = found->second;
+    connections.erase(found);
+    if (options.onClosed)
+        options.onClosed(id);
+    if (draining)
+        drainStep();
+}
+
+void HttpServer::Data::drainStep()
+{
+    if (!connections.empty() || !drained)
+        return;
+    loop.post(std::exchange(drained, nullptr));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Data> data)
+    : m_data(std::move(data))
+{}
+
+HttpServer::~HttpServer()
+{
+    m_data->acceptor.close();
+    for (const auto &[id, connection] : m_data->connections)
+        connection->abandon();
+    m_data->connections.clear();
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, HttpServerOptions options)
+{
+    auto data = std::make_shared<Data>(loop, std::move(options));
+    const Endpoint &wanted = data->options.endpoint;
+    ErrorCodeOfBoost error;
+    const Tcp::endpoint endpoint = detail::toAsio<Tcp>(wanted, error);
+    if (!error)
+        data->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        data->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error && data->options.sharedPort)
+        data->acceptor.set_option(SharedPort(true), error);
+    if (!error)
+        data->acceptor.bind(endpoint, error);
+    if (!error)
+        data->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return Error{ErrorCode::Unreachable, "cannot listen on " + wanted.ip + ':'
+                                                     + std::to_string(wanted.port) + ": "
+                                                     + error.message()};
+    }
+    data->accept();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(data)));
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    ErrorCodeOfBoost ignored;
+    return detail::fromAsio(m_data->acceptor.local_endpoint(ignored));
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_data->connections.size();
+}
+
+void HttpServer::drain(std::function<void()> done)
+{
+    m_data->draining = true;
+    m_data->drained = std::move(done);
+    m_data->acceptor.close();
+    std::vector<std::shared_ptr<Connection>> open;
+    for (const auto &[id, connection] : m_data->connections)
+        open.push_back(connection);
+    for (const std::shared_ptr<Connection> &connection : open)
+        connection->closeIfIdle();
+    m_data->drainStep();
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/net/tests/httptest.cpp
@@ -0,0 +1,236 @@
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/udpsocket.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto longTimeout = 5000ms;
+const Endpoint anyPort{"127.0.0.1", 0};
+
+// A server that echoes bodies, and drops, holds or closes as the target says.
+struct EchoServer
+{
+    explicit EchoServer(EventLoop &loop, std::size_t maxBodyBytes = 1000)
+    {
+        HttpServerOptions options{.endpoint = anyPort, .maxBodyBytes = maxBodyBytes};
+        options.readTimeout = 200ms;
+        options.handler = [this](HttpConnectionId, const HttpRequest &request,
+                                 HttpResponder respond) {
+            ++handled;
+            if (request.target == "/drop")
+                respond({.dropConnection = true});
+            else if (request.target == "/hold")
+                held = std::move(respond);
+            else
+                respond({.body = request.body});
+        };
+        options.onClosed = [this](HttpConnectionId) {
+            ++closed;
+        };
+        options.onEvent = [this](HttpServerEvent event) {
+            lastEvent = event;
+        };
+        server = HttpServer::listen(loop, std::move(options)).value();
+    }
+
+    std::unique_ptr<HttpServer> server;
+    HttpResponder held;
+    int handled = 0;
+    int closed = 0;
+    std::optional<HttpServerEvent> lastEvent;
+};
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpTest);
+    CPPUNIT_TEST(answersOverOneConnection);
+    CPPUNIT_TEST(unreachableMeansNothingSent);
+    CPPUNIT_TEST(droppedAnswerIsConnectionLost);
+    CPPUNIT_TEST(heldAnswerTimesOut);
+    CPPUNIT_TEST(oversizedBodyIsRefusedBeforeTheHandler);
+    CPPUNIT_TEST(garbageIsRefusedBeforeTheHandler);
+    CPPUNIT_TEST(drainWaitsForTheAnswerInFlight);
+    CPPUNIT_TEST(poolBoundsItsConnections);
+    CPPUNIT_TEST(idleCloseByServerIsNoticed);
+    CPPUNIT_TEST(udpCarriesDatagrams);
+    CPPUNIT_TEST(queryValuesAreDecoded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answersOverOneConnection()
+    {
+        EchoServer echo(m_loop);
+        HttpClient client(m_loop, {.endpoint = echo.server->endpoint()});
+        std::string answers;
+        client.send(post("/", "a"), longTimeout, [&](const Result<HttpResponse> &first) {
+            answers += first.value().body;
+            client.send(post("/", "b"), longTimeout, [&](const Result<HttpResponse> &second) {
+                answers += second.value().body;
+                m_loop.stop();
+            });
+        });
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), answers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, echo.server->connectionCount());
+    }
+
+    void unreachableMeansNothingSent()
+    {
+        const Endpoint gone = EchoServer(m_loop).server->endpoint();
+        CPPUNIT_ASSERT(ErrorCode::Unreachable == errorOf(gone, "/"));
+    }
+
+    void droppedAnswerIsConnectionLost()
+    {
+        EchoServer echo(m_loop);
+        CPPUNIT_ASSERT(ErrorCode::ConnectionLost == errorOf(echo.server->endpoint(), "/drop"));
+        CPPUNIT_ASSERT_EQUAL(1, echo.handled);
+    }
+
+    void heldAnswerTimesOut()
+    {
+        EchoServer echo(m_loop);
+        CPPUNIT_ASSERT(ErrorCode::Timeout == errorOf(echo.server->endpoint(), "/hold", 50ms));
+    }
+
+    void oversizedBodyIsRefusedBeforeTheHandler()
+    {
+        EchoServer echo(m_loop, 10);
+        HttpConnection connection(m_loop, {.endpoint = echo.server->endpoint()});
+        int status = 0;
+        connection.send(post("/", "more than ten bytes"), longTimeout,
+                        [&](const Result<HttpResponse> &result) {
+                            status = result.value().status;
+                            m_loop.stop();
+                        });
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(413, status);
+        CPPUNIT_ASSERT_EQUAL(0, echo.handled);
+        CPPUNIT_ASSERT(HttpServerEvent::TooLarge == echo.lastEvent);
+    }
+
+    void garbageIsRefusedBeforeTheHandler()
+    {
+        EchoServer echo(m_loop);
+        HttpConnection connection(m_loop, {.endpoint = echo.server->endpoint()});
+        int status = 0;
+        connection.send({.method = "POST", .target = "/ no space allowed", .body = "x"},
+                        longTimeout, [&](const Result<HttpResponse> &result) {
+                            status = result.value().status;
+                            m_loop.stop();
+                        });
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(400, status);
+        CPPUNIT_ASSERT_EQUAL(0, echo.handled);
+        CPPUNIT_ASSERT(HttpServerEvent::Malformed == echo.lastEvent);
+    }
+
+    void drainWaitsForTheAnswerInFlight()
+    {
+        EchoServer echo(m_loop);
+        HttpConnection connection(m_loop, {.endpoint = echo.server->endpoint()});
+        std::string order;
+        connection.send(post("/hold", ""), longTimeout, [&](const Result<HttpResponse> &result) {
+            CPPUNIT_ASSERT(result.has_value());
+            order += "answer ";
+        });
+        m_loop.after(30ms, [&] {
+            echo.server->drain([&] {
+                order += "drained";
+                m_loop.after(10ms, [&] { m_loop.stop(); });
+            });
+        });
+        m_loop.after(60ms, [&] { echo.held({.body = "late"}); });
+        m_loop.run();
+        CPPUNIT_ASSERT(order.find("answer") != std::string::npos);
+        CPPUNIT_ASSERT(order.find("drained") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, echo.server->connectionCount());
+    }
+
+    void poolBoundsItsConnections()
+    {
+        EchoServer echo(m_loop);
+        HttpClient client(m_loop, {.endpoint = echo.server->endpoint(), .maxConnections = 2});
+        int answered = 0;
+        for (int i = 0; i < 20; ++i) {
+            client.send(post("/", "x"), longTimeout, [&](const Result<HttpResponse> &result) {
+                CPPUNIT_ASSERT(result.has_value());
+                if (++answered == 20)
+                    m_loop.stop();
+            });
+        }
+        m_loop.run();
+        CPPUNIT_ASSERT(echo.server->connectionCount() <= 2);
+    }
+
+    void idleCloseByServerIsNoticed()
+    {
+        auto echo = std::make_unique<EchoServer>(m_loop);
+        bool closed = false;
+        HttpConnection connection(m_loop, {.endpoint = echo->server->endpoint(), .onClosed = [&] {
+                                               closed = true;
+                                               m_loop.stop();
+                                           }});
+        connection.send(post("/", "x"), longTimeout,
+                        [&](const Result<HttpResponse> &) { m_loop.post([&] { echo.reset(); }); });
+        m_loop.run();
+        CPPUNIT_ASSERT(closed);
+        CPPUNIT_ASSERT(!connection.isOpen());
+    }
+
+    void udpCarriesDatagrams()
+    {
+        std::string received;
+        const auto receiver =
+                UdpSocket::bind(m_loop, anyPort, [&](const Endpoint &, std::string_view datagram) {
+                    received = datagram;
+                    m_loop.stop();
+                });
+        const auto sender =
+                UdpSocket::bind(m_loop, anyPort, [](const Endpoint &, std::string_view) {});
+        sender.value()->send(receiver.value()->endpoint(), "ping");
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("ping"), received);
+    }
+
+    void queryValuesAreDecoded()
+    {
+        const std::string target = "/v1/watch/a?after=12&key=" + percentEncode("a b/c");
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/watch/a"), targetPath(target));
+        CPPUNIT_ASSERT_EQUAL(std::string("12"), queryValue(target, "after"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a b/c"), queryValue(target, "key"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), queryValue(target, "none"));
+    }
+
+private:
+    static HttpRequest post(const std::string &target, const std::string &body)
+    {
+        return {.method = "POST", .target = target, .body = body};
+    }
+
+    ErrorCode errorOf(const Endpoint &endpoint, const std::string &target,
+                      std::chrono::milliseconds timeout = longTimeout)
+    {
+        HttpConnection connection(m_loop, {.endpoint = endpoint});
+        ErrorCode code = ErrorCode::Internal;
+        connection.send(post(target, "x"), timeout, [&](const Result<HttpResponse> &result) {
+            code = result.error().code;
+            m_loop.stop();
+        });
+        m_loop.run();
+        return code;
+    }
+
+    EventLoop m_loop;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
