Codec: JSON of requests, answers and database calls

Cause: every port needs the structs of messages as JSON, and nobody may hand the exceptions of Boost.JSON on. Change: libs/codec with decode and encode for CallerRequest, CallerAnswer, ForwardedRequest (a request and its hop), DatabaseStatus, StatementCall, StatementAnswer, the answer to opening a connection, FenceCall, PromoteCall and FollowCall. CallerRequest is strict, the others ignore unknown fields. Size and depth are refused before fields are read. Ruled out: value_to/value_from of Boost.JSON, which throws and cannot name the field. Choices to know: idempotent may be left out (false, the safe one), as may maximumAgeMs, length and token; names are at most 256 bytes; a database's answer needs term and point unless it refused. Conclusion: others can build on the codec.

--- /dev/null
+++ b/libs/codec/src/document.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/result.h"
+#include "codec/decodelimits.h"
+#include "fieldreader.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/string_view.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace fescuespring::detail {
+
+// Parses text and hands its outermost object, which must not be kept, to read. Nothing of
+// Boost.JSON is thrown from here.
+Fault readDocument(std::string_view text, const DecodeLimits &limits,
+                   const std::function<Fault(const boost::json::object &)> &read);
+
+// A T filled from the fields of text by read.
+template <typename T, typename Read>
+Result<T> decodeDocument(std::string_view text, const DecodeLimits &limits, Read read)
+{
+    T target;
+    Fault fault = readDocument(text, limits, [&](const boost::json::object &object) {
+        FieldReader reader(object);
+        read(reader, target);
+        return reader.fault();
+    });
+    if (fault)
+        return std::move(*fault);
+    return target;
+}
+
+std::string encodeDocument(const boost::json::object &object);
+
+// The text of a name as Boost.JSON takes it.
+template <typename Tag>
+boost::json::string_view text(const Name<Tag> &name)
+{
+    return {name.value().data(), name.value().size()};
+}
+
+inline boost::json::string_view text(const std::string &value)
+{
+    return {value.data(), value.size()};
+}
+
+} // namespace fescuespring::detail
--- /dev/null
+++ b/libs/codec/src/fieldreader.cpp
@@ -0,0 +1,166 @@
+#include "fieldreader.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fescuespring::detail {
+
+namespace json = boost::json;
+
+namespace {
+
+// Bound of every time that is read, far from the overflow of microseconds.
+constexpr std::chrono::milliseconds maximumTime = std::chrono::years(100);
+
+Fault readWhole(const json::value &value, std::uint64_t maximum, std::uint64_t &target)
+{
+    if (!value.is_int64() && !value.is_uint64())
+        return invalid("must be a whole number");
+    if (value.is_int64() && value.get_int64() < 0)
+        return invalid("must not be negative");
+    target = value.is_uint64() ? value.get_uint64() : static_cast<std::uint64_t>(value.get_int64());
+    if (target > maximum)
+        return invalid("must be at most " + std::to_string(maximum));
+    return {};
+}
+
+template <typename Whole>
+Fault readNarrow(const json::value &value, Whole &target)
+{
+    std::uint64_t number = 0;
+    Fault fault = readWhole(value, std::numeric_limits<Whole>::max(), number);
+    target = static_cast<Whole>(number);
+    return fault;
+}
+
+} // namespace
+
+Fault invalid(std::string message)
+{
+    return Error{.code = ErrorCode::InvalidField, .message = std::move(message)};
+}
+
+std::string joinPath(std::string_view outer, std::string_view inner)
+{
+    std::string path(outer);
+    if (!inner.empty() && inner.front() != '[')
+        path += '.';
+    path += inner;
+    return path;
+}
+
+Fault readValue(const json::value &value, bool &target)
+{
+    if (!value.is_bool())
+        return invalid("must be true or false");
+    target = value.get_bool();
+    return {};
+}
+
+Fault readValue(const json::value &value, std::string &target)
+{
+    if (!value.is_string())
+        return invalid("must be a string");
+    target.assign(value.get_string().data(), value.get_string().size());
+    return {};
+}
+
+Fault readValue(const json::value &value, std::uint16_t &target)
+{
+    return readNarrow(value, target);
+}
+
+Fault readValue(const json::value &value, std::uint32_t &target)
+{
+    return readNarrow(value, target);
+}
+
+Fault readValue(const json::value &value, std::uint64_t &target)
+{
+    return readNarrow(value, target);
+}
+
+Fault readValue(const json::value &value, std::chrono::milliseconds &target)
+{
+    std::uint64_t number = 0;
+    Fault fault = readWhole(value, maximumTime.count(), number);
+    if (!fault)
+        target = std::chrono::milliseconds(number);
+    return fault;
+}
+
+Fault readValue(const json::value &value, LogPoint &target)
+{
+    if (!value.is_object())
+        return invalid("must be an object");
+    FieldReader reader(value.get_object());
+    reader.required("term", target.term);
+    reader.required("position", target.position);
+    return reader.fault();
+}
+
+Fault readValue(const json::value &value, TermStart &target)
+{
+    if (!value.is_object())
+        return invalid("must be an object");
+    FieldReader reader(value.get_object());
+    reader.required("term", target.term);
+    reader.required("start", target.start);
+    return reader.fault();
+}
+
+Fault readValue(const json::value &value, Endpoint &target)
+{
+    if (!value.is_object())
+        return invalid("must be an object");
+    FieldReader reader(value.get_object());
+    reader.required("ip", target.ip);
+    reader.required("port", target.port);
+    reader.expect(!target.ip.empty(), "ip", "must not be empty");
+    reader.expect(target.port != 0, "port", "must not be 0");
+    return reader.fault();
+}
+
+FieldReader::FieldReader(const json::object &object)
+    : m_object(object)
+{}
+
+void FieldReader::expect(bool holds, std::string_view name, std::string message)
+{
+    if (!holds)
+        keep(name, invalid(std::move(message)));
+}
+
+void FieldReader::refuseOthers()
+{
+    if (m_fault)
+        return;
+    for (const json::key_value_pair &pair : m_object) {
+        const std::string_view name(pair.key().data(), pair.key().size());
+        if (std::find(m_known.begin(), m_known.end(), name) != m_known.end())
+            continue;
+        keep(name, Error{.code = ErrorCode::UnknownField, .message = "is not a known field"});
+        return;
+    }
+}
+
+const json::value *FieldReader::find(std::string_view name, bool isRequired)
+{
+    m_known.push_back(name);
+    if (m_fault)
+        return nullptr;
+    const json::value *value = m_object.if_contains(name);
+    if (!value && isRequired)
+        keep(name, Error{.code = ErrorCode::MissingField, .message = "is missing"});
+    return value;
+}
+
+void FieldReader::keep(std::string_view name, Fault fault)
+{
+    if (!fault || m_fault)
+        return;
+    m_fault = std::move(fault);
+    m_fault->field = joinPath(name, m_fault->field);
+}
+
+} // namespace fescuespring::detail
