--- /dev/null
+++ b/libs/scheduling/src/servicetimes.cpp
@@ -0,0 +1,89 @@
+#include "scheduling/servicetimes.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+
+namespace fescuespring {
+namespace {
+
+// A new measurement moves an estimate by one part in this many.
+constexpr std::int64_t smoothing = 8;
+
+constexpr std::int64_t longestMicroseconds = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t clamped(std::int64_t microseconds)
+{
+    return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(microseconds, 1, longestMicroseconds));
+}
+
+} // namespace
+
+ServiceTimes::ServiceTimes(std::size_t capacity)
+    : m_buckets(std::bit_ceil(std::max<std::size_t>(capacity / ways, 1)))
+{}
+
+std::optional<Duration> ServiceTimes::estimate(std::uint64_t fingerprint) const
+{
+    const Entry *entry = find(fingerprint);
+    if (!entry)
+        return std::nullopt;
+    return Duration(entry->serviceMicroseconds);
+}
+
+void ServiceTimes::record(std::uint64_t fingerprint, Duration service)
+{
+    Entry &entry = findOrReplace(fingerprint);
+    if (entry.serviceMicroseconds == 0) {
+        entry.serviceMicroseconds = clamped(service.count());
+        return;
+    }
+    const std::int64_t old = entry.serviceMicroseconds;
+    entry.serviceMicroseconds = clamped(old + (service.count() - old) / smoothing);
+}
+
+void ServiceTimes::recordAtLeast(std::uint64_t fingerprint, Duration elapsed)
+{
+    Entry &entry = findOrReplace(fingerprint);
+    entry.serviceMicroseconds = std::max(entry.serviceMicroseconds, clamped(elapsed.count()));
+}
+
+void ServiceTimes::relax(std::uint64_t fingerprint)
+{
+    if (!find(fingerprint))
+        return;
+    Entry &entry = findOrReplace(fingerprint);
+    const std::int64_t old = entry.serviceMicroseconds;
+    entry.serviceMicroseconds = clamped(old - old / smoothing);
+}
+
+const ServiceTimes::Entry *ServiceTimes::find(std::uint64_t fingerprint) const
+{
+    const Bucket &bucket = m_buckets[fingerprint & (m_buckets.size() - 1)];
+    for (const Entry &entry : bucket) {
+        if (entry.fingerprint == fingerprint && entry.serviceMicroseconds != 0)
+            return &entry;
+    }
+    return nullptr;
+}
+
+ServiceTimes::Entry &ServiceTimes::findOrReplace(std::uint64_t fingerprint)
+{
+    Bucket &bucket = m_buckets[fingerprint & (m_buckets.size() - 1)];
+    ++m_uses;
+    Entry *oldest = bucket.data();
+    for (Entry &entry : bucket) {
+        if (entry.fingerprint == fingerprint && entry.serviceMicroseconds != 0) {
+            entry.lastUse = m_uses;
+            return entry;
+        }
+        // Differences of a counter that may wrap around.
+        if (m_uses - entry.lastUse > m_uses - oldest->lastUse)
+            oldest = &entry;
+    }
+    *oldest = Entry{fingerprint, 0, m_uses};
+    return *oldest;
+}
+
+} // namespace fescuespring
