--- /dev/null
+++ b/libs/promotion/src/lossdetector.cpp
@@ -0,0 +1,116 @@
+#include "promotion/lossdetector.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::array verdictNames{"alive", "suspected", "lost"};
+
+} // namespace
+
+const char *toString(LossVerdict verdict)
+{
+    return verdictNames[static_cast<std::size_t>(verdict)];
+}
+
+LossDetector::LossDetector(LossOptions options)
+    : m_options(options)
+{}
+
+void LossDetector::report(PeerReport report)
+{
+    const auto known = std::find_if(m_reports.begin(), m_reports.end(),
+                                    [&](const PeerReport &other) { return other.vm == report.vm; });
+    if (known == m_reports.end())
+        m_reports.push_back(std::move(report));
+    else
+        *known = std::move(report);
+}
+
+LossVerdict LossDetector::examine(const GroupView &view, Instant now)
+{
+    if (!m_lastExamined || now - *m_lastExamined > m_options.pauseAfter) {
+        m_resumedAt = now;
+        m_headlessSince.reset();
+    }
+    m_lastExamined = now;
+    std::erase_if(m_reports, [&](const PeerReport &report) {
+        return now - report.heardAt > m_options.reportLifetime;
+    });
+    const bool canPromote = reachesMajority(view, now);
+    const auto primary = view.primary();
+    if (!primary) {
+        const LossVerdict verdict = examineHeadless(now);
+        return canPromote ? verdict : LossVerdict::Suspected;
+    }
+    m_headlessSince.reset();
+    m_silentSince = std::max(view.find(primary->database)->heardAt, m_resumedAt);
+    if (now - m_silentSince < m_options.suspectAfter)
+        return LossVerdict::Alive;
+    return canPromote ? examineSilent(view, *primary, now) : LossVerdict::Suspected;
+}
+
+LossVerdict LossDetector::examineHeadless(Instant now)
+{
+    if (!m_headlessSince) {
+        m_headlessSince = now;
+        m_silentSince = now;
+    }
+    return now - *m_headlessSince >= m_options.headlessAfter ? LossVerdict::Lost
+                                                             : LossVerdict::Suspected;
+}
+
+LossVerdict LossDetector::examineSilent(const GroupView &view, const PrimaryView &primary,
+                                        Instant now) const
+{
+    const Duration silence = now - m_silentSince;
+    const Votes counted = votes(primary.term, now);
+    if (counted.alive >= counted.lost)
+        return LossVerdict::Suspected;
+    if (isHeardByReplica(view, primary, now))
+        return silence >= m_options.contestedAfter ? LossVerdict::Lost : LossVerdict::Suspected;
+    if (counted.lost >= m_options.vantagePoints / 2 + 1)
+        return LossVerdict::Lost;
+    return silence >= m_options.aloneAfter ? LossVerdict::Lost : LossVerdict::Suspected;
+}
+
+LossDetector::Votes LossDetector::votes(Term term, Instant now) const
+{
+    Votes counted{.lost = 1};
+    for (const PeerReport &report : m_reports) {
+        if (report.term != term || now - report.heardAt > m_options.reportLifetime)
+            continue;
+        if (report.primaryReachable)
+            ++counted.alive;
+        else
+            ++counted.lost;
+    }
+    return counted;
+}
+
+bool LossDetector::isHeardByReplica(const GroupView &view, const PrimaryView &primary,
+                                    Instant now) const
+{
+    const auto &databases = view.databases();
+    return std::any_of(databases.begin(), databases.end(), [&](const DatabaseView &database) {
+        const bool isFreshReplica = database.site.database != primary.database && database.status
+                                    && database.status->term == primary.term
+                                    && now - database.heardAt < m_options.suspectAfter;
+        return isFreshReplica && database.status->age < m_options.suspectAfter / 2;
+    });
+}
+
+bool LossDetector::reachesMajority(const GroupView &view, Instant now) const
+{
+    const auto &databases = view.databases();
+    const auto reached =
+            std::count_if(databases.begin(), databases.end(), [&](const DatabaseView &database) {
+                return database.status && now - database.heardAt < m_options.suspectAfter;
+            });
+    return static_cast<std::size_t>(reached) >= view.majority();
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/routing/src/readrouter.cpp
@@ -0,0 +1,186 @@
+#include "routing/readrouter.h"
+
+#include <algorithm>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr LogPosition emptyLog{0};
+
+// Whether reads may be sent to the database at all: it answers, stays, and its log is not a branch
+// that the group has given up.
+bool isUsable(const GroupView &view, const DatabaseView &database)
+{
+    return database.reachable && database.status && !database.site.leaving
+           && !isDiscarded(view.history(), database.status->applied);
+}
+
+// A database that takes itself for the primary, but is not the one that view knows.
+bool isDeposed(const std::optional<PrimaryView> &primary, const DatabaseView &database)
+{
+    const bool isKnown = primary && primary->database == database.site.database;
+    return database.status->role == Role::Primary && !isKnown;
+}
+
+// Whether the database's log holds point. The primary of a term holds every point of that term,
+// also those that it has written since its last status.
+Holding holdingOf(const DatabaseView &database, bool isPrimary, LogPoint point)
+{
+    const DatabaseStatus &status = *database.status;
+    if (isPrimary && point.term == status.term)
+        return Holding::Holds;
+    return holding(status.history, status.applied, point);
+}
+
+} // namespace
+
+ReadRouter::ReadRouter(ReadRouterOptions options)
+    : m_options(std::move(options))
+{}
+
+ReadDecision ReadRouter::route(const GroupView &view, const ReadNeed &need, Instant now) const
+{
+    if (now >= need.deadline)
+        return refuse(Reason::DeadlinePassed);
+    if (need.maximumAge)
+        return routeByAge(view, need, now);
+    if (need.point.position == emptyLog)
+        return routeToPrimary(view, now);
+    return routeByPoint(view, need, now);
+}
+
+ReadDecision ReadRouter::routeToPrimary(const GroupView &view, Instant now) const
+{
+    const auto primary = view.primary();
+    if (!primary || !view.find(primary->database)->reachable)
+        return refuse(Reason::NoPrimary);
+    return {.action = ReadAction::Serve,
+            .database = primary->database,
+            .needsConfirmation = true,
+            .term = primary->term,
+            .until = now};
+}
+
+ReadDecision ReadRouter::routeByAge(const GroupView &view, const ReadNeed &need, Instant now) const
+{
+    const auto primary = view.primary();
+    const DatabaseView *best = nullptr;
+    Duration bestCost = Duration::max();
+    for (const DatabaseView &database : view.databases()) {
+        if (!isUsable(view, database) || isDeposed(primary, database))
+            continue;
+        const bool isPrimary = primary && primary->database == database.site.database;
+        const Duration expected = cost(database, isPrimary);
+        const auto age = view.ageBound(database, now);
+        if (!age || *age + expected > *need.maximumAge || expected >= bestCost)
+            continue;
+        best = &database;
+        bestCost = expected;
+    }
+    if (best) {
+        const bool byReplica = !primary || primary->database != best->site.database;
+        return {.action = ReadAction::Serve,
+                .database = best->site.database,
+                .byReplica = byReplica,
+                .term = best->status->term,
+                .until = now};
+    }
+    const ReadDecision atPrimary = routeToPrimary(view, now);
+    return atPrimary.action == ReadAction::Serve ? atPrimary : refuse(Reason::TooOld);
+}
+
+ReadDecision ReadRouter::routeByPoint(const GroupView &view, const ReadNeed &need,
+                                      Instant now) const
+{
+    if (isDiscarded(view.history(), need.point))
+        return refuse(Reason::HistoryDiscarded);
+    if (need.point.term > lastTerm(view.history()))
+        return {.action = ReadAction::Learn, .until = now + m_options.recheck};
+
+    const auto primary = view.primary();
+    const DatabaseView *ready = nullptr;
+    Duration readyCost = Duration::max();
+    Duration waitCost = Duration::max();
+    for (const DatabaseView &database : view.databases()) {
+        const bool isPrimary = primary && primary->database == database.site.database;
+        const bool isAllowed = isUsable(view, database) || (isPrimary && database.reachable);
+        if (!isAllowed || isDeposed(primary, database))
+            continue;
+        const Duration expected = cost(database, isPrimary);
+        switch (holdingOf(database, isPrimary, need.point)) {
+        case Holding::Holds:
+            if (expected < readyCost) {
+                ready = &database;
+                readyCost = expected;
+            }
+            break;
+        case Holding::Behind:
+            waitCost = std::min(waitCost, expected + catchUpTime(database, need.point));
+            break;
+        case Holding::Discarded:
+            break;
+        }
+    }
+    const bool canWait = waitCost != Duration::max();
+    ReadDecision wait{.action = ReadAction::Wait, .until = now + m_options.recheck};
+    if (!ready)
+        return canWait ? wait : refuse(Reason::UpstreamUnreachable);
+    const bool byReplica = !primary || primary->database != ready->site.database;
+    const bool isPrimaryFull = !byReplica && ready->inFlight >= m_options.divertedReads;
+    const bool waitIsBetter = waitCost < readyCost && now + waitCost < need.deadline;
+    if (canWait && (waitIsBetter || isPrimaryFull))
+        return wait;
+    return {.action = ReadAction::Serve,
+            .database = ready->site.database,
+            .byReplica = byReplica,
+            .term = ready->status->term,
+            .until = now};
+}
+
+Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary) const
+{
+    const Duration roundTrip = database.roundTrip == Duration::zero() ? m_options.assumedRoundTrip
+                                                                      : database.roundTrip;
+    const Duration service = database.serviceTime == Duration::zero() ? m_options.assumedServiceTime
+                                                                      : database.serviceTime;
+    const bool isRemote = database.site.dataCentre != m_options.dataCentre;
+    const unsigned turns = database.inFlight / m_options.slots + 1;
+    return roundTrip + service * turns + (isRemote ? m_options.assumedRoundTrip : Duration::zero())
+           + (isPrimary ? m_options.primaryPenalty : Duration::zero());
+}
+
+Duration ReadRouter::catchUpTime(const DatabaseView &database, LogPoint point) const
+{
+    const LogPoint applied = database.status->applied;
+    if (database.appliedPerSecond <= 0 || applied.term != point.term)
+        return m_options.assumedCatchUp;
+    const auto missing = static_cast<double>(point.position.value() - applied.position.value());
+    const std::chrono::duration<double> time(missing / database.appliedPerSecond);
+    return std::min(std::chrono::duration_cast<Duration>(time), Duration(std::chrono::hours(1)));
+}
+
+ReadDecision ReadRouter::refuse(Reason reason) const
+{
+    const bool mayPass = reason != Reason::HistoryDiscarded && reason != Reason::DeadlinePassed;
+    return {.action = ReadAction::Refuse,
+            .reason = reason,
+            .retryAfter = mayPass ? m_options.retryAfter : std::chrono::milliseconds::zero()};
+}
+
+ReadCheck checkRead(const GroupView &view, LogPoint needed, const StatementAnswer &answer)
+{
+    if (needed.position == emptyLog)
+        return ReadCheck::Accept;
+    if (isDiscarded(view.history(), needed))
+        return ReadCheck::Discarded;
+    if (answer.point < needed)
+        return ReadCheck::RouteAgain;
+    if (answer.point.term == needed.term)
+        return ReadCheck::Accept;
+    const bool isKnown = answer.point.term <= lastTerm(view.history());
+    return isKnown && !isDiscarded(view.history(), answer.point) ? ReadCheck::Accept
+                                                                 : ReadCheck::RouteAgain;
+}
+
+} // namespace fescuespring
