--- a/libs/confirmation/include/confirmation/confirmer.h
+++ b/libs/confirmation/include/confirmation/confirmer.h
@@ -87,6 +87,12 @@
     // When to call takeRound and advance at the latest; nothing while none waits.
     std::optional<Instant> nextEvent() const;
 
+    // When the last round was sent, while it is not yet answered by a majority.
+    std::optional<Instant> openRound() const
+    {
+        return m_roundAnswered ? std::nullopt : m_roundSentAt;
+    }
+
     std::size_t waiting() const
     {
         return m_waiting.size();
--- a/libs/promotion/include/promotion/promoter.h
+++ b/libs/promotion/include/promotion/promoter.h
@@ -178,7 +178,8 @@
 public:
     explicit Promoter(PromoterOptions options);
 
-    // Begins a change; nothing happens while one is under way.
+    // Begins a change. Nothing happens while one is under way, nor before view holds a status: a
+    // term must lie above the one that the group's databases began with, which no record holds.
     PromotionActions start(const PromotionRequest &request, const GroupView &view, Instant now);
 
     PromotionActions recordRead(std::uint64_t call, const std::optional<StoredRecord> &stored,
--- a/libs/promotion/src/promoter.cpp
+++ b/libs/promotion/src/promoter.cpp
@@ -49,9 +49,15 @@
 {
     if (m_step != PromotionStep::Idle && m_step != PromotionStep::Recording)
         return {};
+    const auto &databases = view.databases();
+    const bool knowsAny =
+            std::any_of(databases.begin(), databases.end(),
+                        [](const DatabaseView &database) { return database.status.has_value(); });
+    if (!knowsAny)
+        return {};
     m_request = request;
     m_members.clear();
-    for (const DatabaseView &database : view.databases())
+    for (const DatabaseView &database : databases)
         m_members.push_back({.database = database.site.database, .leaving = database.site.leaving});
     m_highest = std::max(view.highestTerm(), lastTerm(view.history()));
     m_term = Term();
@@ -451,6 +457,8 @@
         text += " record " + std::to_string(m_stored->version.value());
     if (!m_chosen.isEmpty())
         text += " chosen " + m_chosen.value();
+    if (m_yieldedTo != Term())
+        text += " yielded " + std::to_string(m_yieldedTo.value());
     for (const Member &member : m_members) {
         if (member.fenced)
             text += " fenced " + member.database.value() + "@"
--- a/libs/requests/include/requests/requestlife.h
+++ b/libs/requests/include/requests/requestlife.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace fescuespring {
 
@@ -93,7 +95,8 @@
     // The attempt ended before any byte of a call was written.
     RequestVerdict notSent(Reason reason);
 
-    // The open call was answered.
+    // The open call was answered. A repeated answer, also to Begin, stands for the whole request:
+    // it ran before, and its result holds one line for each statement.
     RequestVerdict answered(const StatementAnswer &answer);
 
     // The connection broke while a call was open, or between two calls of a transaction.
@@ -127,6 +130,7 @@
     }
     Position firstPosition() const;
     RequestVerdict advanceAfterDone();
+    RequestVerdict allDone();
     RequestVerdict endAttempt(Reason reason, bool closeConnection);
     RequestVerdict finish(Reason reason, bool closeConnection) const;
 
@@ -144,6 +148,9 @@
     bool m_mayHaveRunBefore = false;
 };
 
+// The results of the statements of a request that was answered from the record.
+std::vector<std::string> splitRecordedResults(const std::string &recorded, std::size_t statements);
+
 // The reason that stands for a database's refusal.
 Reason reasonOf(CallRefusal refusal);
 
--- a/libs/requests/src/requestlife.cpp
+++ b/libs/requests/src/requestlife.cpp
@@ -31,6 +31,23 @@
     return Reason::UpstreamRefused;
 }
 
+std::vector<std::string> splitRecordedResults(const std::string &recorded, std::size_t statements)
+{
+    if (statements <= 1)
+        return {recorded};
+    std::vector<std::string> results;
+    std::size_t begin = 0;
+    while (results.size() + 1 < statements) {
+        const std::size_t end = recorded.find('\n', begin);
+        if (end == std::string::npos)
+            break;
+        results.push_back(recorded.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    results.push_back(recorded.substr(begin));
+    return results;
+}
+
 RequestLife::RequestLife(RequestTraits traits, RequestLifeOptions options)
     : m_traits(traits)
     , m_options(std::move(options))
@@ -76,7 +93,7 @@
     m_isCallOpen = false;
     switch (answer.outcome) {
     case CallOutcome::Done:
-        return advanceAfterDone();
+        return answer.repeated ? allDone() : advanceAfterDone();
     case CallOutcome::Refused: {
         const bool isFirstStatement = m_position != Position::Commit && m_statement == 0;
         m_mayHaveRun = m_mayHaveRun && !isFirstStatement;
@@ -102,7 +119,14 @@
     }
     if (m_position != Position::Done)
         return {.step = RequestStep::SendNext};
+    return allDone();
+}
+
+RequestVerdict RequestLife::allDone()
+{
+    m_position = Position::Done;
     m_hasBegun = false;
+    m_mayHaveRun = true;
     if (m_traits.needsConfirmation)
         return {.step = RequestStep::Confirm};
     return {.step = RequestStep::Finish, .outcome = Outcome::Done};
