--- a/libs/store/include/store/storeclient.h
+++ b/libs/store/include/store/storeclient.h
@@ -43,6 +43,8 @@
     Conflict,
     // Neither could be found out before the deadline.
     Unknown,
+    // The store was not reached before the deadline: the write did not and will not take effect.
+    NotWritten,
 };
 
 const char *toString(WriteOutcome outcome);
@@ -54,7 +56,7 @@
     // The object as last seen; after Conflict what stands there now.
     StoredObject current;
 
-    // Why the outcome is not known; empty message else.
+    // The last error where the store did not answer; empty message else.
     Error error = {};
 };
 
