--- a/libs/databasemodel/include/databasemodel/database.h
+++ b/libs/databasemodel/include/databasemodel/database.h
@@ -18,13 +18,13 @@
 
 struct DatabaseOptions
 {
-    DatabaseId database;
-    GroupId group;
+    DatabaseId database = {};
+    GroupId group = {};
 
     // Term at the start. The group's first primary begins it; replicas follow under it.
     Term initialTerm{1};
     bool initialPrimary = false;
-    std::optional<Endpoint> initialFollows;
+    std::optional<Endpoint> initialFollows = {};
 };
 
 // Age of a replica that cannot tell how old its data is.
--- a/libs/databasemodel/include/databasemodel/server.h
+++ b/libs/databasemodel/include/databasemodel/server.h
@@ -34,13 +34,13 @@
     // Factor on the work of statements that start from now on.
     double slowness = 1;
 
-    ReplicationLag lag;
+    ReplicationLag lag = {};
 
     // Peers, by name or IP number, from which nothing arrives and to which nothing goes.
-    std::set<std::string> cut;
+    std::set<std::string> cut = {};
 
     // Nothing: the limit of the options.
-    std::optional<std::uint32_t> connections;
+    std::optional<std::uint32_t> connections = {};
 };
 
 struct OpenAnswer
--- a/libs/databasemodel/tests/databasetest.cpp
+++ b/libs/databasemodel/tests/databasetest.cpp
@@ -13,10 +13,8 @@
 
 Database makePrimary()
 {
-    return Database({.database = DatabaseId("d1"),
-                     .group = GroupId("herd"),
-                     .initialPrimary = true,
-                     .initialFollows = std::nullopt});
+    return Database(
+            {.database = DatabaseId("d1"), .group = GroupId("herd"), .initialPrimary = true});
 }
 
 Database makeReplica(const std::string &name)
--- a/libs/databasemodel/tests/servertest.cpp
+++ b/libs/databasemodel/tests/servertest.cpp
@@ -116,7 +116,7 @@
         open(server, 1, at(0ms));
         open(server, 2, at(0ms));
         call(server, 1, "work=10 set a 1", at(20ms));
-        server.setFaults({.frozen = true, .lag = {}, .cut = {}, .connections = {}}, at(25ms));
+        server.setFaults({.frozen = true}, at(25ms));
         call(server, 2, "set a 2", at(26ms));
         server.close(DatabaseConnectionId(2), at(27ms));
         server.perform(at(28ms),
@@ -125,7 +125,7 @@
         CPPUNIT_ASSERT(m_answers.empty());
         runTo(server, at(100ms));
         m_now = at(100ms);
-        server.setFaults({.lag = {}, .cut = {}, .connections = {}}, at(100ms));
+        server.setFaults({}, at(100ms));
         CPPUNIT_ASSERT_EQUAL(std::string("ok@100"), m_answers.at(0));
         CPPUNIT_ASSERT_EQUAL(std::string("2"), server.database().cells().at("a").value);
         CPPUNIT_ASSERT(Term(2) == server.database().term());
@@ -136,7 +136,7 @@
     {
         DatabaseServer server = makeServer({});
         open(server, 1, at(0ms));
-        server.setFaults({.slowness = 3, .lag = {}, .cut = {}, .connections = {}}, at(20ms));
+        server.setFaults({.slowness = 3}, at(20ms));
         call(server, 1, "work=10 set a 1", at(20ms));
         CPPUNIT_ASSERT(at(50ms) == *server.nextEvent());
     }
@@ -149,11 +149,9 @@
 
     static DatabaseServer makeServer(const DatabaseServerOptions &options)
     {
-        return DatabaseServer({.database = DatabaseId("d1"),
-                               .group = GroupId("herd"),
-                               .initialPrimary = true,
-                               .initialFollows = std::nullopt},
-                              options);
+        return DatabaseServer(
+                {.database = DatabaseId("d1"), .group = GroupId("herd"), .initialPrimary = true},
+                options);
     }
 
     void open(DatabaseServer &server, std::uint64_t connection, Instant now)
