Settings: the daemon's YAML file, checked whole

Cause: a fault in the settings has to be found before anything opens, each one with file, line and field. Change: libs/settings. A Section reads the fields of one mapping, adds every fault to one list and refuses what nobody asked for, with the nearest known name; each struct has one short read function, a line a field. docs/SETTINGS.md: unit, default and range of each field; its example is read by a test, so the page cannot go stale unseen. Also checked: names, IP numbers, no wildcard where the endpoint is told to others, doubles (fields, key ids, groups, databases, endpoints), slots against connections, failure timeouts against probe intervals. Ruled out: yaml-cpp's as<T>(), which throws at the first fault, takes '2.0' for text and reads '0x10' as a number. Conclusion: done for today's fields; a new one is a line in the struct, in its read function and in the page.

--- /dev/null
+++ b/libs/settings/tests/daemonsettingstest.cpp
@@ -0,0 +1,232 @@
+#include "settings/daemonsettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <iterator>
+
+using namespace fescuespring;
+
+namespace {
+
+constexpr const char *smallest = R"(vm: vm-1
+dataCentre: andong
+callerEndpoint: {ip: 127.0.0.1, port: 0}
+peerEndpoint: {ip: 127.0.0.1, port: 0}
+membershipEndpoint: {ip: 127.0.0.1, port: 0}
+platformEndpoint: {ip: 127.0.0.1, port: 21000}
+tokenKeys:
+  - {id: k1, secret: 0123456789abcdef}
+groups:
+  - group: herd
+    databases:
+      - {database: herd-1, dataCentre: andong, endpoint: {ip: 127.0.0.1, port: 21001}}
+)";
+
+// The example of docs/SETTINGS.md, so that the page cannot go stale unseen.
+std::string documentedExample()
+{
+    std::ifstream file(TEST_DATA_DIR "/../../../../docs/SETTINGS.md");
+    const std::string page{std::istreambuf_iterator<char>(file), {}};
+    const std::string opening = "```yaml\n";
+    const std::size_t start = page.find(opening) + opening.size();
+    return page.substr(start, page.find("```", start) - start);
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    CPPUNIT_ASSERT_MESSAGE(from, text.find(from) != std::string::npos);
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string errorsOf(const std::string &yaml)
+{
+    const SettingsResult result = parseDaemonSettings(yaml);
+    std::string text;
+    if (!result) {
+        for (const Error &error : result.error())
+            text += describe(error, "f") + '\n';
+    }
+    return text;
+}
+
+void assertErrors(const std::string &expected, const std::string &yaml)
+{
+    CPPUNIT_ASSERT_EQUAL(expected, errorsOf(yaml));
+}
+
+} // namespace
+
+class DaemonSettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DaemonSettingsTest);
+    CPPUNIT_TEST(smallestFileTakesDefaults);
+    CPPUNIT_TEST(documentedExampleIsRead);
+    CPPUNIT_TEST(everyErrorIsNamedWithItsLine);
+    CPPUNIT_TEST(missingFieldsAreNamed);
+    CPPUNIT_TEST(unknownFieldsGetASuggestion);
+    CPPUNIT_TEST(wrongTypesAreRefused);
+    CPPUNIT_TEST(endpointsAreChecked);
+    CPPUNIT_TEST(doublesAreRefused);
+    CPPUNIT_TEST(fieldsThatBelongTogetherAreChecked);
+    CPPUNIT_TEST(loggingIsChecked);
+    CPPUNIT_TEST(brokenTextIsAnError);
+    CPPUNIT_TEST(fileThatIsNotThereIsAnError);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void smallestFileTakesDefaults()
+    {
+        const SettingsResult result = parseDaemonSettings(smallest);
+        CPPUNIT_ASSERT_EQUAL(std::string(), errorsOf(smallest));
+        const DaemonSettings &settings = result.value();
+        CPPUNIT_ASSERT(settings.vm == VmId("vm-1"));
+        CPPUNIT_ASSERT(settings.platformEndpoint == (Endpoint{"127.0.0.1", 21000}));
+        CPPUNIT_ASSERT_EQUAL(2U, settings.trafficThreads);
+        CPPUNIT_ASSERT_EQUAL(20U, settings.groups[0].databases[0].connections);
+        CPPUNIT_ASSERT_EQUAL(3U, settings.groups[0].databases[0].slots);
+        CPPUNIT_ASSERT(settings.logging.level == LogLevel::Info);
+        CPPUNIT_ASSERT(settings.stopDeadline == std::chrono::seconds(10));
+    }
+
+    void documentedExampleIsRead()
+    {
+        const std::string example = documentedExample();
+        CPPUNIT_ASSERT_EQUAL(std::string(), errorsOf(example));
+        const SettingsResult result = parseDaemonSettings(example);
+        const DaemonSettings &settings = result.value();
+        CPPUNIT_ASSERT(settings.vm == VmId("vm-andong-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings.tokenKeys.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("k2"), settings.tokenKeys[0].id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, settings.groups[0].databases.size());
+        CPPUNIT_ASSERT(settings.logging.layout == LogOptions().layout);
+        CPPUNIT_ASSERT(settings.limits.readTimeout == LimitSettings().readTimeout);
+        CPPUNIT_ASSERT(settings.timings.platformWatch == TimingSettings().platformWatch);
+    }
+
+    void everyErrorIsNamedWithItsLine()
+    {
+        std::string yaml = replaced(smallest, "vm: vm-1", "vm: 'vm 1'");
+        yaml = replaced(yaml, "port: 21000", "port: 70000");
+        yaml = replaced(yaml, "0123456789abcdef", "short");
+        yaml += "stopDeadlineMs: soon\n";
+        assertErrors("f:1: vm: must be of letters, digits, '.', '-' and '_'\n"
+                     "f:6: platformEndpoint.port: must be a whole number from 1 to 65535\n"
+                     "f:8: tokenKeys[0].secret: must be from 16 to 256 bytes long\n"
+                     "f:13: stopDeadlineMs: must be a whole number from 100 to 600000\n",
+                     yaml);
+    }
+
+    void missingFieldsAreNamed()
+    {
+        assertErrors("f:1: vm: is missing\n"
+                     "f:1: dataCentre: is missing\n"
+                     "f:1: callerEndpoint: is missing\n"
+                     "f:1: peerEndpoint: is missing\n"
+                     "f:1: membershipEndpoint: is missing\n"
+                     "f:1: platformEndpoint: is missing\n"
+                     "f:1: tokenKeys: is missing\n"
+                     "f:1: groups: is missing\n",
+                     "{}");
+        assertErrors("f:3: callerEndpoint.port: is missing\n",
+                     replaced(smallest, "callerEndpoint: {ip: 127.0.0.1, port: 0}",
+                              "callerEndpoint: {ip: 127.0.0.1}"));
+        assertErrors("f:7: tokenKeys: must be a list of at least one\n",
+                     replaced(smallest, "\n  - {id: k1, secret: 0123456789abcdef}", " []"));
+    }
+
+    void unknownFieldsGetASuggestion()
+    {
+        assertErrors("f:13: trafficThread: is not a known field; did you mean 'trafficThreads'?\n"
+                     "f:14: limits.maxBodyByte: is not a known field; did you mean "
+                     "'maxBodyBytes'?\n"
+                     "f:15: colour: is not a known field\n",
+                     std::string(smallest)
+                             + "trafficThread: 3\nlimits: {maxBodyByte: 1}\ncolour: red\n");
+    }
+
+    void wrongTypesAreRefused()
+    {
+        const std::string tail = "trafficThreads: ";
+        const std::string whole = "f:13: trafficThreads: must be a whole number from 1 to 64\n";
+        for (const char *value : {"0", "65", "-1", "2.0", "2x", "''", "99999999999999999999"})
+            assertErrors(whole, smallest + tail + value);
+        assertErrors("f:13: trafficThreads: must be a single value\n", smallest + tail + "[2]");
+        assertErrors("f:13: trafficThreads: must be a single value\n", smallest + tail + "~");
+        assertErrors("f:13: limits: must be a mapping of fields\n",
+                     smallest + std::string("limits: 3"));
+        assertErrors("f:8: tokenKeys[0]: must be a mapping of fields\n",
+                     replaced(smallest, "{id: k1, secret: 0123456789abcdef}", "k1"));
+    }
+
+    void endpointsAreChecked()
+    {
+        const std::string caller = "callerEndpoint: {ip: 127.0.0.1, port: 0}";
+        assertErrors("f:3: callerEndpoint.ip: must be an IP number\n",
+                     replaced(smallest, caller, "callerEndpoint: {ip: vm-1.local, port: 0}"));
+        assertErrors("", replaced(smallest, caller, "callerEndpoint: {ip: '::', port: 0}"));
+        assertErrors("f:4: peerEndpoint.ip: must be a number that other VMs can reach\n",
+                     replaced(smallest, "peerEndpoint: {ip: 127.0.0.1, port: 0}",
+                              "peerEndpoint: {ip: 0.0.0.0, port: 0}"));
+        std::string same = replaced(smallest, caller, "callerEndpoint: {ip: 127.0.0.1, port: 5}");
+        same = replaced(same, "peerEndpoint: {ip: 127.0.0.1, port: 0}",
+                        "peerEndpoint: {ip: 127.0.0.1, port: 5}");
+        assertErrors("f:4: peerEndpoint: is also the callerEndpoint\n", same);
+    }
+
+    void doublesAreRefused()
+    {
+        const std::string key = "  - {id: k1, secret: 0123456789abcdef}\n";
+        assertErrors("f:9: tokenKeys[1].id: stands twice in tokenKeys\n",
+                     replaced(smallest, key, key + key));
+        assertErrors("f:1: vm: stands twice, again at line 13\n", smallest + std::string("vm: b"));
+        const std::string database =
+                "      - {database: herd-1, dataCentre: andong, endpoint: {ip: 127.0.0.1, "
+                "port: 21001}}\n";
+        assertErrors("f:9: groups: database 'herd-1' of group 'herd' has the endpoint of another "
+                     "database\n"
+                     "f:13: groups[0].databases[1].database: stands twice in its group\n",
+                     smallest + database);
+    }
+
+    void fieldsThatBelongTogetherAreChecked()
+    {
+        assertErrors("f:12: groups[0].databases[0].slots: must not exceed connections\n",
+                     replaced(smallest, "database: herd-1,",
+                              "database: herd-1, connections: 2, slots: 3,"));
+        assertErrors("f:13: timings.databaseFailureTimeoutMs: must be at least twice "
+                     "databaseProbeIntervalMs\n",
+                     smallest + std::string("timings: {databaseFailureTimeoutMs: 999}"));
+    }
+
+    void loggingIsChecked()
+    {
+        assertErrors("f:13: logging.level: must be one of debug, info, warning, error, off\n"
+                     "f:13: logging.layout: must hold %m, the line itself\n",
+                     smallest + std::string("logging: {level: loud, layout: '%p'}"));
+        const SettingsResult result =
+                parseDaemonSettings(smallest + std::string("logging: {level: debug, file: a.log}"));
+        CPPUNIT_ASSERT(result.value().logging.level == LogLevel::Debug);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.log"), result.value().logging.file);
+    }
+
+    void brokenTextIsAnError()
+    {
+        const std::string shape = "f:1: must be one YAML document, a mapping of fields\n";
+        for (const char *text : {"", "[]", "vm", "---\nvm: a\n---\nvm: b\n"})
+            assertErrors(shape, text);
+        CPPUNIT_ASSERT(errorsOf("vm: [\n").find("f:2: is no YAML") == 0);
+        CPPUNIT_ASSERT(errorsOf("[a]: 3").find("f:1: must be") == std::string::npos);
+        const std::string deep(100'000, '[');
+        CPPUNIT_ASSERT(!errorsOf(deep).empty());
+    }
+
+    void fileThatIsNotThereIsAnError()
+    {
+        const SettingsResult result = loadDaemonSettings("/nowhere/at/all.yaml");
+        CPPUNIT_ASSERT(result.has_error());
+        CPPUNIT_ASSERT(result.error()[0].code == ErrorCode::NotFound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DaemonSettingsTest);
