--- /dev/null
+++ b/libs/sliceowner/include/sliceowner/sliceowner.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "base/counters.h"
+#include "databaseport/databaseport.h"
+#include "groupview/groupview.h"
+#include "messages/plans.h"
+#include "messages/request.h"
+#include "net/eventloop.h"
+#include "promotion/grouprecord.h"
+#include "promotion/lossdetector.h"
+#include "promotion/promoter.h"
+#include "session/sessiontoken.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fescuespring {
+
+// A request that has reached the owner of its group's slice.
+struct OwnerRequest
+{
+    CallerRequest request;
+
+    // 0 at the VM of entry, 1 and 2 after forwarding.
+    std::uint32_t hop = 0;
+    Instant receivedAt;
+
+    // Called once, on the owner's thread.
+    std::function<void(CallerAnswer)> answer;
+};
+
+// A database of the group as the owner is told of it.
+struct SliceDatabase
+{
+    DatabaseSite site;
+    std::uint32_t connections = 20;
+    std::uint32_t slots = 3;
+};
+
+// What the slice's owner asks of the VM that it runs on. Every callback must come on the owner's
+// thread. Hooks that are empty are taken as "cannot be had".
+struct SliceHooks
+{
+    DatabasePortFactory databasePorts;
+    TokenSigner tokenSigner;
+
+    // Sends the request to the owner of the group's slice in another data centre.
+    std::function<void(const DataCentreId &, OwnerRequest)> forward;
+
+    // Reads and conditionally writes the group's record.
+    using RecordRead = std::function<void(const Result<std::optional<StoredRecord>> &)>;
+    using RecordWritten = std::function<void(const Result<ObjectVersion> &)>;
+    std::function<void(RecordRead)> readRecord;
+    std::function<void(const GroupRecord &, ObjectVersion ifVersion, RecordWritten)> writeRecord;
+
+    // Asks other VMs to probe the primary; each answer is a report.
+    std::function<void(const DatabaseId &, Term, std::function<void(const PeerReport &)>)>
+            askPeers;
+
+    // A change of primary that this owner made has ended. For the log.
+    std::function<void(const GroupId &, const PromotionReport &)> promotionEnded;
+
+    // The group has another primary than before. For the log.
+    std::function<void(const GroupId &, const PrimaryView &)> primaryChanged;
+
+    std::function<std::uint64_t()> random;
+};
+
+struct SliceOwnerOptions
+{
+    VmId vm;
+    DataCentreId dataCentre;
+    GroupId group;
+    Duration probeInterval = std::chrono::milliseconds(200);
+    std::chrono::milliseconds probeTimeout{500};
+
+    // Vantage points that judge the loss of a primary, this owner included.
+    std::size_t vantagePoints = 1;
+    bool mayPromote = true;
+};
+
+// State of one database in a slice, for status pages.
+struct SliceDatabaseStatus
+{
+    DatabaseId database;
+    DataCentreId dataCentre;
+    bool reachable = false;
+    bool leaving = false;
+    Role role = Role::Replica;
+    Term term;
+    LogPoint applied;
+    std::chrono::milliseconds age{0};
+    std::uint32_t connections = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+};
+
+struct SliceStatus
+{
+    GroupId group;
+    DatabaseId primary;
+    Term term;
+    std::vector<SliceDatabaseStatus> databases;
+};
+
+// Owns one slice: the connections to the databases of a group in this data centre. It probes the
+// whole group, routes and runs requests, confirms answers before they are passed on, and changes
+// the primary when that is lost or leaving. One loop's thread; hooks are called on it.
+//
+//     SliceOwner owner(loop, counters, options, hooks);
+//     owner.setDatabases(databases);
+//     owner.setLists(lists);
+//     owner.submit({.request = request, .receivedAt = loop.now(), .answer = reply});
+class SliceOwner
+{
+public:
+    SliceOwner(EventLoop &loop, Counters &counters, SliceOwnerOptions options, SliceHooks hooks);
+    ~SliceOwner();
+    SliceOwner(const SliceOwner &) = delete;
+    SliceOwner &operator=(const SliceOwner &) = delete;
+
+    void setDatabases(const std::vector<SliceDatabase> &databases);
+    void setLists(std::shared_ptr<const PlanLists> lists);
+
+    // Whether this VM may start a change of primary: not while it doubts its own view.
+    void setMayPromote(bool mayPromote);
+
+    void submit(OwnerRequest request);
+
+    // Answers new requests NotRun (Draining), lets the others finish, closes connections, then
+    // calls done.
+    void drain(std::function<void()> done);
+
+    // Requests that are not answered yet.
+    std::size_t inFlight() const;
+
+    SliceStatus status() const;
+
+private:
+    struct Data;
+    std::unique_ptr<Data> m_data;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/sliceowner/src/databaseexecutor.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/counters.h"
+#include "databaseport/databaseport.h"
+#include "net/eventloop.h"
+#include "pool/connectionpool.h"
+#include "scheduling/scheduler.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace fescuespring {
+
+class DatabaseExecutor;
+
+// A connection and a slot, held by one piece of work from dispatch until release. Must not outlive
+// its executor.
+class ConnectionLease
+{
+public:
+    ConnectionLease(DatabaseExecutor &executor, const Dispatch &dispatch, ConnectionId connection);
+    ~ConnectionLease();
+    ConnectionLease(const ConnectionLease &) = delete;
+    ConnectionLease &operator=(const ConnectionLease &) = delete;
+
+    void call(const StatementCall &call, std::chrono::milliseconds timeout,
+              StatementCallback callback);
+
+    // Gives the connection and the slot back. completed tells that the work ran to its end, so that
+    // its service time is learnt. A lease that is destroyed unreleased is released dirty.
+    void release(ConnectionState state, bool completed);
+
+private:
+    DatabaseExecutor &m_executor;
+    Ticket m_ticket;
+    ConnectionId m_connection;
+    Instant m_since;
+    bool m_released = false;
+};
+
+// What to do with work once it has a slot and a connection, or is dropped without having run.
+struct ExecutorJob
+{
+    Work work;
+    std::function<void(std::unique_ptr<ConnectionLease>)> run;
+    std::function<void(const Refusal &)> drop;
+};
+
+struct DatabaseExecutorOptions
+{
+    DatabaseId database;
+    std::uint32_t connections = 20;
+    std::uint32_t slots = 3;
+};
+
+// Runs the work of one database: the scheduler says who is next, the pool which connection is used,
+// and the port carries the calls. Loop thread only.
+class DatabaseExecutor
+{
+public:
+    DatabaseExecutor(EventLoop &loop, std::shared_ptr<DatabasePort> port, Counters &counters,
+                     const DatabaseExecutorOptions &options);
+    ~DatabaseExecutor();
+    DatabaseExecutor(const DatabaseExecutor &) = delete;
+    DatabaseExecutor &operator=(const DatabaseExecutor &) = delete;
+
+    void setPlans(const std::map<PlanId, Plan> &plans);
+
+    // Refuses at once, or calls run or drop of the job later, one of them, once.
+    Admission submit(ExecutorJob job);
+
+    // To be called about every 10 ms: drops what is too late, opens and closes connections.
+    void tick();
+
+    // Opens connections ahead of the first request; closes them once nothing runs.
+    void start();
+    void stop();
+    bool isDrained() const;
+
+    const std::shared_ptr<DatabasePort> &port() const
+    {
+        return m_port;
+    }
+    const Scheduler &scheduler() const
+    {
+        return m_scheduler;
+    }
+    const ConnectionPool &pool() const
+    {
+        return m_pool;
+    }
+
+private:
+    friend class ConnectionLease;
+
+    void pump();
+    void dispatch();
+    void dropLate();
+    void performPoolActions();
+    void open(ConnectionId id);
+    void opened(ConnectionId id, const Result<StatementAnswer> &answer);
+    void closed(ConnectionId id);
+    void release(Ticket ticket, ConnectionId connection, ConnectionState state, bool completed,
+                 Duration service);
+
+    EventLoop &m_loop;
+    std::shared_ptr<DatabasePort> m_port;
+    DatabaseExecutorOptions m_options;
+    Scheduler m_scheduler;
+    ConnectionPool m_pool;
+    Counter &m_connectionsOpened;
+    Counter &m_connectionsRefused;
+    Counter &m_connectionsFailed;
+    Counter &m_connectionsClosed;
+    std::unordered_map<ConnectionId, std::unique_ptr<DatabaseConnection>> m_connections;
+    std::unordered_map<std::uint64_t, ExecutorJob> m_jobs;
+    std::uint64_t m_lastJob = 0;
+    bool m_pumping = false;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/sliceowner/src/groupprober.cpp
@@ -0,0 +1,82 @@
+#include "groupprober.h"
+
+namespace fescuespring {
+
+GroupProber::GroupProber(EventLoop &loop, GroupView &view, const DatabasePortFactory &ports,
+                         std::chrono::milliseconds timeout, Hooks hooks)
+    : m_loop(loop)
+    , m_view(view)
+    , m_ports(ports)
+    , m_timeout(timeout)
+    , m_hooks(std::move(hooks))
+{}
+
+void GroupProber::updatePorts()
+{
+    std::map<DatabaseId, Target> targets;
+    for (const DatabaseView &database : m_view.databases()) {
+        const DatabaseSite &site = database.site;
+        const auto old = m_targets.find(site.database);
+        if (old != m_targets.end() && old->second.endpoint == site.endpoint)
+            targets.emplace(site.database, old->second);
+        else
+            targets.emplace(site.database, Target{site.endpoint, m_ports(site.endpoint)});
+    }
+    m_targets = std::move(targets);
+}
+
+std::shared_ptr<DatabasePort> GroupProber::port(const DatabaseId &database) const
+{
+    const auto found = m_targets.find(database);
+    return found == m_targets.end() ? nullptr : found->second.port;
+}
+
+void GroupProber::probeAll()
+{
+    for (auto &[database, target] : m_targets)
+        target.port->status(m_timeout, callback(database));
+}
+
+void GroupProber::probe(const DatabaseId &database)
+{
+    if (const auto target = port(database))
+        target->status(m_timeout, callback(database));
+}
+
+void GroupProber::fence(const DatabaseId &database, Term term)
+{
+    if (const auto target = port(database))
+        target->fence({.term = term}, m_timeout, callback(database));
+}
+
+void GroupProber::promote(const DatabaseId &database, Term term)
+{
+    if (const auto target = port(database))
+        target->promote({.term = term}, m_timeout, callback(database));
+}
+
+void GroupProber::follow(const DatabaseId &database, Term term, const DatabaseId &primary)
+{
+    const std::shared_ptr<DatabasePort> target = port(database);
+    const DatabaseView *primaryView = m_view.find(primary);
+    if (target == nullptr || primaryView == nullptr)
+        return;
+    target->follow({.term = term, .primary = primaryView->site.endpoint}, m_timeout,
+                   callback(database));
+}
+
+StatusCallback GroupProber::callback(const DatabaseId &database)
+{
+    return [this, database, askedAt = EventLoop::now()](const Result<DatabaseStatus> &status) {
+        // An answer of another database than was asked, as after a reuse of its address, is none.
+        if (!status || status.value().database != database) {
+            m_view.notHeard(database, askedAt);
+            m_hooks.silent();
+            return;
+        }
+        m_view.heard(status.value(), askedAt, EventLoop::now());
+        m_hooks.heard(status.value(), askedAt);
+    };
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/sliceowner/src/sliceowner.cpp
@@ -0,0 +1,171 @@
+#include "sliceowner/sliceowner.h"
+
+#include "groupprober.h"
+#include "primarykeeper.h"
+#include "requestrunner.h"
+
+#include <algorithm>
+
+namespace fescuespring {
+
+namespace {
+
+// Queues, connections and evidence are looked after this often.
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+
+// Never wakes sooner than this, whatever is due.
+constexpr Duration shortestWait = std::chrono::microseconds(200);
+
+} // namespace
+
+struct SliceOwner::Data
+{
+    Data(EventLoop &eventLoop, Counters &processCounters, SliceOwnerOptions sliceOptions,
+         SliceHooks sliceHooks)
+        : loop(eventLoop)
+        , options(std::move(sliceOptions))
+        , hooks(std::move(sliceHooks))
+        , view(options.group)
+        , prober(loop, view, hooks.databasePorts, options.probeTimeout,
+                 {.heard = [this](const DatabaseStatus &status,
+                                  Instant askedAt) { heard(status, askedAt); },
+                  .silent = [this] { runner.viewChanged(); }})
+        , runner(loop, processCounters, options, hooks, view, prober)
+        , keeper(options, hooks, view, prober,
+                 {.holdWrites = [this](bool hold) { runner.holdWrites(hold); },
+                  .hasWritesInFlight = [this] { return runner.hasWritesInFlight(); }})
+    {}
+
+    ~Data() { loop.cancel(timer); }
+
+    void heard(const DatabaseStatus &status, Instant askedAt)
+    {
+        keeper.statusHeard(status, askedAt, EventLoop::now());
+        runner.viewChanged();
+        arm();
+    }
+
+    void wake()
+    {
+        timer = 0;
+        const Instant now = EventLoop::now();
+        if (now >= nextProbe) {
+            nextProbe = now + options.probeInterval;
+            prober.probeAll();
+        }
+        keeper.advance(now);
+        runner.advance(now);
+        if (drained && runner.isDrained())
+            loop.post(std::exchange(drained, nullptr));
+        arm();
+    }
+
+    // Sets the timer to the earliest of what is due.
+    void arm()
+    {
+        const Instant now = EventLoop::now();
+        Instant next = std::min(now + tickInterval, std::max(nextProbe, now));
+        if (const auto due = keeper.nextTimer())
+            next = std::min(next, *due);
+        if (const auto due = runner.nextEvent())
+            next = std::min(next, *due);
+        if (timer != 0 && timerAt <= next)
+            return;
+        loop.cancel(timer);
+        timerAt = next;
+        timer = loop.after(std::max(next - now, shortestWait), [this] { wake(); });
+    }
+
+    EventLoop &loop;
+    SliceOwnerOptions options;
+    SliceHooks hooks;
+    GroupView view;
+    GroupProber prober;
+    RequestRunner runner;
+    PrimaryKeeper keeper;
+    std::vector<SliceDatabase> databases;
+    Instant nextProbe;
+    EventLoop::TimerId timer = 0;
+    Instant timerAt;
+    std::function<void()> drained;
+};
+
+SliceOwner::SliceOwner(EventLoop &loop, Counters &counters, SliceOwnerOptions options,
+                       SliceHooks hooks)
+    : m_data(std::make_unique<Data>(loop, counters, std::move(options), std::move(hooks)))
+{
+    m_data->arm();
+}
+
+SliceOwner::~SliceOwner() = default;
+
+void SliceOwner::setDatabases(const std::vector<SliceDatabase> &databases)
+{
+    std::vector<DatabaseSite> sites;
+    sites.reserve(databases.size());
+    for (const SliceDatabase &database : databases)
+        sites.push_back(database.site);
+    m_data->view.setSites(sites);
+    m_data->prober.updatePorts();
+    m_data->runner.setDatabases(databases);
+    m_data->prober.probeAll();
+}
+
+void SliceOwner::setLists(std::shared_ptr<const PlanLists> lists)
+{
+    m_data->runner.setLists(std::move(lists));
+}
+
+void SliceOwner::setMayPromote(bool mayPromote)
+{
+    m_data->keeper.setMayPromote(mayPromote);
+}
+
+void SliceOwner::submit(OwnerRequest request)
+{
+    m_data->runner.submit(std::move(request));
+    m_data->arm();
+}
+
+void SliceOwner::drain(std::function<void()> done)
+{
+    m_data->drained = std::move(done);
+    m_data->keeper.setMayPromote(false);
+    m_data->runner.startDraining();
+    m_data->arm();
+}
+
+std::size_t SliceOwner::inFlight() const
+{
+    return m_data->runner.inFlight();
+}
+
+SliceStatus SliceOwner::status() const
+{
+    SliceStatus status{.group = m_data->options.group};
+    if (const auto primary = m_data->view.primary()) {
+        status.primary = primary->database;
+        status.term = primary->term;
+    }
+    for (const DatabaseView &database : m_data->view.databases()) {
+        SliceDatabaseStatus one{.database = database.site.database,
+                                .dataCentre = database.site.dataCentre,
+                                .reachable = database.reachable,
+                                .leaving = database.site.leaving};
+        if (database.status) {
+            one.role = database.status->role;
+            one.term = database.status->term;
+            one.applied = database.status->applied;
+            one.age = database.status->age;
+        }
+        if (const DatabaseExecutor *executor = m_data->runner.executor(one.database)) {
+            one.connections = executor->pool().total();
+            one.queued = executor->scheduler().load().queued;
+            one.running = executor->scheduler().load().running;
+        }
+        status.databases.push_back(one);
+    }
+    return status;
+}
+
+} // namespace fescuespring
