Silence modernize-use-nullptr at the defaulted comparisons

Ruled out: comparing by value() everywhere (LogPoint has two fields; std::map of a Number reports too); switching the check off for the whole project. Change: NOLINTNEXTLINE for that one check at the five operators, with the reason.

--- a/libs/base/include/base/strongtype.h
+++ b/libs/base/include/base/strongtype.h
@@ -28,6 +28,8 @@
         return m_value.empty();
     }
 
+    // The check takes the 0 that a comparison stands for as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Name &) const = default;
 
 private:
@@ -53,6 +55,8 @@
         return Number(m_value + 1);
     }
 
+    // The check takes the 0 that a comparison stands for as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     constexpr auto operator<=>(const Number &) const = default;
 
 private:
--- a/libs/base/include/base/types.h
+++ b/libs/base/include/base/types.h
@@ -37,6 +37,8 @@
     std::string ip;
     std::uint16_t port = 0;
 
+    // The check takes the 0 that a comparison stands for as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Endpoint &) const = default;
 };
 
--- a/libs/messages/include/messages/upstream.h
+++ b/libs/messages/include/messages/upstream.h
@@ -17,6 +17,8 @@
     Term term;
     LogPosition position;
 
+    // The check takes the 0 that a comparison stands for as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     constexpr auto operator<=>(const LogPoint &) const = default;
 };
 
@@ -26,6 +28,8 @@
     Term term;
     LogPosition start;
 
+    // The check takes the 0 that a comparison stands for as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     constexpr auto operator<=>(const TermStart &) const = default;
 };
 
