Add the scheduler, the pool, health of a database, retry budget, replica estimates

Ruled out: one charge for a plan's short and long work (short work would pay for 100 times its cost); credits of lower priorities spent before they are earned (one long job would stop the top priority); learning that a statement is long from any slow run (a database that stalls would turn all of its work into long work: a run counts only if other short work finished meanwhile, and means are clipped at four times). Change: start-time fair queueing in slot time by plan and kind, priorities with a guaranteed share below, long slots, learnt service times, refusal on arrival by expected wait, expiry. Pool that opens ahead of demand. Health with gradual return. Retry at the first hop only, by token bucket.

--- a/libs/pool/include/pool/connectionpool.h
+++ b/libs/pool/include/pool/connectionpool.h
@@ -2,7 +2,7 @@
 
 #include "base/types.h"
 
-#include <cstddef>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -42,7 +42,7 @@
     std::uint32_t limit = 20;
 
     // Connections kept open while the slice is owned, whatever the demand.
-    std::uint32_t minimum = 2;
+    std::uint32_t minimum = 4;
 
     // Connections kept beyond the recent peak, so that a rise in demand finds one open.
     std::uint32_t headroom = 1;
@@ -53,9 +53,10 @@
     // A connection of this age is replaced: the new one is opened first.
     Duration maximumAge = std::chrono::minutes(10);
 
-    // Wait after a refused or failed open, doubled with each in a row.
+    // Wait after an open that failed, doubled with each in a row, up to a bound by the cause.
     Duration firstBackoff = std::chrono::milliseconds(50);
-    Duration maximumBackoff = std::chrono::seconds(5);
+    Duration maximumLimitBackoff = std::chrono::seconds(5);
+    Duration maximumUnreachableBackoff = std::chrono::seconds(1);
 };
 
 // The connections of one database as decisions: which to open, which to use, which to close. It
@@ -123,19 +124,22 @@
     };
 
     std::uint32_t count(Phase phase) const;
-    std::uint32_t wanted(Instant now);
+    std::uint32_t live() const;
+    std::uint32_t wanted() const;
     bool isOld(const Connection &connection, Instant now) const;
+    bool hasOld(Instant now) const;
     Connection *find(ConnectionId connection);
-    Connection *surplus(Instant now);
-    void noteDemand(Instant now);
-    std::optional<PoolAction> close(Connection &connection);
-    std::optional<PoolAction> openOne(Instant now);
+    Connection *first(Phase phase);
+    Connection *oldestIdle();
+    Connection *toClose(Instant now);
+    bool mayOpen(Instant now) const;
+    void noteDemand(std::uint32_t demand, Instant now);
+    void erase(ConnectionId connection);
 
     PoolOptions m_options;
     std::vector<Connection> m_connections;
     ConnectionId m_lastId;
     bool m_running = false;
-    std::uint32_t m_waiting = 0;
     std::uint32_t m_peak = 0;
     std::uint32_t m_previousPeak = 0;
     Instant m_windowStart;
--- a/libs/pool/include/pool/databasehealth.h
+++ b/libs/pool/include/pool/databasehealth.h
@@ -2,6 +2,7 @@
 
 #include "base/types.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace fescuespring {
--- a/libs/replicahealth/include/replicahealth/replicaestimate.h
+++ b/libs/replicahealth/include/replicahealth/replicaestimate.h
@@ -55,8 +55,8 @@
     // Nothing while nothing fresh is known.
     std::optional<ReplicaFigures> figures(Instant now) const;
 
-    // Expected time until its reads see the point; zero if they do now, nothing where that can't
-    // be told (no fresh position, another term, or it stands still).
+    // Expected time until its reads see a point that the primary's log holds by now; zero only if
+    // they do for certain, nothing where no fresh position is known or it is at another term.
     std::optional<Duration> timeToReach(const LogPoint &point, Instant now) const;
 
 private:
--- /dev/null
+++ b/libs/scheduling/src/scheduler.cpp
@@ -0,0 +1,451 @@
+#include "scheduling/scheduler.h"
+
+#include "flow.h"
+#include "priorities.h"
+#include "workestimator.h"
+#include "workslab.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+#include <vector>
+
+namespace fescuespring {
+namespace {
+
+using detail::Expectation;
+using detail::Flow;
+using detail::FlowKind;
+using detail::noIndex;
+using detail::Pick;
+using detail::PlanState;
+using detail::WorkItem;
+using detail::WorkState;
+
+// How often waiting work is looked through for deadlines that have come too close.
+constexpr Duration sweepInterval = std::chrono::milliseconds(10);
+
+// Recent use fades with this time constant, in steps.
+constexpr Duration useWindow = std::chrono::milliseconds(100);
+constexpr Duration useStep = std::chrono::milliseconds(10);
+
+// Short work that finished while other work ran, from which on the other work is at fault and not
+// the database.
+constexpr std::uint64_t finishedMeanwhile = 6;
+
+constexpr std::chrono::milliseconds shortestRetryAfter{10};
+constexpr std::chrono::milliseconds unreachableRetryAfter{500};
+
+std::chrono::milliseconds retryAfter(Duration wait)
+{
+    return std::max(shortestRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+FlowKind kindOf(bool isLong)
+{
+    return isLong ? FlowKind::Long : FlowKind::Short;
+}
+
+std::uint8_t bucketOf(const CustomerId &customer)
+{
+    return static_cast<std::uint8_t>(std::hash<CustomerId>()(customer) % Flow::buckets);
+}
+
+// What a plan that is no longer in the lists may use while its last work runs.
+Plan leftoverPlan(const Plan &old)
+{
+    Plan plan = old;
+    plan.weight = 1;
+    plan.priority = 0;
+    plan.queue = 0;
+    return plan;
+}
+
+} // namespace
+
+struct Scheduler::Data
+{
+    explicit Data(const SchedulerOptions &schedulerOptions);
+
+    PlanState *find(const PlanId &plan);
+    std::uint32_t limit() const;
+    std::uint32_t longLimit() const;
+    detail::Priorities::Capacity capacity() const;
+    Duration expectedWait(const Flow &flow) const;
+
+    std::optional<Refusal> refuse(const Work &work, const PlanState &plan,
+                                  const Expectation &expectation, Instant now);
+    void push(std::uint32_t index, PlanState &plan);
+    void take(std::uint32_t index);
+    void drop(std::uint32_t index, const Refusal &refusal);
+    std::optional<Refusal> objection(const WorkItem &item, Instant now) const;
+    bool moveIfLong(std::uint32_t index);
+    Dispatch dispatch(std::uint32_t index, const Pick &pick, Instant now);
+    void markOverrunning(Instant now);
+    void fade(Instant now);
+    void sweep(Instant now);
+    void finish(std::uint32_t index, Duration used);
+    void replacePlan(PlanState &state, const Plan &plan, bool isGone);
+    void removeGonePlans();
+
+    SchedulerOptions options;
+    detail::WorkEstimator estimator;
+    detail::Priorities priorities;
+    detail::WorkSlab slab;
+    std::unordered_map<PlanId, PlanState> plans;
+    std::vector<std::uint32_t> running;
+    std::vector<DroppedWork> dropped;
+    std::uint32_t slots;
+    std::uint32_t runningLong = 0;
+    std::uint64_t shortFinished = 0;
+    Instant lastSweep;
+    Instant lastFade;
+};
+
+Scheduler::Data::Data(const SchedulerOptions &schedulerOptions)
+    : options(schedulerOptions)
+    , estimator(schedulerOptions)
+    , priorities(schedulerOptions.lowerShare)
+    , slots(schedulerOptions.slots)
+{}
+
+PlanState *Scheduler::Data::find(const PlanId &plan)
+{
+    const auto found = plans.find(plan);
+    return found == plans.end() || found->second.isGone ? nullptr : &found->second;
+}
+
+// Statements that may be under way at once.
+std::uint32_t Scheduler::Data::limit() const
+{
+    return slots == 0 ? 0 : slots + options.spare;
+}
+
+std::uint32_t Scheduler::Data::longLimit() const
+{
+    const std::uint32_t most = slots > 1 ? slots - 1 : slots;
+    return std::min(options.longSlots, most);
+}
+
+detail::Priorities::Capacity Scheduler::Data::capacity() const
+{
+    return {static_cast<double>(std::max(limit(), 1U)), static_cast<double>(runningLong),
+            static_cast<double>(std::max(longLimit(), 1U))};
+}
+
+Duration Scheduler::Data::expectedWait(const Flow &flow) const
+{
+    return priorities.expectedWait(flow, capacity());
+}
+
+std::optional<Refusal> Scheduler::Data::refuse(const Work &work, const PlanState &plan,
+                                               const Expectation &expectation, Instant now)
+{
+    if (plan.plan.connections == 0 || (expectation.isLong && plan.plan.longStatements == 0))
+        return Refusal{Reason::PlanForbids};
+    if (now >= work.deadline)
+        return Refusal{Reason::DeadlinePassed};
+    if (slots == 0)
+        return Refusal{Reason::UpstreamUnreachable, unreachableRetryAfter};
+    const Duration left = work.deadline - now;
+    if (expectation.cost > left) {
+        estimator.relax(work.fingerprint);
+        return Refusal{Reason::DeadlineTooShort};
+    }
+    const Duration wait = expectedWait(plan.flow(kindOf(expectation.isLong)));
+    if (plan.queued() >= plan.plan.queue)
+        return Refusal{Reason::QueueFull, retryAfter(wait)};
+    if (wait + expectation.cost > left)
+        return Refusal{Reason::DeadlineTooShort, retryAfter(wait + expectation.cost - left)};
+    if (!expectation.isLong && wait > options.maximumWait)
+        return Refusal{Reason::QueueFull, retryAfter(wait)};
+    return std::nullopt;
+}
+
+void Scheduler::Data::push(std::uint32_t index, PlanState &plan)
+{
+    WorkItem &item = slab[index];
+    Flow &flow = plan.flow(kindOf(item.isLong));
+    priorities.willPush(flow, item.cost);
+    flow.push(slab, index);
+    item.state = WorkState::Queued;
+    priorities.refresh(plan);
+}
+
+void Scheduler::Data::take(std::uint32_t index)
+{
+    WorkItem &item = slab[index];
+    item.flow->remove(slab, index);
+    priorities.didRemove(*item.flow, item.cost);
+    priorities.refresh(*item.flow->plan);
+}
+
+void Scheduler::Data::drop(std::uint32_t index, const Refusal &refusal)
+{
+    take(index);
+    dropped.push_back({slab.ticket(index), slab[index].context, refusal});
+    slab.free(index);
+}
+
+// Why waiting work can't be run any more.
+std::optional<Refusal> Scheduler::Data::objection(const WorkItem &item, Instant now) const
+{
+    if (now >= item.deadline)
+        return Refusal{Reason::DeadlinePassed, retryAfter(expectedWait(*item.flow))};
+    if (now + item.cost > item.deadline)
+        return Refusal{Reason::DeadlineTooShort, retryAfter(expectedWait(*item.flow))};
+    return std::nullopt;
+}
+
+// Work whose statement turned out to be long after it was queued as short goes to the long flow.
+bool Scheduler::Data::moveIfLong(std::uint32_t index)
+{
+    if (slab[index].isLong)
+        return false;
+    const Expectation expectation = estimator.expect(WorkLength::Unknown, slab[index].fingerprint);
+    if (!expectation.isLong)
+        return false;
+    PlanState &plan = *slab[index].flow->plan;
+    if (plan.plan.longStatements == 0) {
+        drop(index, Refusal{Reason::PlanForbids});
+        return true;
+    }
+    take(index);
+    slab[index].isLong = true;
+    slab[index].cost = expectation.cost;
+    push(index, plan);
+    return true;
+}
+
+Dispatch Scheduler::Data::dispatch(std::uint32_t index, const Pick &pick, Instant now)
+{
+    WorkItem &item = slab[index];
+    PlanState &plan = *item.flow->plan;
+    priorities.charge(pick, item.cost);
+    ++plan.running;
+    plan.runningLong += item.isLong ? 1 : 0;
+    runningLong += item.isLong ? 1 : 0;
+    take(index);
+    item.state = WorkState::Running;
+    item.dispatchedAt = now;
+    item.shortFinishedBefore = shortFinished;
+    running.push_back(index);
+    return {slab.ticket(index), item.context, item.isLong, now - item.enqueuedAt, item.cost};
+}
+
+// Work that was taken for short and runs on and on counts as long from now on, so that more of its
+// kind does not take the other slots too.
+void Scheduler::Data::markOverrunning(Instant now)
+{
+    for (const std::uint32_t index : running) {
+        WorkItem &item = slab[index];
+        const Duration elapsed = now - item.dispatchedAt;
+        if (item.isLong || elapsed < estimator.longThreshold())
+            continue;
+        if (shortFinished - item.shortFinishedBefore < finishedMeanwhile)
+            continue;
+        item.isLong = true;
+        ++runningLong;
+        ++item.flow->plan->runningLong;
+        priorities.refresh(*item.flow->plan);
+        estimator.runsAtLeast(item.fingerprint, elapsed);
+    }
+}
+
+void Scheduler::Data::fade(Instant now)
+{
+    const Duration elapsed = now - lastFade;
+    if (elapsed < useStep)
+        return;
+    const double window = static_cast<double>(useWindow.count());
+    priorities.fadeUse(std::exp(-static_cast<double>(elapsed.count()) / window), window);
+    lastFade = now;
+}
+
+void Scheduler::Data::sweep(Instant now)
+{
+    if (now - lastSweep < sweepInterval)
+        return;
+    lastSweep = now;
+    for (std::uint32_t index = 0; index < slab.size(); ++index) {
+        if (slab[index].state != WorkState::Queued)
+            continue;
+        if (const auto refusal = objection(slab[index], now))
+            drop(index, *refusal);
+    }
+}
+
+// Frees a slot and charges the flow for what was used in place of what was expected.
+void Scheduler::Data::finish(std::uint32_t index, Duration used)
+{
+    const WorkItem item = slab[index];
+    PlanState &plan = *item.flow->plan;
+    priorities.correct(*item.flow, used - item.cost);
+    --plan.running;
+    plan.runningLong -= item.isLong ? 1 : 0;
+    runningLong -= item.isLong ? 1 : 0;
+    shortFinished += item.isLong ? 0 : 1;
+    std::erase(running, index);
+    slab.free(index);
+    priorities.refresh(plan);
+}
+
+void Scheduler::Data::replacePlan(PlanState &state, const Plan &plan, bool isGone)
+{
+    if (state.plan == plan && state.isGone == isGone)
+        return;
+    priorities.detach(state);
+    state.plan = plan;
+    state.isGone = isGone;
+    priorities.attach(state);
+}
+
+void Scheduler::Data::removeGonePlans()
+{
+    std::erase_if(plans, [](const auto &entry) {
+        const PlanState &state = entry.second;
+        return state.isGone && state.queued() == 0 && state.running == 0;
+    });
+}
+
+Scheduler::Scheduler(const SchedulerOptions &options)
+    : m_data(std::make_unique<Data>(options))
+{}
+
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler &&) noexcept = default;
+Scheduler &Scheduler::operator=(Scheduler &&) noexcept = default;
+
+void Scheduler::setPlans(const std::map<PlanId, Plan> &plans)
+{
+    for (auto &[id, state] : m_data->plans) {
+        if (!plans.contains(id))
+            m_data->replacePlan(state, leftoverPlan(state.plan), true);
+    }
+    m_data->removeGonePlans();
+    for (const auto &[id, plan] : plans) {
+        const auto [place, isNew] = m_data->plans.try_emplace(id);
+        PlanState &state = place->second;
+        if (isNew) {
+            for (const FlowKind kind : detail::allFlowKinds) {
+                state.flow(kind).plan = &state;
+                state.flow(kind).kind = kind;
+            }
+        }
+        m_data->replacePlan(state, plan, false);
+    }
+}
+
+void Scheduler::setSlots(std::uint32_t slots)
+{
+    m_data->slots = std::min(slots, m_data->options.slots);
+}
+
+Admission Scheduler::enqueue(const Work &work, Instant now)
+{
+    m_data->fade(now);
+    PlanState *plan = m_data->find(work.plan);
+    if (!plan)
+        return Refusal{Reason::PlanForbids};
+    const Expectation expectation = m_data->estimator.expect(work.length, work.fingerprint);
+    if (const auto refusal = m_data->refuse(work, *plan, expectation, now))
+        return *refusal;
+
+    const std::uint32_t index = m_data->slab.allocate();
+    WorkItem &item = m_data->slab[index];
+    item.fingerprint = work.fingerprint;
+    item.context = work.context;
+    item.deadline = work.deadline;
+    item.enqueuedAt = now;
+    item.cost = expectation.cost;
+    item.isLong = expectation.isLong;
+    item.bucket = bucketOf(work.customer);
+    m_data->push(index, *plan);
+    return m_data->slab.ticket(index);
+}
+
+std::optional<Dispatch> Scheduler::next(Instant now)
+{
+    m_data->fade(now);
+    m_data->markOverrunning(now);
+    while (m_data->running.size() < m_data->limit()) {
+        const Pick pick = m_data->priorities.pick(m_data->runningLong < m_data->longLimit());
+        if (!pick.flow)
+            return std::nullopt;
+        const std::uint32_t index = pick.flow->front();
+        if (const auto refusal = m_data->objection(m_data->slab[index], now)) {
+            m_data->drop(index, *refusal);
+            continue;
+        }
+        if (m_data->moveIfLong(index))
+            continue;
+        return m_data->dispatch(index, pick, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<DroppedWork> Scheduler::takeDropped(Instant now)
+{
+    m_data->sweep(now);
+    if (m_data->dropped.empty())
+        return std::nullopt;
+    const DroppedWork dropped = m_data->dropped.back();
+    m_data->dropped.pop_back();
+    return dropped;
+}
+
+void Scheduler::finished(Ticket ticket, Instant, Duration service)
+{
+    const std::uint32_t index = m_data->slab.find(ticket);
+    if (index == noIndex || m_data->slab[index].state != WorkState::Running)
+        return;
+    const WorkItem &item = m_data->slab[index];
+    m_data->estimator.finished(item.fingerprint, service, item.isLong);
+    m_data->finish(index, service);
+}
+
+void Scheduler::abandoned(Ticket ticket, Instant now)
+{
+    const std::uint32_t index = m_data->slab.find(ticket);
+    if (index == noIndex || m_data->slab[index].state != WorkState::Running)
+        return;
+    m_data->finish(index, now - m_data->slab[index].dispatchedAt);
+}
+
+CancelResult Scheduler::cancel(Ticket ticket)
+{
+    const std::uint32_t index = m_data->slab.find(ticket);
+    if (index == noIndex)
+        return CancelResult::NotFound;
+    if (m_data->slab[index].state == WorkState::Running)
+        return CancelResult::Running;
+    m_data->take(index);
+    m_data->slab.free(index);
+    return CancelResult::Removed;
+}
+
+SchedulerLoad Scheduler::load() const
+{
+    SchedulerLoad load;
+    for (const auto &[id, state] : m_data->plans) {
+        load.queued += state.queued();
+        load.queuedLong += state.flow(FlowKind::Long).size();
+    }
+    load.running = static_cast<std::uint32_t>(m_data->running.size());
+    load.runningLong = m_data->runningLong;
+    load.backlog = m_data->priorities.backlog();
+    return load;
+}
+
+std::optional<Duration> Scheduler::expectedWait(const PlanId &plan) const
+{
+    const PlanState *state = m_data->find(plan);
+    if (!state || m_data->slots == 0 || state->queued() >= state->plan.queue)
+        return std::nullopt;
+    const Duration wait = m_data->expectedWait(state->flow(FlowKind::Short));
+    if (wait > m_data->options.maximumWait)
+        return std::nullopt;
+    return wait;
+}
+
+} // namespace fescuespring
