Net: peer address, own address, drain with a grace; build the slice owner

Cause: cutting one VM off on loopback needs its source address, and a planned stop must not cut off a request that sits in the accept queue.

--- a/libs/databaseport/src/httpdatabaseport.cpp
+++ b/libs/databaseport/src/httpdatabaseport.cpp
@@ -41,7 +41,8 @@
 class HttpDatabaseConnection : public DatabaseConnection
 {
 public:
-    HttpDatabaseConnection(EventLoop &loop, const Endpoint &endpoint, std::function<void()> onClosed)
+    HttpDatabaseConnection(EventLoop &loop, const Endpoint &endpoint,
+                           std::function<void()> onClosed)
         : m_connection(loop, {.endpoint = endpoint,
                               .connectTimeout = connectTimeout,
                               .onClosed = std::move(onClosed)})
@@ -58,12 +59,11 @@
     void call(const StatementCall &call, std::chrono::milliseconds timeout,
               StatementCallback callback) override
     {
-        m_connection.send(post("/v1/call", encodeStatementCall(call)), timeout,
-                          decodeWith<StatementAnswer>(
-                                  [](const std::string &body) {
-                                      return decodeStatementAnswer(body);
-                                  },
-                                  std::move(callback)));
+        m_connection.send(
+                post("/v1/call", encodeStatementCall(call)), timeout,
+                decodeWith<StatementAnswer>(
+                        [](const std::string &body) { return decodeStatementAnswer(body); },
+                        std::move(callback)));
     }
 
 private:
--- a/libs/net/include/net/httpclient.h
+++ b/libs/net/include/net/httpclient.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace fescuespring {
 
@@ -20,6 +21,10 @@
 struct HttpConnectionOptions
 {
     Endpoint endpoint;
+
+    // Own IP number to connect from; empty lets the system choose.
+    std::string localIp = {};
+
     std::chrono::milliseconds connectTimeout{1000};
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
 
@@ -53,6 +58,10 @@
 struct HttpClientOptions
 {
     Endpoint endpoint;
+
+    // Own IP number to connect from; empty lets the system choose.
+    std::string localIp = {};
+
     std::chrono::milliseconds connectTimeout{1000};
     std::size_t maxConnections = 64;
     std::size_t maxWaiting = 10000;
--- a/libs/net/include/net/httpserver.h
+++ b/libs/net/include/net/httpserver.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace fescuespring {
 
@@ -72,9 +73,13 @@
 
     std::size_t connectionCount() const;
 
-    // Stops accepting, closes idle connections, and the others after their answer; calls done when
-    // none is left.
-    void drain(std::function<void()> done);
+    // IP number of the other side; empty if the connection is gone.
+    std::string peerIp(HttpConnectionId connection) const;
+
+    // Ends the server without cutting off a request: each answer closes its connection; after grace
+    // it stops accepting and closes idle connections; calls done when none is left. The grace is
+    // for clients that are about to send on an idle connection, and for the balancer to notice.
+    void drain(std::chrono::milliseconds grace, std::function<void()> done);
 
 private:
     struct Data;
--- a/libs/net/src/httpclient.cpp
+++ b/libs/net/src/httpclient.cpp
@@ -79,11 +79,16 @@
     stream.emplace(detail::EventLoopAccess::context(loop));
     ErrorCodeOfBoost error;
     const Tcp::endpoint endpoint = detail::toAsio<Tcp>(options.endpoint, error);
+    if (!error && !options.localIp.empty()) {
+        stream->socket().open(endpoint.protocol(), error);
+        if (!error)
+            stream->socket().bind(detail::toAsio<Tcp>({options.localIp, 0}, error), error);
+    }
     if (error) {
         loop.post([weak = weak_from_this(), number = exchange] {
             const auto self = weak.lock();
             if (self && self->exchange == number)
-                self->fail(ErrorCode::Unreachable, "not an IP number");
+                self->fail(ErrorCode::Unreachable, "not an IP number of this machine");
         });
         return;
     }
@@ -306,6 +311,7 @@
         return nullptr;
     auto connection = std::make_unique<HttpConnection>(
             loop, HttpConnectionOptions{.endpoint = options.endpoint,
+                                        .localIp = options.localIp,
                                         .connectTimeout = options.connectTimeout,
                                         .maxBodyBytes = options.maxBodyBytes});
     connections.push_back(
--- a/libs/net/src/httpserver.cpp
+++ b/libs/net/src/httpserver.cpp
@@ -39,6 +39,7 @@
     void accept();
     void accepted(Tcp::socket socket);
     void closed(HttpConnectionId id);
+    void stopAccepting();
     void drainStep();
 
     void report(HttpServerEvent event) const
@@ -84,6 +85,12 @@
         readFirst();
     }
 
+    std::string peerIp() const
+    {
+        ErrorCodeOfBoost ignored;
+        return detail::fromAsio(m_stream.socket().remote_endpoint(ignored)).ip;
+    }
+
     void closeIfIdle()
     {
         if (m_state == State::Idle)
@@ -117,10 +124,6 @@
     // Waits for the first byte of a request under the idle timeout.
     void readFirst()
     {
-        if (m_hooks.isDraining()) {
-            close();
-            return;
-        }
         m_parser.emplace();
         m_parser->header_limit(headerLimitBytes);
         m_parser->body_limit(m_hooks.options.maxBodyBytes);
@@ -310,9 +313,28 @@
         drainStep();
 }
 
+// Connections that the system has accepted already may hold a request: takes them in first.
+void HttpServer::Data::stopAccepting()
+{
+    ErrorCodeOfBoost error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket = acceptor.accept(error);
+        if (!error)
+            accepted(std::move(socket));
+    }
+    acceptor.close(error);
+    std::vector<std::shared_ptr<Connection>> open;
+    for (const auto &[id, connection] : connections)
+        open.push_back(connection);
+    for (const std::shared_ptr<Connection> &connection : open)
+        connection->closeIfIdle();
+    drainStep();
+}
+
 void HttpServer::Data::drainStep()
 {
-    if (!connections.empty() || !drained)
+    if (!connections.empty() || !drained || acceptor.is_open())
         return;
     loop.post(std::exchange(drained, nullptr));
 }
@@ -365,17 +387,20 @@
     return m_data->connections.size();
 }
 
-void HttpServer::drain(std::function<void()> done)
+std::string HttpServer::peerIp(HttpConnectionId connection) const
+{
+    const auto found = m_data->connections.find(connection);
+    return found == m_data->connections.end() ? std::string() : found->second->peerIp();
+}
+
+void HttpServer::drain(std::chrono::milliseconds grace, std::function<void()> done)
 {
     m_data->draining = true;
     m_data->drained = std::move(done);
-    m_data->acceptor.close();
-    std::vector<std::shared_ptr<Connection>> open;
-    for (const auto &[id, connection] : m_data->connections)
-        open.push_back(connection);
-    for (const std::shared_ptr<Connection> &connection : open)
-        connection->closeIfIdle();
-    m_data->drainStep();
+    m_data->loop.after(grace, [weak = std::weak_ptr(m_data)] {
+        if (const auto data = weak.lock())
+            data->stopAccepting();
+    });
 }
 
 } // namespace fescuespring
--- a/libs/net/tests/httptest.cpp
+++ b/libs/net/tests/httptest.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(drainWaitsForTheAnswerInFlight);
     CPPUNIT_TEST(poolBoundsItsConnections);
     CPPUNIT_TEST(idleCloseByServerIsNoticed);
+    CPPUNIT_TEST(connectsFromTheLocalIp);
     CPPUNIT_TEST(udpCarriesDatagrams);
     CPPUNIT_TEST(queryValuesAreDecoded);
     CPPUNIT_TEST_SUITE_END();
@@ -144,7 +145,7 @@
             order += "answer ";
         });
         m_loop.after(30ms, [&] {
-            echo.server->drain([&] {
+            echo.server->drain(10ms, [&] {
                 order += "drained";
                 m_loop.after(10ms, [&] { m_loop.stop(); });
             });
@@ -187,6 +188,18 @@
         CPPUNIT_ASSERT(!connection.isOpen());
     }
 
+    void connectsFromTheLocalIp()
+    {
+        EchoServer echo(m_loop);
+        HttpConnection connection(m_loop,
+                                  {.endpoint = echo.server->endpoint(), .localIp = "127.0.0.7"});
+        connection.send(post("/hold", ""), longTimeout, [](const Result<HttpResponse> &) {});
+        m_loop.after(50ms, [&] { m_loop.stop(); });
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.7"), echo.server->peerIp(1));
+        CPPUNIT_ASSERT_EQUAL(std::string(), echo.server->peerIp(2));
+    }
+
     void udpCarriesDatagrams()
     {
         std::string received;
--- a/libs/sliceowner/src/databaseexecutor.cpp
+++ b/libs/sliceowner/src/databaseexecutor.cpp
@@ -185,11 +185,11 @@
         pump();
         return;
     }
-    const bool atLimit =
-            answer && answer.value().refusal == CallRefusal::ConnectionLimit;
+    const bool atLimit = answer && answer.value().refusal == CallRefusal::ConnectionLimit;
     (atLimit ? m_connectionsRefused : m_connectionsFailed).add();
     // The connection is the caller of this function: it is destroyed later.
-    m_loop.post([connection = std::shared_ptr<DatabaseConnection>(std::move(m_connections[id]))] {});
+    m_loop.post(
+            [connection = std::shared_ptr<DatabaseConnection>(std::move(m_connections[id]))] {});
     m_connections.erase(id);
     m_pool.openFailed(id, atLimit ? OpenFailure::ConnectionLimit : OpenFailure::Unreachable, now);
     pump();
@@ -200,7 +200,8 @@
     const auto found = m_connections.find(id);
     if (found != m_connections.end()) {
         // It may be the caller of this function: it is destroyed later.
-        m_loop.post([connection = std::shared_ptr<DatabaseConnection>(std::move(found->second))] {});
+        m_loop.post(
+                [connection = std::shared_ptr<DatabaseConnection>(std::move(found->second))] {});
         m_connections.erase(found);
         m_connectionsClosed.add();
     }
--- a/libs/sliceowner/src/primarykeeper.cpp
+++ b/libs/sliceowner/src/primarykeeper.cpp
@@ -169,8 +169,8 @@
     if (!m_sliceHooks.writeRecord)
         return;
     m_sliceHooks.writeRecord(action.record, action.ifVersion,
-                             [this, call = action.call,
-                              alive = std::weak_ptr(m_alive)](const Result<ObjectVersion> &written) {
+                             [this, call = action.call, alive = std::weak_ptr(m_alive)](
+                                     const Result<ObjectVersion> &written) {
                                  if (alive.expired())
                                      return;
                                  const Instant now = EventLoop::now();
--- a/libs/sliceowner/src/primarykeeper.h
+++ b/libs/sliceowner/src/primarykeeper.h
@@ -26,13 +26,19 @@
     PrimaryKeeper(const SliceOwnerOptions &options, const SliceHooks &sliceHooks, GroupView &view,
                   GroupProber &prober, Hooks hooks);
 
-    void setMayPromote(bool mayPromote) { m_mayPromote = mayPromote; }
+    void setMayPromote(bool mayPromote)
+    {
+        m_mayPromote = mayPromote;
+    }
 
     void statusHeard(const DatabaseStatus &status, Instant askedAt, Instant now);
 
     // To be called about every 10 ms, and at nextTimer.
     void advance(Instant now);
-    std::optional<Instant> nextTimer() const { return m_promoter.nextTimer(); }
+    std::optional<Instant> nextTimer() const
+    {
+        return m_promoter.nextTimer();
+    }
 
 private:
     void examine(Instant now);
--- a/libs/sliceowner/src/requestrun.h
+++ b/libs/sliceowner/src/requestrun.h
@@ -43,8 +43,14 @@
     std::optional<Instant> parkedUntil;
     Reason parkedFor = Reason::None;
 
-    const CallerRequest &request() const { return owned.request; }
-    bool isRead() const { return owned.request.access == Access::Read; }
+    const CallerRequest &request() const
+    {
+        return owned.request;
+    }
+    bool isRead() const
+    {
+        return owned.request.access == Access::Read;
+    }
 };
 
 } // namespace fescuespring
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -84,9 +84,8 @@
     const DatabaseId &id = database.site.database;
     auto executor = std::make_unique<DatabaseExecutor>(
             m_loop, m_prober.port(id), m_counters,
-            DatabaseExecutorOptions{.database = id,
-                                    .connections = database.connections,
-                                    .slots = database.slots});
+            DatabaseExecutorOptions{
+                    .database = id, .connections = database.connections, .slots = database.slots});
     executor->setPlans(m_lists->plans);
     executor->start();
     return executor;
@@ -174,7 +173,8 @@
         run.needsConfirmation = decision.needsConfirmation;
         // Reads have no effect, so each attempt is a life of its own.
         run.life.emplace(traits(run));
-        send(run, decision.database, decision.needsConfirmation ? decision.term : m_view.highestTerm());
+        send(run, decision.database,
+             decision.needsConfirmation ? decision.term : m_view.highestTerm());
         return;
     case ReadAction::Learn:
         park(run, decision.until, Reason::NoPrimary);
@@ -258,20 +258,22 @@
 void RequestRunner::enqueue(RequestRun &run, DatabaseExecutor &executor)
 {
     const CallerRequest &request = run.request();
-    const Admission admission = executor.submit(
-            {.work = {.plan = run.planId,
-                      .customer = request.customer,
-                      .length = request.length,
-                      .fingerprint = requestFingerprint(request.statements),
-                      .deadline = run.deadline},
-             .run = [this, id = run.id](
-                            std::unique_ptr<ConnectionLease> lease) { start(id, std::move(lease)); },
-             .drop =
-                     [this, id = run.id](const Refusal &refusal) {
-                         const auto found = m_runs.find(id);
-                         if (found != m_runs.end())
-                             refuse(*found->second, refusal);
-                     }});
+    const Admission admission =
+            executor.submit({.work = {.plan = run.planId,
+                                      .customer = request.customer,
+                                      .length = request.length,
+                                      .fingerprint = requestFingerprint(request.statements),
+                                      .deadline = run.deadline},
+                             .run =
+                                     [this, id = run.id](std::unique_ptr<ConnectionLease> lease) {
+                                         start(id, std::move(lease));
+                                     },
+                             .drop =
+                                     [this, id = run.id](const Refusal &refusal) {
+                                         const auto found = m_runs.find(id);
+                                         if (found != m_runs.end())
+                                             refuse(*found->second, refusal);
+                                     }});
     if (!admission)
         refuse(run, admission.error());
 }
@@ -323,9 +325,10 @@
     if (kind == CallKind::Run || kind == CallKind::Statement)
         call.statement = request.statements[run.life->statement()];
     run.life->sending();
-    run.lease->call(call, timeLeft(run), [this, id = run.id](const Result<StatementAnswer> &answer) {
-        callAnswered(id, answer);
-    });
+    run.lease->call(call, timeLeft(run),
+                    [this, id = run.id](const Result<StatementAnswer> &answer) {
+                        callAnswered(id, answer);
+                    });
 }
 
 void RequestRunner::callAnswered(RunId id, const Result<StatementAnswer> &answer)
@@ -434,8 +437,8 @@
     const LogPoint point = run.last.point;
     if (run.isRead() && run.need.maximumAge) {
         const DatabaseView *database = m_view.find(run.database);
-        const auto age = database == nullptr ? std::nullopt
-                                             : m_view.ageBound(*database, EventLoop::now());
+        const auto age =
+                database == nullptr ? std::nullopt : m_view.ageBound(*database, EventLoop::now());
         if (run.byReplica && (!age || *age > *run.need.maximumAge)) {
             retry(run, Reason::TooOld);
             return;
@@ -490,8 +493,8 @@
 
 std::chrono::milliseconds RequestRunner::timeLeft(const RequestRun &run) const
 {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline
-                                                                            - EventLoop::now());
+    const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline - EventLoop::now());
     return std::max(left, std::chrono::milliseconds(1));
 }
 
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -37,11 +37,17 @@
     std::optional<Instant> nextEvent() const;
 
     void holdWrites(bool hold);
-    bool hasWritesInFlight() const { return m_writesInFlight > 0; }
+    bool hasWritesInFlight() const
+    {
+        return m_writesInFlight > 0;
+    }
 
     void startDraining();
     bool isDrained() const;
-    std::size_t inFlight() const { return m_runs.size(); }
+    std::size_t inFlight() const
+    {
+        return m_runs.size();
+    }
     const DatabaseExecutor *executor(const DatabaseId &database) const;
 
 private:
--- a/libs/sliceowner/src/sliceowner.cpp
+++ b/libs/sliceowner/src/sliceowner.cpp
@@ -29,14 +29,23 @@
         , prober(loop, view, hooks.databasePorts, options.probeTimeout,
                  {.heard = [this](const DatabaseStatus &status,
                                   Instant askedAt) { heard(status, askedAt); },
-                  .silent = [this] { runner.viewChanged(); }})
+                  .silent =
+                          [this] {
+                              runner.viewChanged();
+                          }})
         , runner(loop, processCounters, options, hooks, view, prober)
         , keeper(options, hooks, view, prober,
                  {.holdWrites = [this](bool hold) { runner.holdWrites(hold); },
-                  .hasWritesInFlight = [this] { return runner.hasWritesInFlight(); }})
+                  .hasWritesInFlight =
+                          [this] {
+                              return runner.hasWritesInFlight();
+                          }})
     {}
 
-    ~Data() { loop.cancel(timer); }
+    ~Data()
+    {
+        loop.cancel(timer);
+    }
 
     void heard(const DatabaseStatus &status, Instant askedAt)
     {
