Settings: token key ids are numbers, membership follows the peer endpoint

Change: tokenKeys[].id is 0 to 255; membershipEndpoint may be left out and is then the peerEndpoint. Ruled out: Key of libs/keys in the settings, which would bind the settings to session and OpenSSL. Conclusion: done.

--- a/libs/settings/include/settings/daemonsettings.h
+++ b/libs/settings/include/settings/daemonsettings.h
@@ -48,8 +48,8 @@
 // A key of the HMAC over session tokens.
 struct TokenKey
 {
-    std::string id;
-    std::string secret;
+    std::uint8_t id = 0;
+    std::string secret = {};
 };
 
 // One database of a group, where it listens and how much it bears.
@@ -100,6 +100,8 @@
     DataCentreId dataCentre;
 
     // Where callers, peers (TCP) and members (UDP) are listened to; peers are told the latter two.
+    // The platform's list of VMs names the peer endpoint only, so the membership endpoint is the
+    // same unless it is set.
     Endpoint callerEndpoint;
     Endpoint peerEndpoint;
     Endpoint membershipEndpoint;
--- a/libs/settings/src/daemonsettings.cpp
+++ b/libs/settings/src/daemonsettings.cpp
@@ -73,10 +73,10 @@
     endpoint.port = static_cast<std::uint16_t>(port);
 }
 
-void readEndpointOf(Section &section, std::string_view field, Endpoint &endpoint, EndpointUse use)
+void readEndpointOf(Section &section, std::string_view field, Endpoint &endpoint, EndpointUse use,
+                    Presence presence = Presence::Required)
 {
-    section.section(field, Presence::Required,
-                    [&](Section &inner) { readEndpoint(inner, endpoint, use); });
+    section.section(field, presence, [&](Section &inner) { readEndpoint(inner, endpoint, use); });
 }
 
 void readLimits(Section &section, LimitSettings &limits)
@@ -94,7 +94,9 @@
 void readTokenKey(Section &section, std::vector<TokenKey> &keys)
 {
     TokenKey key;
-    section.nameText("id", key.id);
+    std::uint32_t id = 0;
+    section.number("id", id, {0, UINT8_MAX}, Presence::Required);
+    key.id = static_cast<std::uint8_t>(id);
     section.text("secret", key.secret, secretBytes, Presence::Required);
     const auto same = [&](const TokenKey &other) {
         return other.id == key.id;
@@ -199,8 +201,9 @@
     section.name("dataCentre", settings.dataCentre);
     readEndpointOf(section, "callerEndpoint", settings.callerEndpoint, EndpointUse::Listen);
     readEndpointOf(section, "peerEndpoint", settings.peerEndpoint, EndpointUse::ListenAnnounced);
+    settings.membershipEndpoint = settings.peerEndpoint;
     readEndpointOf(section, "membershipEndpoint", settings.membershipEndpoint,
-                   EndpointUse::ListenAnnounced);
+                   EndpointUse::ListenAnnounced, Presence::Optional);
     readEndpointOf(section, "platformEndpoint", settings.platformEndpoint, EndpointUse::Connect);
     section.number("trafficThreads", settings.trafficThreads, {1, 64});
     section.section("limits", Presence::Optional,
