--- a/libs/scheduling/src/priorities.cpp
+++ b/libs/scheduling/src/priorities.cpp
@@ -91,9 +91,9 @@
     } else {
         heap.remove(flow);
     }
-    std::uint32_t &waiting = m_waiting[indexOf(flow.kind)];
+    std::uint32_t &mayRun = m_mayRun[indexOf(flow.kind)];
     const std::uint32_t own = bit(priorityOf(*flow.plan));
-    waiting = heap.isEmpty() ? waiting & ~own : waiting | own;
+    mayRun = heap.isEmpty() ? mayRun & ~own : mayRun | own;
 }
 
 void Priorities::detach(PlanState &plan)
@@ -134,9 +134,17 @@
     return best;
 }
 
-bool Priorities::isWaitingBelow(std::uint32_t priority, FlowKind kind) const
+bool Priorities::mayRunBelow(std::uint32_t priority, FlowKind kind) const
 {
-    return (m_waiting[indexOf(kind)] & (bit(priority) - 1)) != 0;
+    return (m_mayRun[indexOf(kind)] & (bit(priority) - 1)) != 0;
+}
+
+bool Priorities::isQueuedBelow(std::uint32_t priority, FlowKind kind) const
+{
+    const auto end = m_levels.begin() + priority;
+    return std::any_of(m_levels.begin(), end, [kind](const Level &level) {
+        return level.backlog[indexOf(kind)] > Duration(0);
+    });
 }
 
 std::uint32_t Priorities::kindsOwed(std::uint32_t priority, std::uint32_t kinds) const
@@ -144,7 +152,7 @@
     std::uint32_t owed = 0;
     for (const FlowKind kind : allFlowKinds) {
         const bool hasCredit = m_levels[priority].credit[indexOf(kind)] > 0.0;
-        if (hasCredit && isWaitingBelow(priority, kind))
+        if (hasCredit && mayRunBelow(priority, kind))
             owed |= bit(kind);
     }
     return owed & kinds;
@@ -154,7 +162,7 @@
 {
     Pick pick;
     std::uint32_t kinds = bit(FlowKind::Short) | (longAllowed ? bit(FlowKind::Long) : 0);
-    std::uint32_t levels = m_waiting[0] | m_waiting[1];
+    std::uint32_t levels = m_mayRun[0] | m_mayRun[1];
     while (levels != 0) {
         const auto priority = static_cast<std::uint32_t>(std::bit_width(levels)) - 1;
         levels &= ~bit(priority);
@@ -183,17 +191,23 @@
         its.heaps[indexOf(flow.kind)].update(flow);
     its.recentUse += time;
 
+    spendCredit(pick, time);
+    earnCredit(priorityOf(*flow.plan), time);
+}
+
+void Priorities::spendCredit(const Pick &pick, double cost)
+{
     for (std::uint32_t priority = 0; priority < priorityCount; ++priority) {
         if ((pick.gaveWay & bit(priority)) != 0)
-            m_levels[priority].credit[indexOf(flow.kind)] -= time;
+            m_levels[priority].credit[indexOf(pick.flow->kind)] -= cost;
     }
-    earnCredit(priorityOf(*flow.plan), time);
 }
 
 void Priorities::earnCredit(std::uint32_t priority, double cost)
 {
-    const bool shortWaits = isWaitingBelow(priority, FlowKind::Short);
-    const bool longWaits = isWaitingBelow(priority, FlowKind::Long);
+    // Also work that a limit of its plan holds back for the moment earns its turn.
+    const bool shortWaits = isQueuedBelow(priority, FlowKind::Short);
+    const bool longWaits = isQueuedBelow(priority, FlowKind::Long);
     if (!shortWaits && !longWaits)
         return;
     const double all = cost * m_lowerShare / (1.0 - m_lowerShare);
@@ -201,13 +215,15 @@
     Level &its = m_levels[priority];
     for (const FlowKind kind : allFlowKinds) {
         double &credit = its.credit[indexOf(kind)];
-        if (isWaitingBelow(priority, kind))
+        if (kind == FlowKind::Short ? shortWaits : longWaits)
             credit = std::min(credit + each, creditAtMost);
     }
 }
 
-void Priorities::correct(Flow &flow, Duration difference)
+void Priorities::correct(const Pick &pick, Duration difference)
 {
+    Flow &flow = *pick.flow;
+    spendCredit(pick, microseconds(difference));
     Level &its = level(flow);
     flow.tag += microseconds(difference) / flow.plan->flowWeight(flow.kind);
     if (flow.heapPosition != noIndex)
@@ -222,26 +238,32 @@
     const bool isLong = flow.kind == FlowKind::Long;
     const std::uint32_t priority = priorityOf(plan);
 
+    const double usable =
+            isLong ? capacity.longSlots : std::max(capacity.slots - capacity.runningLong, 1.0);
     double usedAbove = 0.0;
     double backlogAbove = 0.0;
+    double guaranteed = capacity.slots;
     for (std::uint32_t above = priority + 1; above < priorityCount; ++above) {
-        usedAbove += m_levels[above].slotsUsed;
-        backlogAbove += microseconds(m_levels[above].backlog[indexOf(flow.kind)]);
+        const Level &other = m_levels[above];
+        usedAbove += other.slotsUsed;
+        backlogAbove += microseconds(other.backlog[indexOf(flow.kind)]);
+        if (other.slotsUsed > 0.0)
+            guaranteed *= m_lowerShare;
     }
-    const double usable = isLong ? capacity.longSlots
-                                 : std::max(capacity.concurrency - capacity.runningLong, 1.0);
-    const double guaranteed = m_lowerShare * usable;
-    const double rate = std::max(guaranteed, isLong ? usable : usable - usedAbove);
+    guaranteed = std::min(guaranteed, usable);
+    const double rate = std::clamp(capacity.slots - usedAbove, guaranteed, usable);
 
     const double ownWeight = plan.queued() == 0 ? plan.plan.weight : 0.0;
     const double share = plan.flowWeight(flow.kind) / (its.waitingWeight + ownWeight);
     const double ofFlow = microseconds(flow.backlog());
     const double ofLevel = microseconds(its.backlog[indexOf(flow.kind)]);
-    const double fair = std::min(ofFlow / share, ofLevel) / rate;
+    const double ahead = std::min(ofFlow / share, ofLevel);
+    // Either the higher priorities run dry first, or the guarantee alone serves it.
+    const double fair = std::min(backlogAbove / usable + ahead / rate, ahead / guaranteed);
     const double mostAtOnce = isLong ? std::min(plan.plan.longStatements, plan.plan.connections)
                                      : plan.plan.connections;
     const double limited = ofFlow / std::max(mostAtOnce, 1.0);
-    return fromMicroseconds(std::max(fair, limited) + backlogAbove / usable);
+    return fromMicroseconds(std::max(fair, limited));
 }
 
 void Priorities::fadeUse(double factor, double window)
--- a/libs/scheduling/src/priorities.h
+++ b/libs/scheduling/src/priorities.h
@@ -47,14 +47,14 @@
     // The picked flow runs work of this cost.
     void charge(const Pick &pick, Duration cost);
 
-    // Work of the flow took so much more (or less) than was charged.
-    void correct(Flow &flow, Duration difference);
+    // The work of a pick took so much more (or less) than was charged.
+    void correct(const Pick &pick, Duration difference);
 
-    // Expected wait of work that joins the flow now, in a database that runs concurrency
-    // statements at once, of which runningLong are long; longSlots is the most that may be.
+    // Expected wait of work that joins the flow now, in a database that runs so many statements
+    // at once, of which runningLong are long; longSlots is the most that may be.
     struct Capacity
     {
-        double concurrency = 1.0;
+        double slots = 1.0;
         double runningLong = 0.0;
         double longSlots = 1.0;
     };
@@ -86,14 +86,16 @@
     void setEligible(Flow &flow, bool eligible);
     Flow *best(const Level &level, std::uint32_t kinds) const;
     std::uint32_t kindsOwed(std::uint32_t priority, std::uint32_t kinds) const;
-    bool isWaitingBelow(std::uint32_t priority, FlowKind kind) const;
+    bool mayRunBelow(std::uint32_t priority, FlowKind kind) const;
+    bool isQueuedBelow(std::uint32_t priority, FlowKind kind) const;
+    void spendCredit(const Pick &pick, double cost);
     void earnCredit(std::uint32_t priority, double cost);
 
     double m_lowerShare;
     std::array<Level, priorityCount> m_levels;
 
     // Priorities with flows that may run, one bit each, by kind.
-    std::array<std::uint32_t, flowKinds> m_waiting{};
+    std::array<std::uint32_t, flowKinds> m_mayRun{};
 };
 
 std::uint32_t priorityOf(const PlanState &plan);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -78,13 +78,15 @@
     void push(std::uint32_t index, PlanState &plan);
     void take(std::uint32_t index);
     void drop(std::uint32_t index, const Refusal &refusal);
-    std::optional<Refusal> objection(const WorkItem &item, Instant now) const;
-    bool moveIfLong(std::uint32_t index);
-    Dispatch dispatch(std::uint32_t index, const Pick &pick, Instant now);
+    std::optional<Refusal> objection(const WorkItem &item, Duration cost, Instant now) const;
+    std::optional<Duration> expectAgain(std::uint32_t index, Instant now);
+    Dispatch dispatch(std::uint32_t index, const Pick &pick, Duration cost, Instant now);
+    void startNext(Instant now);
+    Duration slotTime(const WorkItem &item, Duration service) const;
     void markOverrunning(Instant now);
     void fade(Instant now);
     void sweep(Instant now);
-    void finish(std::uint32_t index, Duration used);
+    void finish(std::uint32_t index, Duration used, Instant now);
     void replacePlan(PlanState &state, const Plan &plan, bool isGone);
     void removeGonePlans();
 
@@ -129,7 +131,7 @@
 
 detail::Priorities::Capacity Scheduler::Data::capacity() const
 {
-    return {static_cast<double>(std::max(limit(), 1U)), static_cast<double>(runningLong),
+    return {static_cast<double>(std::max(slots, 1U)), static_cast<double>(runningLong),
             static_cast<double>(std::max(longLimit(), 1U))};
 }
 
@@ -188,59 +190,94 @@
 }
 
 // Why waiting work can't be run any more.
-std::optional<Refusal> Scheduler::Data::objection(const WorkItem &item, Instant now) const
+std::optional<Refusal> Scheduler::Data::objection(const WorkItem &item, Duration cost,
+                                                  Instant now) const
 {
     if (now >= item.deadline)
         return Refusal{Reason::DeadlinePassed, retryAfter(expectedWait(*item.flow))};
-    if (now + item.cost > item.deadline)
+    if (now + cost > item.deadline)
         return Refusal{Reason::DeadlineTooShort, retryAfter(expectedWait(*item.flow))};
     return std::nullopt;
 }
 
-// Work whose statement turned out to be long after it was queued as short goes to the long flow.
-bool Scheduler::Data::moveIfLong(std::uint32_t index)
+// Looks again at work whose turn has come, since more may be known of its statement than on
+// arrival. Nothing where it was dropped, or has turned out to be long and waits with its like.
+std::optional<Duration> Scheduler::Data::expectAgain(std::uint32_t index, Instant now)
 {
-    if (slab[index].isLong)
-        return false;
-    const Expectation expectation = estimator.expect(WorkLength::Unknown, slab[index].fingerprint);
-    if (!expectation.isLong)
-        return false;
-    PlanState &plan = *slab[index].flow->plan;
+    WorkItem &item = slab[index];
+    const WorkLength known = item.isLong ? WorkLength::Long : WorkLength::Unknown;
+    const Expectation expectation = estimator.expect(known, item.fingerprint);
+    if (const auto refusal = objection(item, expectation.cost, now)) {
+        drop(index, *refusal);
+        return std::nullopt;
+    }
+    if (expectation.isLong == item.isLong)
+        return expectation.cost;
+    PlanState &plan = *item.flow->plan;
     if (plan.plan.longStatements == 0) {
         drop(index, Refusal{Reason::PlanForbids});
-        return true;
+        return std::nullopt;
     }
     take(index);
-    slab[index].isLong = true;
-    slab[index].cost = expectation.cost;
+    item.isLong = true;
+    item.cost = expectation.cost;
     push(index, plan);
-    return true;
+    return std::nullopt;
 }
 
-Dispatch Scheduler::Data::dispatch(std::uint32_t index, const Pick &pick, Instant now)
+Dispatch Scheduler::Data::dispatch(std::uint32_t index, const Pick &pick, Duration cost,
+                                   Instant now)
 {
     WorkItem &item = slab[index];
     PlanState &plan = *item.flow->plan;
-    priorities.charge(pick, item.cost);
+    priorities.charge(pick, cost);
     ++plan.running;
     plan.runningLong += item.isLong ? 1 : 0;
     runningLong += item.isLong ? 1 : 0;
     take(index);
+    item.cost = cost;
+    item.gaveWay = pick.gaveWay;
     item.state = WorkState::Running;
     item.dispatchedAt = now;
     item.shortFinishedBefore = shortFinished;
     running.push_back(index);
+    startNext(now);
     return {slab.ticket(index), item.context, item.isLong, now - item.enqueuedAt, item.cost};
 }
 
+// The database serves what it is sent in order: what is beyond its slots starts when something else
+// ends.
+void Scheduler::Data::startNext(Instant now)
+{
+    std::uint32_t started = 0;
+    for (const std::uint32_t index : running) {
+        if (started == options.slots)
+            return;
+        ++started;
+        if (!slab[index].startedAt)
+            slab[index].startedAt = now;
+    }
+}
+
+// Time from sending to the answer, less the wait for one of the database's slots: else plans of
+// short statements would pay for the wait behind others.
+Duration Scheduler::Data::slotTime(const WorkItem &item, Duration service) const
+{
+    if (!item.startedAt)
+        return service;
+    return std::max(service - (*item.startedAt - item.dispatchedAt), Duration(0));
+}
+
 // Work that was taken for short and runs on and on counts as long from now on, so that more of its
 // kind does not take the other slots too.
 void Scheduler::Data::markOverrunning(Instant now)
 {
     for (const std::uint32_t index : running) {
         WorkItem &item = slab[index];
-        const Duration elapsed = now - item.dispatchedAt;
-        if (item.isLong || elapsed < estimator.longThreshold())
+        if (item.isLong || !item.startedAt)
+            continue;
+        const Duration elapsed = now - *item.startedAt;
+        if (elapsed < estimator.longThreshold())
             continue;
         if (shortFinished - item.shortFinishedBefore < finishedMeanwhile)
             continue;
@@ -270,22 +307,23 @@
     for (std::uint32_t index = 0; index < slab.size(); ++index) {
         if (slab[index].state != WorkState::Queued)
             continue;
-        if (const auto refusal = objection(slab[index], now))
+        if (const auto refusal = objection(slab[index], slab[index].cost, now))
             drop(index, *refusal);
     }
 }
 
 // Frees a slot and charges the flow for what was used in place of what was expected.
-void Scheduler::Data::finish(std::uint32_t index, Duration used)
+void Scheduler::Data::finish(std::uint32_t index, Duration used, Instant now)
 {
     const WorkItem item = slab[index];
     PlanState &plan = *item.flow->plan;
-    priorities.correct(*item.flow, used - item.cost);
+    priorities.correct({item.flow, item.gaveWay}, used - item.cost);
     --plan.running;
     plan.runningLong -= item.isLong ? 1 : 0;
     runningLong -= item.isLong ? 1 : 0;
     shortFinished += item.isLong ? 0 : 1;
     std::erase(running, index);
+    startNext(now);
     slab.free(index);
     priorities.refresh(plan);
 }
@@ -373,13 +411,8 @@
         if (!pick.flow)
             return std::nullopt;
         const std::uint32_t index = pick.flow->front();
-        if (const auto refusal = m_data->objection(m_data->slab[index], now)) {
-            m_data->drop(index, *refusal);
-            continue;
-        }
-        if (m_data->moveIfLong(index))
-            continue;
-        return m_data->dispatch(index, pick, now);
+        if (const auto cost = m_data->expectAgain(index, now))
+            return m_data->dispatch(index, pick, *cost, now);
     }
     return std::nullopt;
 }
@@ -394,14 +427,15 @@
     return dropped;
 }
 
-void Scheduler::finished(Ticket ticket, Instant, Duration service)
+void Scheduler::finished(Ticket ticket, Instant now, Duration service)
 {
     const std::uint32_t index = m_data->slab.find(ticket);
     if (index == noIndex || m_data->slab[index].state != WorkState::Running)
         return;
     const WorkItem &item = m_data->slab[index];
-    m_data->estimator.finished(item.fingerprint, service, item.isLong);
-    m_data->finish(index, service);
+    const Duration used = m_data->slotTime(item, service);
+    m_data->estimator.finished(item.fingerprint, used, item.isLong);
+    m_data->finish(index, used, now);
 }
 
 void Scheduler::abandoned(Ticket ticket, Instant now)
@@ -409,7 +443,8 @@
     const std::uint32_t index = m_data->slab.find(ticket);
     if (index == noIndex || m_data->slab[index].state != WorkState::Running)
         return;
-    m_data->finish(index, now - m_data->slab[index].dispatchedAt);
+    const WorkItem &item = m_data->slab[index];
+    m_data->finish(index, m_data->slotTime(item, now - item.dispatchedAt), now);
 }
 
 CancelResult Scheduler::cancel(Ticket ticket)
--- a/libs/scheduling/src/servicetimes.cpp
+++ b/libs/scheduling/src/servicetimes.cpp
@@ -10,6 +10,10 @@
 // A new measurement moves an estimate by one part in this many.
 constexpr std::int64_t smoothing = 8;
 
+// One measurement counts for at most this many times the estimate: a database that stalls must not
+// make a statement look long.
+constexpr std::int64_t clipFactor = 4;
+
 constexpr std::int64_t longestMicroseconds = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t clamped(std::int64_t microseconds)
@@ -40,7 +44,8 @@
         return;
     }
     const std::int64_t old = entry.serviceMicroseconds;
-    entry.serviceMicroseconds = clamped(old + (service.count() - old) / smoothing);
+    const std::int64_t sample = std::min<std::int64_t>(service.count(), clipFactor * old);
+    entry.serviceMicroseconds = clamped(old + (sample - old) / smoothing);
 }
 
 void ServiceTimes::recordAtLeast(std::uint64_t fingerprint, Duration elapsed)
--- a/libs/scheduling/src/workslab.h
+++ b/libs/scheduling/src/workslab.h
@@ -4,6 +4,7 @@
 #include "scheduling/scheduler.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace fescuespring::detail {
@@ -27,6 +28,9 @@
     Instant deadline;
     Instant enqueuedAt;
     Instant dispatchedAt;
+
+    // When one of the database's slots became free for it, as far as can be told from outside.
+    std::optional<Instant> startedAt;
     Duration cost{0};
 
     // Short work of the scheduler that had finished before this was dispatched.
@@ -34,6 +38,9 @@
     std::uint32_t previous = noIndex;
     std::uint32_t next = noIndex;
     std::uint32_t generation = 0;
+
+    // Higher priorities that gave way to it, one bit each.
+    std::uint32_t gaveWay = 0;
     std::uint8_t bucket = 0;
     WorkState state = WorkState::Free;
     bool isLong = false;
