--- /dev/null
+++ b/libs/controlcodec/src/listscodec.cpp
@@ -0,0 +1,79 @@
+#include "controlcodec/listscodec.h"
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+namespace fescuespring {
+
+namespace {
+
+// Calls decode with the parsed object; Boost.JSON's exceptions end here.
+template <typename T, typename Decode>
+Result<T> decodeWith(std::string_view text, Decode decode)
+{
+    try {
+        boost::system::error_code error;
+        const json::value value = json::parse({text.data(), text.size()}, error);
+        if (error)
+            return Error{ErrorCode::Malformed, error.message()};
+        return Result<T>(decode(value.as_object()));
+    } catch (const std::exception &error) {
+        return Error{ErrorCode::Malformed, error.what()};
+    }
+}
+
+StoredObject objectOf(const json::object &object)
+{
+    return {.key = std::string(object.at("key").as_string()),
+            .version = ObjectVersion(object.at("version").to_number<std::uint64_t>()),
+            .value = std::string(object.at("value").as_string())};
+}
+
+} // namespace
+
+std::string encodeListsRequest(const ListsRequest &request)
+{
+    json::object known;
+    for (const auto &[key, version] : request.known.versions)
+        known[key] = version.value();
+    return json::serialize(json::object{{"known", std::move(known)}});
+}
+
+Result<ListsRequest> decodeListsRequest(std::string_view text)
+{
+    return decodeWith<ListsRequest>(text, [](const json::object &object) {
+        ListsRequest request;
+        for (const auto &known : object.at("known").as_object()) {
+            request.known.versions.emplace(std::string(known.key()),
+                                           known.value().to_number<std::uint64_t>());
+        }
+        return request;
+    });
+}
+
+std::string encodeListsAnswer(const ListsAnswer &answer)
+{
+    json::array newer;
+    for (const StoredObject &object : answer.newer) {
+        newer.push_back(json::object{
+                {"key", object.key}, {"version", object.version.value()}, {"value", object.value}});
+    }
+    return json::serialize(json::object{{"newer", std::move(newer)},
+                                        {"version", answer.mark.version.value()},
+                                        {"digest", answer.mark.digest}});
+}
+
+Result<ListsAnswer> decodeListsAnswer(std::string_view text)
+{
+    return decodeWith<ListsAnswer>(text, [](const json::object &object) {
+        ListsAnswer answer;
+        for (const json::value &one : object.at("newer").as_array())
+            answer.newer.push_back(objectOf(one.as_object()));
+        answer.mark.version = ObjectVersion(object.at("version").to_number<std::uint64_t>());
+        answer.mark.digest = object.at("digest").to_number<std::uint32_t>();
+        return answer;
+    });
+}
+
+} // namespace fescuespring
--- a/libs/databaseport/src/httpdatabaseport.cpp
+++ b/libs/databaseport/src/httpdatabaseport.cpp
@@ -41,9 +41,10 @@
 class HttpDatabaseConnection : public DatabaseConnection
 {
 public:
-    HttpDatabaseConnection(EventLoop &loop, const Endpoint &endpoint,
+    HttpDatabaseConnection(EventLoop &loop, const Endpoint &endpoint, const std::string &localIp,
                            std::function<void()> onClosed)
         : m_connection(loop, {.endpoint = endpoint,
+                              .localIp = localIp,
                               .connectTimeout = connectTimeout,
                               .onClosed = std::move(onClosed)})
     {}
@@ -73,9 +74,11 @@
 class HttpDatabasePort : public DatabasePort
 {
 public:
-    HttpDatabasePort(EventLoop &loop, const Endpoint &endpoint)
+    HttpDatabasePort(EventLoop &loop, const Endpoint &endpoint, const std::string &localIp)
         : m_loop(loop)
+        , m_localIp(localIp)
         , m_management(loop, {.endpoint = endpoint,
+                              .localIp = localIp,
                               .connectTimeout = connectTimeout,
                               .maxConnections = managementConnections})
     {}
@@ -109,21 +112,22 @@
 
     std::unique_ptr<DatabaseConnection> connect(std::function<void()> onClosed) override
     {
-        return std::make_unique<HttpDatabaseConnection>(m_loop, m_management.endpoint(),
+        return std::make_unique<HttpDatabaseConnection>(m_loop, m_management.endpoint(), m_localIp,
                                                         std::move(onClosed));
     }
 
 private:
     EventLoop &m_loop;
+    std::string m_localIp;
     HttpClient m_management;
 };
 
 } // namespace
 
-DatabasePortFactory httpDatabasePorts(EventLoop &loop)
+DatabasePortFactory httpDatabasePorts(EventLoop &loop, const std::string &localIp)
 {
-    return [&loop](const Endpoint &endpoint) {
-        return std::make_unique<HttpDatabasePort>(loop, endpoint);
+    return [&loop, localIp](const Endpoint &endpoint) {
+        return std::make_unique<HttpDatabasePort>(loop, endpoint, localIp);
     };
 }
 
--- a/libs/groupview/include/groupview/groupview.h
+++ b/libs/groupview/include/groupview/groupview.h
@@ -16,6 +16,8 @@
 
     // The platform says that its VM is about to leave.
     bool leaving = false;
+
+    bool operator==(const DatabaseSite &) const = default;
 };
 
 // What a slice owner knows of one database, and since when.
--- /dev/null
+++ b/libs/httpstore/include/httpstore/httpobjectstore.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "net/eventloop.h"
+#include "store/objectstore.h"
+
+#include <memory>
+#include <string>
+
+namespace fescuespring {
+
+// The platform over HTTP and JSON, as docs/PROTOCOLS.md has it. Belongs to the loop's thread.
+class HttpObjectStore : public ObjectStore
+{
+public:
+    // Connections come from localIp; empty lets the system choose.
+    HttpObjectStore(EventLoop &loop, const Endpoint &platform, const std::string &localIp = {});
+    ~HttpObjectStore() override;
+
+    void read(const std::string &key, std::chrono::milliseconds timeout, ReadDone done) override;
+    void list(const std::string &prefix, std::chrono::milliseconds timeout, ListDone done) override;
+    void write(const ObjectWrite &write, std::chrono::milliseconds timeout,
+               WriteDone done) override;
+    void watch(const std::string &key, ObjectVersion after, std::chrono::milliseconds wait,
+               ReadDone done) override;
+    void vms(std::chrono::milliseconds timeout, VmsDone done) override;
+
+private:
+    struct Data;
+    std::unique_ptr<Data> m_data;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/httpstore/src/httpobjectstore.cpp
@@ -0,0 +1,159 @@
+#include "httpstore/httpobjectstore.h"
+
+#include "net/httpclient.h"
+#include "platformcodec.h"
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout{500};
+constexpr std::size_t maximumConnections = 32;
+constexpr std::size_t maximumListBytes = std::size_t{16} * 1024 * 1024;
+
+// A watch is answered by the platform after its wait; this much later it is lost.
+constexpr std::chrono::milliseconds watchGrace{2000};
+
+constexpr int statusNotModified = 304;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
+
+// Key as part of a path: its slashes stay.
+std::string keyPath(const std::string &key)
+{
+    std::string path;
+    std::size_t start = 0;
+    while (true) {
+        const std::size_t slash = key.find('/', start);
+        path += percentEncode(key.substr(start, slash - start));
+        if (slash == std::string::npos)
+            return path;
+        path += '/';
+        start = slash + 1;
+    }
+}
+
+Error errorOf(int status)
+{
+    if (status == statusTooManyRequests)
+        return {ErrorCode::Refused, "the platform takes no more calls now"};
+    if (status == statusUnavailable)
+        return {ErrorCode::Unavailable, "the platform is down"};
+    return {ErrorCode::Malformed, "the platform answers with status " + std::to_string(status)};
+}
+
+} // namespace
+
+struct HttpObjectStore::Data
+{
+    Data(EventLoop &loop, const Endpoint &platform, const std::string &localIp)
+        : client(loop, {.endpoint = platform,
+                        .localIp = localIp,
+                        .connectTimeout = connectTimeout,
+                        .maxConnections = maximumConnections,
+                        .maxBodyBytes = maximumListBytes})
+    {}
+
+    HttpClient client;
+};
+
+HttpObjectStore::HttpObjectStore(EventLoop &loop, const Endpoint &platform,
+                                 const std::string &localIp)
+    : m_data(std::make_unique<Data>(loop, platform, localIp))
+{}
+
+HttpObjectStore::~HttpObjectStore() = default;
+
+void HttpObjectStore::read(const std::string &key, std::chrono::milliseconds timeout, ReadDone done)
+{
+    m_data->client.send({.target = "/v1/objects/" + keyPath(key)}, timeout,
+                        [key, done = std::move(done)](const Result<HttpResponse> &response) {
+                            if (!response)
+                                done(Result<StoredObject>(response.error()));
+                            else if (response.value().status == statusNotFound)
+                                done(Result<StoredObject>(StoredObject{.key = key}));
+                            else if (response.value().status != 200)
+                                done(Result<StoredObject>(errorOf(response.value().status)));
+                            else
+                                done(decodeObject(response.value().body));
+                        });
+}
+
+void HttpObjectStore::list(const std::string &prefix, std::chrono::milliseconds timeout,
+                           ListDone done)
+{
+    using Objects = Result<std::vector<StoredObject>>;
+    m_data->client.send({.target = "/v1/objects?prefix=" + percentEncode(prefix)}, timeout,
+                        [done = std::move(done)](const Result<HttpResponse> &response) {
+                            if (!response)
+                                done(Objects(response.error()));
+                            else if (response.value().status != 200)
+                                done(Objects(errorOf(response.value().status)));
+                            else
+                                done(decodeObjects(response.value().body));
+                        });
+}
+
+void HttpObjectStore::write(const ObjectWrite &write, std::chrono::milliseconds timeout,
+                            WriteDone done)
+{
+    using Answer = Result<WriteAnswer>;
+    m_data->client.send(
+            {.method = "PUT",
+             .target = "/v1/objects/" + keyPath(write.key),
+             .body = encodeWrite(write)},
+            timeout, [done = std::move(done)](const Result<HttpResponse> &response) {
+                if (!response) {
+                    done(Answer(response.error()));
+                    return;
+                }
+                const int status = response.value().status;
+                if (status != 200 && status != statusConflict) {
+                    done(Answer(errorOf(status)));
+                    return;
+                }
+                const Result<ObjectVersion> version = decodeVersion(response.value().body);
+                if (!version)
+                    done(Answer(version.error()));
+                else
+                    done(Answer(WriteAnswer{.written = status == 200, .version = version.value()}));
+            });
+}
+
+void HttpObjectStore::watch(const std::string &key, ObjectVersion after,
+                            std::chrono::milliseconds wait, ReadDone done)
+{
+    const std::string target = "/v1/watch/" + keyPath(key)
+                               + "?after=" + std::to_string(after.value())
+                               + "&timeoutMs=" + std::to_string(wait.count());
+    m_data->client.send(
+            {.target = target}, wait + watchGrace,
+            [key, after, done = std::move(done)](const Result<HttpResponse> &response) {
+                if (!response)
+                    done(Result<StoredObject>(response.error()));
+                else if (response.value().status == statusNotModified)
+                    done(Result<StoredObject>(StoredObject{.key = key, .version = after}));
+                else if (response.value().status != 200)
+                    done(Result<StoredObject>(errorOf(response.value().status)));
+                else
+                    done(decodeObject(response.value().body));
+            });
+}
+
+void HttpObjectStore::vms(std::chrono::milliseconds timeout, VmsDone done)
+{
+    using Vms = Result<std::vector<PlatformVm>>;
+    m_data->client.send({.target = "/v1/vms"}, timeout,
+                        [done = std::move(done)](const Result<HttpResponse> &response) {
+                            if (!response)
+                                done(Vms(response.error()));
+                            else if (response.value().status != 200)
+                                done(Vms(errorOf(response.value().status)));
+                            else
+                                done(decodeVms(response.value().body));
+                        });
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/httpstore/src/platformcodec.cpp
@@ -0,0 +1,96 @@
+#include "platformcodec.h"
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+namespace fescuespring {
+
+namespace {
+
+Error malformed(const std::string &what)
+{
+    return {ErrorCode::Malformed, "the platform's answer cannot be read: " + what};
+}
+
+// Calls decode with the parsed object; Boost.JSON's exceptions end here.
+template <typename T, typename Decode>
+Result<T> decodeWith(std::string_view text, Decode decode)
+{
+    try {
+        boost::system::error_code error;
+        const json::value value = json::parse({text.data(), text.size()}, error);
+        if (error)
+            return malformed(error.message());
+        return Result<T>(decode(value.as_object()));
+    } catch (const std::exception &error) {
+        return malformed(error.what());
+    }
+}
+
+std::string textOf(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    return value == nullptr ? std::string() : std::string(value->as_string());
+}
+
+StoredObject objectOf(const json::object &object)
+{
+    return {.key = textOf(object, "key"),
+            .version = ObjectVersion(object.at("version").to_number<std::uint64_t>()),
+            .value = textOf(object, "value")};
+}
+
+PlatformVm vmOf(const json::object &object)
+{
+    return {.vm = VmId(textOf(object, "vm")),
+            .dataCentre = DataCentreId(textOf(object, "dataCentre")),
+            .isEntry = textOf(object, "kind") == "entry",
+            .leaving = textOf(object, "state") == "leaving",
+            .endpoint = {.ip = textOf(object, "ip"),
+                         .port = object.at("port").to_number<std::uint16_t>()},
+            .group = GroupId(textOf(object, "group")),
+            .database = DatabaseId(textOf(object, "database"))};
+}
+
+} // namespace
+
+Result<StoredObject> decodeObject(std::string_view text)
+{
+    return decodeWith<StoredObject>(text, objectOf);
+}
+
+Result<std::vector<StoredObject>> decodeObjects(std::string_view text)
+{
+    return decodeWith<std::vector<StoredObject>>(text, [](const json::object &object) {
+        std::vector<StoredObject> objects;
+        for (const json::value &one : object.at("objects").as_array())
+            objects.push_back(objectOf(one.as_object()));
+        return objects;
+    });
+}
+
+Result<ObjectVersion> decodeVersion(std::string_view text)
+{
+    return decodeWith<ObjectVersion>(text, [](const json::object &object) {
+        return ObjectVersion(object.at("version").to_number<std::uint64_t>());
+    });
+}
+
+Result<std::vector<PlatformVm>> decodeVms(std::string_view text)
+{
+    return decodeWith<std::vector<PlatformVm>>(text, [](const json::object &object) {
+        std::vector<PlatformVm> vms;
+        for (const json::value &one : object.at("vms").as_array())
+            vms.push_back(vmOf(one.as_object()));
+        return vms;
+    });
+}
+
+std::string encodeWrite(const ObjectWrite &write)
+{
+    return json::serialize(
+            json::object{{"value", write.value}, {"ifVersion", write.ifVersion.value()}});
+}
+
+} // namespace fescuespring
--- a/libs/net/include/net/httpserver.h
+++ b/libs/net/include/net/httpserver.h
@@ -25,6 +25,8 @@
     TooManyConnections,
 };
 
+const char *toString(HttpServerEvent event);
+
 // Answers one request. Any thread may call it, the first call counts; a request that is never
 // answered holds its connection until the server is destroyed.
 using HttpResponder = std::function<void(HttpResponse)>;
--- a/libs/net/src/httpserver.cpp
+++ b/libs/net/src/httpserver.cpp
@@ -28,6 +28,21 @@
 
 } // namespace
 
+const char *toString(HttpServerEvent event)
+{
+    switch (event) {
+    case HttpServerEvent::Malformed:
+        return "malformed";
+    case HttpServerEvent::TooLarge:
+        return "too-large";
+    case HttpServerEvent::SlowSender:
+        return "slow-sender";
+    case HttpServerEvent::TooManyConnections:
+        return "too-many-connections";
+    }
+    return "malformed";
+}
+
 struct HttpServer::Data : std::enable_shared_from_this<HttpServer::Data>
 {
     Data(EventLoop &eventLoop, HttpServerOptions serverOptions)
--- /dev/null
+++ b/libs/proxy/src/controlthread.cpp
@@ -0,0 +1,357 @@
+#include "controlthread.h"
+
+#include "controlcodec/listscodec.h"
+#include "rpc/rpcclient.h"
+
+#include <algorithm>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr Duration storeTickInterval = std::chrono::milliseconds(10);
+constexpr Duration vmsInterval = std::chrono::seconds(1);
+constexpr Duration recordDeadline = std::chrono::seconds(2);
+constexpr std::size_t connectionsPerPeer = 4;
+constexpr std::size_t askedPeers = 2;
+
+std::string recordKey(const GroupId &group)
+{
+    return "groups/" + group.value();
+}
+
+MembershipOptions membershipOptions(const DaemonSettings &settings, std::uint64_t seed)
+{
+    return {.self = settings.vm,
+            .dataCentre = settings.dataCentre,
+            .endpoints = {.heartbeat = settings.membershipEndpoint,
+                          .callers = settings.callerEndpoint,
+                          .peers = settings.peerEndpoint},
+            .randomSeed = seed};
+}
+
+} // namespace
+
+ControlThread::ControlThread(EventLoop &loop, const DaemonSettings &settings, SharedState &state,
+                             Log &log, Counters &counters, std::uint64_t randomSeed, Hooks hooks)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_state(state)
+    , m_log(log)
+    , m_counters(counters)
+    , m_hooks(std::move(hooks))
+    , m_objectStore(loop, settings.platformEndpoint, settings.peerEndpoint.ip)
+    , m_store(m_objectStore,
+              {.callTimeout = settings.timings.platformTimeout,
+               .watchWait = settings.timings.platformWatch,
+               .randomSeed = randomSeed},
+              counters)
+    , m_membership(membershipOptions(settings, randomSeed), counters)
+    , m_distribution(
+              {.self = settings.vm, .dataCentre = settings.dataCentre, .randomSeed = randomSeed},
+              {.pull =
+                       [this](const Endpoint &peer, const ListsRequest &request,
+                              std::chrono::milliseconds timeout,
+                              const DistributionHooks::PullDone &done) {
+                           pullLists(peer, request, timeout, done);
+                       },
+               .inForce =
+                       [this](const std::shared_ptr<const PlanLists> &lists,
+                              const ListsMark &mark) {
+                           m_state.board.lists.publish(lists);
+                           take(m_membership.setLists(mark, EventLoop::now()));
+                           m_log.info("lists-in-force", {{"version", mark.version},
+                                                         {"plans", lists->plans.size()},
+                                                         {"customers", lists->customers.size()}});
+                           publishStatus();
+                           m_hooks.changed();
+                       },
+               .status =
+                       [this](const ListsStatus &status) {
+                           if (!status.refused.empty()) {
+                               m_log.warning("lists-refused",
+                                             {{"errors", describe(status.refused)}});
+                           }
+                           publishStatus();
+                       }},
+              m_store, counters)
+{
+    addRpcMethods();
+}
+
+Result<void> ControlThread::start()
+{
+    BOOST_OUTCOME_TRY(m_socket,
+                      UdpSocket::bind(m_loop, m_settings.membershipEndpoint,
+                                      [this](const Endpoint &from, std::string_view datagram) {
+                                          const auto *bytes =
+                                                  reinterpret_cast<const std::uint8_t *>(
+                                                          datagram.data());
+                                          take(m_membership.receive(from, {bytes, datagram.size()},
+                                                                    EventLoop::now()));
+                                      }));
+    publishDirectory();
+    tickMembership();
+    tickStore();
+    pollVms();
+    return boost::outcome_v2::success();
+}
+
+void ControlThread::tickMembership()
+{
+    take(m_membership.tick(EventLoop::now()));
+    publishDirectory();
+    m_loop.after(Membership::tickInterval, [this] { tickMembership(); });
+}
+
+void ControlThread::tickStore()
+{
+    const Instant now = EventLoop::now();
+    m_store.tick(now);
+    m_distribution.tick(now);
+    m_loop.after(storeTickInterval, [this] { tickStore(); });
+}
+
+void ControlThread::pollVms()
+{
+    const Instant now = EventLoop::now();
+    m_store.vms(now, now + vmsInterval, [this](const Result<std::vector<PlatformVm>> &vms) {
+        if (vms)
+            takeVms(vms.value());
+    });
+    m_loop.after(vmsInterval, [this] { pollVms(); });
+}
+
+void ControlThread::take(const MembershipActions &actions)
+{
+    if (m_socket) {
+        for (const Datagram &datagram : actions.datagrams) {
+            const auto *bytes = reinterpret_cast<const char *>(datagram.bytes.data());
+            m_socket->send(datagram.to, {bytes, datagram.bytes.size()});
+        }
+    }
+    const Instant now = EventLoop::now();
+    if (!actions.changes.empty()) {
+        logChanges(actions);
+        m_distribution.setMembers(m_membership.members(), now);
+        publishDirectory();
+    }
+    if (!actions.listsSeen.empty())
+        m_distribution.listsSeen(actions.listsSeen, now);
+    if (actions.paused)
+        m_log.warning("paused", {{"vm", m_settings.vm}});
+    if (actions.toldToLeave)
+        m_hooks.toldToLeave();
+}
+
+void ControlThread::logChanges(const MembershipActions &actions)
+{
+    for (const MemberChange &change : actions.changes)
+        m_log.info("member", {{"vm", change.vm}, {"state", toString(change.state)}});
+}
+
+void ControlThread::takeVms(const std::vector<PlatformVm> &vms)
+{
+    m_vms = vms;
+    std::vector<ListedVm> listed;
+    std::vector<Endpoint> remote;
+    for (const PlatformVm &vm : vms) {
+        if (!vm.isEntry)
+            continue;
+        // The membership port has the number of the peer port.
+        if (vm.dataCentre == m_settings.dataCentre)
+            listed.push_back({vm.vm, vm.endpoint, vm.leaving});
+        else if (!vm.leaving)
+            remote.push_back(vm.endpoint);
+    }
+    m_distribution.setRemotePeers(remote);
+    take(m_membership.platformList(listed, EventLoop::now()));
+    publishDirectory();
+}
+
+std::vector<SliceDatabase> ControlThread::databasesOf(const GroupSettings &group) const
+{
+    std::vector<SliceDatabase> databases;
+    for (const DatabaseSettings &database : group.databases) {
+        databases.push_back({.site = {.database = database.database,
+                                      .dataCentre = database.dataCentre,
+                                      .endpoint = database.endpoint},
+                             .connections = database.connections,
+                             .slots = database.slots});
+    }
+    return databases;
+}
+
+// The platform knows upstreams that the settings do not, where they moved to, and which leave.
+void ControlThread::addListedDatabases(Directory &directory) const
+{
+    for (const PlatformVm &vm : m_vms) {
+        if (vm.isEntry)
+            continue;
+        std::vector<SliceDatabase> &group = directory.groups[vm.group];
+        const auto known =
+                std::find_if(group.begin(), group.end(), [&vm](const SliceDatabase &database) {
+                    return database.site.database == vm.database;
+                });
+        SliceDatabase &database = known == group.end() ? group.emplace_back() : *known;
+        database.site = {.database = vm.database,
+                         .dataCentre = vm.dataCentre,
+                         .endpoint = vm.endpoint,
+                         .leaving = vm.leaving};
+    }
+}
+
+void ControlThread::publishDirectory()
+{
+    Directory directory;
+    for (const GroupSettings &group : m_settings.groups)
+        directory.groups[group.group] = databasesOf(group);
+    addListedDatabases(directory);
+    for (const Member &member : m_membership.members()) {
+        if (member.state == MemberState::Alive)
+            directory.vms[m_settings.dataCentre].push_back({member.vm, member.endpoints.peers});
+    }
+    for (const PlatformVm &vm : m_vms) {
+        if (vm.isEntry && !vm.leaving && vm.dataCentre != m_settings.dataCentre)
+            directory.vms[vm.dataCentre].push_back({vm.vm, vm.endpoint});
+    }
+    directory.mayAct = m_membership.mayAct(EventLoop::now());
+    if (directory == m_published)
+        return;
+    m_published = directory;
+    m_state.directory.write(std::move(directory));
+    publishStatus();
+    m_hooks.changed();
+}
+
+void ControlThread::publishStatus()
+{
+    ControlStatus status{.leaving = m_leaving, .storeReachable = m_store.isReachable()};
+    status.serving = m_distribution.isReady() && !m_leaving;
+    status.refusedLists = m_distribution.status().refused;
+    if (m_leaving)
+        status.reason = "leaving";
+    else if (!m_distribution.isReady())
+        status.reason = "no plan lists yet";
+    if (status.serving && !m_wasReady)
+        m_log.info("serving", {{"vm", m_settings.vm}});
+    m_wasReady = status.serving;
+    m_state.board.status.write(std::move(status));
+}
+
+void ControlThread::announceLeaving()
+{
+    m_leaving = true;
+    take(m_membership.announceLeaving(EventLoop::now()));
+    publishDirectory();
+    publishStatus();
+}
+
+void ControlThread::leave()
+{
+    take(m_membership.leave(EventLoop::now()));
+}
+
+void ControlThread::addRpcMethods()
+{
+    m_rpc.add("lists.pull", [this](std::string_view params) -> Result<std::string> {
+        BOOST_OUTCOME_TRY(const ListsRequest request, decodeListsRequest(params));
+        return encodeListsAnswer(m_distribution.answer(request));
+    });
+}
+
+std::string ControlThread::handleRpc(const std::string &body)
+{
+    return m_rpc.handle(body);
+}
+
+HttpClient &ControlThread::peerClient(const Endpoint &peer)
+{
+    std::unique_ptr<HttpClient> &client = m_peers[peer];
+    if (!client) {
+        client = std::make_unique<HttpClient>(
+                m_loop, HttpClientOptions{.endpoint = peer,
+                                          .localIp = m_settings.peerEndpoint.ip,
+                                          .maxConnections = connectionsPerPeer});
+    }
+    return *client;
+}
+
+void ControlThread::pullLists(const Endpoint &peer, const ListsRequest &request,
+                              std::chrono::milliseconds timeout,
+                              const DistributionHooks::PullDone &done)
+{
+    const RpcClient client([this, peer, timeout](std::string body, RpcCallback callback) {
+        peerClient(peer).send(
+                {.method = "POST", .target = "/peer/v1/rpc", .body = std::move(body)}, timeout,
+                [callback = std::move(callback)](const Result<HttpResponse> &response) {
+                    callback(response ? Result<std::string>(response.value().body)
+                                      : Result<std::string>(response.error()));
+                });
+    });
+    client.call("lists.pull", encodeListsRequest(request),
+                [done](const Result<std::string> &answer) {
+                    done(answer ? decodeListsAnswer(answer.value())
+                                : Result<ListsAnswer>(answer.error()));
+                });
+}
+
+void ControlThread::readRecord(const GroupId &group, SliceHooks::RecordRead done)
+{
+    const Instant now = EventLoop::now();
+    m_store.read(
+            recordKey(group), now, now + recordDeadline,
+            [done = std::move(done)](const Result<StoredObject> &object) {
+                using Read = Result<std::optional<StoredRecord>>;
+                if (!object) {
+                    done(Read(object.error()));
+                    return;
+                }
+                if (object.value().version == ObjectVersion()) {
+                    done(Read(std::optional<StoredRecord>()));
+                    return;
+                }
+                const Result<GroupRecord> record = decodeRecord(object.value().value);
+                if (!record) {
+                    done(Read(record.error()));
+                    return;
+                }
+                done(Read(std::optional(StoredRecord{record.value(), object.value().version})));
+            });
+}
+
+void ControlThread::writeRecord(const GroupId &group, const GroupRecord &record,
+                                ObjectVersion ifVersion, SliceHooks::RecordWritten done)
+{
+    const Instant now = EventLoop::now();
+    m_store.write({.key = recordKey(group), .value = encodeRecord(record), .ifVersion = ifVersion},
+                  now, now + recordDeadline, [done = std::move(done)](const WriteResult &result) {
+                      switch (result.outcome) {
+                      case WriteOutcome::Written:
+                          done(Result<ObjectVersion>(result.current.version));
+                          return;
+                      case WriteOutcome::Conflict:
+                          done(Result<ObjectVersion>(
+                                  Error{ErrorCode::Conflict, "another version stands there"}));
+                          return;
+                      case WriteOutcome::NotWritten:
+                      case WriteOutcome::Unknown:
+                          done(Result<ObjectVersion>(result.error));
+                          return;
+                      }
+                  });
+}
+
+std::size_t ControlThread::otherVms() const
+{
+    std::size_t count = 0;
+    for (const auto &[dataCentre, vms] : m_published.vms)
+        count += vms.size();
+    return count == 0 ? 0 : count - 1;
+}
+
+void ControlThread::askPeers(const GroupId &, const DatabaseId &, Term,
+                             const std::function<void(const PeerReport &)> &)
+{}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/proxy/src/controlthread.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/counters.h"
+#include "directory.h"
+#include "distribution/distribution.h"
+#include "httpstore/httpobjectstore.h"
+#include "logging/log.h"
+#include "membership/membership.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/udpsocket.h"
+#include "promotion/lossdetector.h"
+#include "rpc/rpcserver.h"
+#include "settings/daemonsettings.h"
+#include "store/storeclient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace fescuespring {
+
+// The control state of a VM: membership, the plan lists, the platform's store and list of VMs.
+// Everything runs on the loop's thread; what others need is published to the shared state.
+class ControlThread
+{
+public:
+    struct Hooks
+    {
+        // The shared state has changed.
+        std::function<void()> changed;
+
+        // The platform says that this VM is to stop.
+        std::function<void()> toldToLeave;
+    };
+
+    ControlThread(EventLoop &loop, const DaemonSettings &settings, SharedState &state, Log &log,
+                  Counters &counters, std::uint64_t randomSeed, Hooks hooks);
+
+    // Opens the membership port and begins to work.
+    Result<void> start();
+
+    // A planned stop: others give this VM nothing new from now on; then it is gone.
+    void announceLeaving();
+    void leave();
+
+    // A control call of a peer; the answer's body.
+    std::string handleRpc(const std::string &body);
+
+    void readRecord(const GroupId &group, SliceHooks::RecordRead done);
+    void writeRecord(const GroupId &group, const GroupRecord &record, ObjectVersion ifVersion,
+                     SliceHooks::RecordWritten done);
+
+    // Asks a few other VMs what they see of a primary.
+    void askPeers(const GroupId &group, const DatabaseId &primary, Term term,
+                  const std::function<void(const PeerReport &)> &report);
+
+    std::size_t otherVms() const;
+    ListsStatus listsStatus() const
+    {
+        return m_distribution.status();
+    }
+    bool isStoreReachable() const
+    {
+        return m_store.isReachable();
+    }
+    bool isLeaving() const
+    {
+        return m_leaving;
+    }
+
+private:
+    void tickMembership();
+    void tickStore();
+    void pollVms();
+    void take(const MembershipActions &actions);
+    void logChanges(const MembershipActions &actions);
+    void takeVms(const std::vector<PlatformVm> &vms);
+    void publishDirectory();
+    void publishStatus();
+    std::vector<SliceDatabase> databasesOf(const GroupSettings &group) const;
+    void addListedDatabases(Directory &directory) const;
+    void addRpcMethods();
+    void pullLists(const Endpoint &peer, const ListsRequest &request,
+                   std::chrono::milliseconds timeout, const DistributionHooks::PullDone &done);
+    HttpClient &peerClient(const Endpoint &peer);
+
+    EventLoop &m_loop;
+    const DaemonSettings &m_settings;
+    SharedState &m_state;
+    Log &m_log;
+    Counters &m_counters;
+    Hooks m_hooks;
+    HttpObjectStore m_objectStore;
+    StoreClient m_store;
+    Membership m_membership;
+    Distribution m_distribution;
+    RpcServer m_rpc;
+    std::unique_ptr<UdpSocket> m_socket;
+    std::map<Endpoint, std::unique_ptr<HttpClient>> m_peers;
+    std::vector<PlatformVm> m_vms;
+    Directory m_published;
+    bool m_leaving = false;
+    bool m_wasReady = false;
+};
+
+} // namespace fescuespring
--- a/libs/sliceowner/include/sliceowner/sliceowner.h
+++ b/libs/sliceowner/include/sliceowner/sliceowner.h
@@ -40,6 +40,8 @@
     DatabaseSite site;
     std::uint32_t connections = 20;
     std::uint32_t slots = 3;
+
+    bool operator==(const SliceDatabase &) const = default;
 };
 
 // What the slice's owner asks of the VM that it runs on. Every callback must come on the owner's
