Messages and codec: what a VM tells operators

Cause: fescuectl and the daemon need one typed answer for status and route. Structs inside others are now read by one overload of readFields each, so that lists of them need no code of their own. Ruled out: handing on the daemon's JSON unread: a table needs typed fields, and an older VM's answer needs defaults.

--- a/libs/codec/src/document.h
+++ b/libs/codec/src/document.h
@@ -4,12 +4,14 @@
 #include "codec/decodelimits.h"
 #include "fieldreader.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/string_view.hpp>
 
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fescuespring::detail {
 
@@ -47,4 +49,29 @@
     return {value.data(), value.size()};
 }
 
+inline boost::json::array texts(const std::vector<std::string> &values)
+{
+    boost::json::array array;
+    array.reserve(values.size());
+    for (const std::string &value : values)
+        array.emplace_back(text(value));
+    return array;
+}
+
+inline boost::json::object endpointObject(const Endpoint &endpoint)
+{
+    return {{"ip", text(endpoint.ip)}, {"port", std::uint64_t{endpoint.port}}};
+}
+
+// One object for each value, made by toObject.
+template <typename T, typename ToObject>
+boost::json::array objects(const std::vector<T> &values, ToObject toObject)
+{
+    boost::json::array array;
+    array.reserve(values.size());
+    for (const T &value : values)
+        array.emplace_back(toObject(value));
+    return array;
+}
+
 } // namespace fescuespring::detail
--- a/libs/codec/src/fieldreader.cpp
+++ b/libs/codec/src/fieldreader.cpp
@@ -89,36 +89,24 @@
     return fault;
 }
 
-Fault readValue(const json::value &value, LogPoint &target)
+void readFields(FieldReader &reader, LogPoint &point)
 {
-    if (!value.is_object())
-        return invalid("must be an object");
-    FieldReader reader(value.get_object());
-    reader.required("term", target.term);
-    reader.required("position", target.position);
-    return reader.fault();
+    reader.required("term", point.term);
+    reader.required("position", point.position);
 }
 
-Fault readValue(const json::value &value, TermStart &target)
+void readFields(FieldReader &reader, TermStart &step)
 {
-    if (!value.is_object())
-        return invalid("must be an object");
-    FieldReader reader(value.get_object());
-    reader.required("term", target.term);
-    reader.required("start", target.start);
-    return reader.fault();
+    reader.required("term", step.term);
+    reader.required("start", step.start);
 }
 
-Fault readValue(const json::value &value, Endpoint &target)
+void readFields(FieldReader &reader, Endpoint &endpoint)
 {
-    if (!value.is_object())
-        return invalid("must be an object");
-    FieldReader reader(value.get_object());
-    reader.required("ip", target.ip);
-    reader.required("port", target.port);
-    reader.expect(!target.ip.empty(), "ip", "must not be empty");
-    reader.expect(target.port != 0, "port", "must not be 0");
-    return reader.fault();
+    reader.required("ip", endpoint.ip);
+    reader.required("port", endpoint.port);
+    reader.expect(!endpoint.ip.empty(), "ip", "must not be empty");
+    reader.expect(endpoint.port != 0, "port", "must not be 0");
 }
 
 FieldReader::FieldReader(const json::object &object)
--- a/libs/codec/src/fieldreader.h
+++ b/libs/codec/src/fieldreader.h
@@ -16,6 +16,8 @@
 
 namespace fescuespring::detail {
 
+class FieldReader;
+
 // What is wrong with a value; nothing where it could be read. The field of the error is relative
 // to the value.
 using Fault = std::optional<Error>;
@@ -31,9 +33,18 @@
 Fault readValue(const boost::json::value &value, std::uint32_t &target);
 Fault readValue(const boost::json::value &value, std::uint64_t &target);
 Fault readValue(const boost::json::value &value, std::chrono::milliseconds &target);
-Fault readValue(const boost::json::value &value, LogPoint &target);
-Fault readValue(const boost::json::value &value, TermStart &target);
-Fault readValue(const boost::json::value &value, Endpoint &target);
+
+// Structs that stand inside others. Further ones need an overload of their own in this namespace.
+void readFields(FieldReader &reader, LogPoint &point);
+void readFields(FieldReader &reader, TermStart &step);
+void readFields(FieldReader &reader, Endpoint &endpoint);
+
+template <typename T>
+requires requires(FieldReader &reader, T &target)
+{
+    readFields(reader, target);
+}
+Fault readValue(const boost::json::value &value, T &target);
 
 template <typename Tag>
 Fault readValue(const boost::json::value &value, Name<Tag> &target)
@@ -153,4 +164,18 @@
     Fault m_fault;
 };
 
+template <typename T>
+requires requires(FieldReader &reader, T &target)
+{
+    readFields(reader, target);
+}
+Fault readValue(const boost::json::value &value, T &target)
+{
+    if (!value.is_object())
+        return invalid("must be an object");
+    FieldReader reader(value.get_object());
+    readFields(reader, target);
+    return reader.fault();
+}
+
 } // namespace fescuespring::detail
--- a/libs/codec/src/requestcodec.cpp
+++ b/libs/codec/src/requestcodec.cpp
@@ -2,13 +2,12 @@
 
 #include "document.h"
 
-#include <boost/json/array.hpp>
-
 namespace fescuespring {
 
 namespace json = boost::json;
 using detail::FieldReader;
 using detail::text;
+using detail::texts;
 
 namespace {
 
@@ -62,15 +61,6 @@
     reader.optional("token", request.token);
 }
 
-json::array texts(const std::vector<std::string> &values)
-{
-    json::array array;
-    array.reserve(values.size());
-    for (const std::string &value : values)
-        array.emplace_back(text(value));
-    return array;
-}
-
 json::object requestObject(const CallerRequest &request)
 {
     json::object object{
--- a/libs/codec/src/upstreamcodec.cpp
+++ b/libs/codec/src/upstreamcodec.cpp
@@ -2,8 +2,6 @@
 
 #include "document.h"
 
-#include <boost/json/array.hpp>
-
 namespace fescuespring {
 
 namespace json = boost::json;
@@ -17,15 +15,9 @@
     return {{"term", point.term.value()}, {"position", point.position.value()}};
 }
 
-json::array historyArray(const TermHistory &history)
+json::object stepObject(const TermStart &step)
 {
-    json::array array;
-    array.reserve(history.size());
-    for (const TermStart &step : history) {
-        array.emplace_back(
-                json::object{{"term", step.term.value()}, {"start", step.start.value()}});
-    }
-    return array;
+    return {{"term", step.term.value()}, {"start", step.start.value()}};
 }
 
 bool rises(const TermStart &before, const TermStart &after)
@@ -101,7 +93,7 @@
             {"received", pointObject(status.received)},
             {"applied", pointObject(status.applied)},
             {"ageMs", status.age.count()},
-            {"history", historyArray(status.history)},
+            {"history", detail::objects(status.history, stepObject)},
     });
 }
 
@@ -197,8 +189,7 @@
 {
     return detail::encodeDocument({
             {"term", call.term.value()},
-            {"primary",
-             {{"ip", text(call.primary.ip)}, {"port", std::uint64_t{call.primary.port}}}},
+            {"primary", detail::endpointObject(call.primary)},
     });
 }
 
--- /dev/null
+++ b/libs/messages/include/messages/vmstatus.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/types.h"
+#include "messages/request.h"
+#include "messages/upstream.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fescuespring {
+
+// What a VM tells operators about itself, as it sees things at one moment.
+
+// A member of the VM's data centre.
+struct MemberStatus
+{
+    VmId vm = {};
+
+    // Name of the state: alive, leaving, dead or left.
+    std::string state = {};
+
+    // Did not answer lately; it still counts as a member.
+    bool suspected = false;
+    Endpoint peers = {};
+
+    // Version of the plan lists that it has in force.
+    ObjectVersion lists = {};
+};
+
+// A database as the owner of its group's slice sees it.
+struct DatabaseLine
+{
+    DatabaseId database = {};
+    DataCentreId dataCentre = {};
+    Role role = Role::Replica;
+    bool reachable = false;
+    Term term = {};
+    LogPosition applied = {};
+
+    // Entries that its reads do not see yet, and the age of the data that they see.
+    std::uint64_t lag = 0;
+    std::chrono::milliseconds age{0};
+
+    std::uint32_t connections = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+// A group, with its databases where the VM owns the group's slice of its data centre.
+struct GroupStatus
+{
+    GroupId group = {};
+    VmId owner = {};
+    Term term = {};
+
+    // Empty where no primary is known.
+    DatabaseId primary = {};
+    std::vector<DatabaseLine> databases = {};
+};
+
+// The answer to GET /v1/status.
+struct VmStatus
+{
+    VmId vm = {};
+    DataCentreId dataCentre = {};
+    bool serving = false;
+    bool leaving = false;
+    bool storeReachable = false;
+
+    // Why it does not serve; empty where it does.
+    std::string reason = {};
+
+    // Version of the plan lists in force, and one line for each fault of newer ones.
+    ObjectVersion lists = {};
+    std::vector<std::string> refusedLists = {};
+
+    std::uint32_t callerConnections = 0;
+    std::vector<MemberStatus> members = {};
+    std::vector<GroupStatus> groups = {};
+};
+
+// The answer to GET /v1/route: where a request of this kind would go now. Nothing is run and
+// nothing waits.
+struct RouteAnswer
+{
+    GroupId group = {};
+
+    // Owner of the slice that decides.
+    VmId owner = {};
+
+    // Name of the decision: serve, wait, learn or refuse.
+    std::string action = {};
+    DatabaseId database = {};
+    bool byReplica = false;
+    bool needsConfirmation = false;
+    Reason reason = Reason::None;
+
+    // One line for each database: why it was taken or not.
+    std::vector<std::string> explanation = {};
+};
+
+} // namespace fescuespring
