--- a/libs/planlists/include/planlists/listeditor.h
+++ b/libs/planlists/include/planlists/listeditor.h
@@ -102,16 +102,21 @@
     ThreeWay conflict;
 };
 
-// The object that an edit changes, with its new text.
+// The object that an edit changes, as it stands and with its new text.
 struct EditedObject
 {
     StoredObject before;
     std::string text;
 };
 
-// Applies an edit to the lists and checks the result whole. Errors as for a list read from the
-// store, empty result where there are any.
-EditedObject applyEdit(const ListSet &lists, const ListEdit &edit, ListErrors &errors);
+// Applies an edit to the objects of the lists and checks the result whole. The result is of use
+// only where no error was added.
+EditedObject applyEdit(const std::vector<StoredObject> &objects, const ListEdit &edit,
+                       ListErrors &errors);
+
+// What stands at present where the edit would change something, and what the edit wants there.
+std::string currentValue(const std::vector<StoredObject> &objects, const ListEdit &edit);
+std::string wantedValue(const ListEdit &edit);
 
 // Makes edits: reads the lists, checks the result whole, writes the one object under the condition
 // that it has not changed, and finds out after a lost answer whether the edit is in. Where another
@@ -127,12 +132,14 @@
 
     explicit ListEditor(StoreClient &store);
 
-    // store and its tick must be kept up until done was called. clock is not needed: the deadline
-    // is the store client's.
+    ~ListEditor();
+
+    // Calls done once, from the store client's callbacks, unless the editor is destroyed before.
     void edit(const ListEdit &edit, Instant now, Instant deadline, const Done &done);
 
 private:
-    StoreClient &m_store;
+    class Data;
+    std::shared_ptr<Data> m_data;
 };
 
 } // namespace fescuespring
--- a/libs/store/src/storeclient.cpp
+++ b/libs/store/src/storeclient.cpp
@@ -78,6 +78,11 @@
            || code == ErrorCode::Malformed;
 }
 
+ObjectVersion newerOf(ObjectVersion a, ObjectVersion b)
+{
+    return a.value() > b.value() ? a : b;
+}
+
 // What an object read after an attempt says about the write; nothing where the write has not taken
 // effect and may still be sent.
 std::optional<WriteOutcome> judge(const Call &call, const StoredObject &current)
@@ -298,7 +303,7 @@
 void StoreClient::Data::sendWatch(const CallPointer &call)
 {
     // What other VMs have told of need not come from the store again.
-    call->after = std::max(call->after, m_floors[call->key]);
+    call->after = newerOf(call->after, m_floors[call->key]);
     m_store.watch(call->key, call->after, m_options.watchWait,
                   guarded<StoredObject>([call](Data &self, const auto &result) {
                       self.takeWatch(call, result);
@@ -473,7 +478,7 @@
 void StoreClient::Data::raiseFloor(const std::string &key, ObjectVersion version)
 {
     ObjectVersion &floor = m_floors[key];
-    floor = std::max(floor, version);
+    floor = newerOf(floor, version);
 }
 
 StoreClient::StoreClient(ObjectStore &store, StoreClientOptions options, Counters &counters)
