Distribution of the plan lists: watchers, pulls, bootstrap, status

Cause: an edit is to be in force on every VM within seconds while watchers die, the store is down or a data centre is cut. Ruled out: a watch per VM (7,900 waiting calls an object); listing the parts now and then (3 MB an answer at 100,000 customers): the plans name the number of parts, and each is watched by itself. Change: two VMs by rendezvous order hold the watches; the others pull from whoever shows another mark; a VM without lists asks a peer every 100 ms and reads the store itself after 1 s; watchers ask a VM of another data centre every 2 s; what is refused is kept, offered again and written to the status object. Placement replaces this lane's own rendezvous order.

--- a/libs/distribution/include/distribution/distribution.h
+++ b/libs/distribution/include/distribution/distribution.h
@@ -29,10 +29,13 @@
 {
     std::vector<StoredObject> newer;
 
-    // What the answering VM has in force.
+    // What the answering VM has in force; version 0 where it is not ready.
     ListsMark mark;
 };
 
+// Objects of one answer, in bytes; what is left is asked for again.
+constexpr std::size_t maximumListsAnswer = 1'500'000;
+
 struct DistributionOptions
 {
     VmId self;
@@ -45,10 +48,13 @@
     std::chrono::milliseconds pullTimeout{500};
     std::size_t pulls = 2;
 
-    // How often a watcher looks for new parts and asks a VM of another data centre.
-    std::chrono::milliseconds listInterval{10000};
+    // How often a watcher asks a VM of another data centre, for when the store cannot be reached.
     std::chrono::milliseconds remoteInterval{2000};
 
+    // A VM without lists asks a peer this often, and reads the store itself after storePatience.
+    std::chrono::milliseconds bootstrapInterval{100};
+    std::chrono::milliseconds storePatience{1000};
+
     // The status object is written on a change, but not more often than this.
     std::chrono::milliseconds statusInterval{10000};
 
@@ -123,7 +129,4 @@
     std::shared_ptr<Data> m_data;
 };
 
-// Rendezvous order of members for a purpose, highest weight first.
-std::vector<VmId> rendezvousOrder(const std::vector<VmId> &members, const std::string &purpose);
-
 } // namespace fescuespring
