Ask other VMs what they see of a primary before it is replaced

Cause: one vantage point is no evidence while others can be heard. Change: a control call by which a VM answers from its own probes; the asker turns over whom it asks, so that one that is cut off itself is passed over.

--- a/libs/controlcodec/src/listscodec.cpp
+++ b/libs/controlcodec/src/listscodec.cpp
@@ -1,6 +1,6 @@
 #include "controlcodec/listscodec.h"
 
-#include <boost/json.hpp>
+#include "jsondecode.h"
 
 namespace json = boost::json;
 
@@ -8,21 +8,6 @@
 
 namespace {
 
-// Calls decode with the parsed object; Boost.JSON's exceptions end here.
-template <typename T, typename Decode>
-Result<T> decodeWith(std::string_view text, Decode decode)
-{
-    try {
-        boost::system::error_code error;
-        const json::value value = json::parse({text.data(), text.size()}, error);
-        if (error)
-            return Error{ErrorCode::Malformed, error.message()};
-        return Result<T>(decode(value.as_object()));
-    } catch (const std::exception &error) {
-        return Error{ErrorCode::Malformed, error.what()};
-    }
-}
-
 StoredObject objectOf(const json::object &object)
 {
     return {.key = std::string(object.at("key").as_string()),
@@ -42,7 +27,7 @@
 
 Result<ListsRequest> decodeListsRequest(std::string_view text)
 {
-    return decodeWith<ListsRequest>(text, [](const json::object &object) {
+    return decodeObjectWith<ListsRequest>(text, [](const json::object &object) {
         ListsRequest request;
         for (const auto &known : object.at("known").as_object()) {
             request.known.versions.emplace(std::string(known.key()),
@@ -66,7 +51,7 @@
 
 Result<ListsAnswer> decodeListsAnswer(std::string_view text)
 {
-    return decodeWith<ListsAnswer>(text, [](const json::object &object) {
+    return decodeObjectWith<ListsAnswer>(text, [](const json::object &object) {
         ListsAnswer answer;
         for (const json::value &one : object.at("newer").as_array())
             answer.newer.push_back(objectOf(one.as_object()));
--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -1,7 +1,9 @@
 #include "controlthread.h"
 
 #include "controlcodec/listscodec.h"
-#include "rpc/rpcclient.h"
+#include "controlcodec/vantagecodec.h"
+
+#include "databaseport/httpdatabaseport.h"
 
 #include <algorithm>
 
@@ -14,6 +16,9 @@
 constexpr Duration recordDeadline = std::chrono::seconds(2);
 constexpr std::size_t connectionsPerPeer = 4;
 constexpr std::size_t askedPeers = 2;
+constexpr std::chrono::milliseconds vantageTimeout{300};
+constexpr const char *pullMethod = "lists.pull";
+constexpr const char *vantageMethod = "group.vantage";
 
 std::string recordKey(const GroupId &group)
 {
@@ -38,7 +43,6 @@
     , m_settings(settings)
     , m_state(state)
     , m_log(log)
-    , m_counters(counters)
     , m_hooks(std::move(hooks))
     , m_objectStore(loop, settings.platformEndpoint, settings.peerEndpoint.ip)
     , m_store(m_objectStore,
@@ -254,10 +258,16 @@
 
 void ControlThread::addRpcMethods()
 {
-    m_rpc.add("lists.pull", [this](std::string_view params) -> Result<std::string> {
+    m_rpc.add(pullMethod, [this](std::string_view params) -> Result<std::string> {
         BOOST_OUTCOME_TRY(const ListsRequest request, decodeListsRequest(params));
         return encodeListsAnswer(m_distribution.answer(request));
     });
+    m_rpc.add(vantageMethod, [this](std::string_view params) -> Result<std::string> {
+        BOOST_OUTCOME_TRY(const VantageRequest request, decodeVantageRequest(params));
+        VantageAnswer answer = m_vantage.look(request);
+        answer.vm = m_settings.vm;
+        return encodeVantageAnswer(answer);
+    });
 }
 
 std::string ControlThread::handleRpc(const std::string &body)
@@ -265,6 +275,18 @@
     return m_rpc.handle(body);
 }
 
+std::optional<Endpoint> ControlThread::endpointOf(const VantageRequest &request) const
+{
+    const auto group = m_published.groups.find(request.group);
+    if (group == m_published.groups.end())
+        return std::nullopt;
+    for (const SliceDatabase &database : group->second) {
+        if (database.site.database == request.database)
+            return database.site.endpoint;
+    }
+    return std::nullopt;
+}
+
 HttpClient &ControlThread::peerClient(const Endpoint &peer)
 {
     std::unique_ptr<HttpClient> &client = m_peers[peer];
@@ -281,19 +303,25 @@
                               std::chrono::milliseconds timeout,
                               const DistributionHooks::PullDone &done)
 {
-    const RpcClient client([this, peer, timeout](std::string body, RpcCallback callback) {
+    callPeer(peer, pullMethod, encodeListsRequest(request), timeout,
+             [done](const Result<std::string> &answer) {
+                 done(answer ? decodeListsAnswer(answer.value())
+                             : Result<ListsAnswer>(answer.error()));
+             });
+}
+
+void ControlThread::callPeer(const Endpoint &peer, std::string_view method, std::string_view params,
+                             std::chrono::milliseconds timeout, const RpcCallback &callback)
+{
+    const RpcClient client([this, peer, timeout](std::string body, RpcCallback answered) {
         peerClient(peer).send(
                 {.method = "POST", .target = "/peer/v1/rpc", .body = std::move(body)}, timeout,
-                [callback = std::move(callback)](const Result<HttpResponse> &response) {
-                    callback(response ? Result<std::string>(response.value().body)
+                [answered = std::move(answered)](const Result<HttpResponse> &response) {
+                    answered(response ? Result<std::string>(response.value().body)
                                       : Result<std::string>(response.error()));
                 });
     });
-    client.call("lists.pull", encodeListsRequest(request),
-                [done](const Result<std::string> &answer) {
-                    done(answer ? decodeListsAnswer(answer.value())
-                                : Result<ListsAnswer>(answer.error()));
-                });
+    client.call(method, params, callback);
 }
 
 void ControlThread::readRecord(const GroupId &group, SliceHooks::RecordRead done)
@@ -350,8 +378,43 @@
     return count == 0 ? 0 : count - 1;
 }
 
-void ControlThread::askPeers(const GroupId &, const DatabaseId &, Term,
-                             const std::function<void(const PeerReport &)> &)
-{}
+// Two VMs at a time, others each time: one that is cut off itself is soon passed over.
+std::vector<PeerVm> ControlThread::vantageVms() const
+{
+    std::vector<PeerVm> others;
+    for (const auto &[dataCentre, vms] : m_published.vms) {
+        for (const PeerVm &vm : vms) {
+            if (vm.vm != m_settings.vm)
+                others.push_back(vm);
+        }
+    }
+    if (others.empty())
+        return others;
+    std::rotate(others.begin(),
+                others.begin() + static_cast<std::ptrdiff_t>(m_nextVantage % others.size()),
+                others.end());
+    others.resize(std::min(others.size(), askedPeers));
+    return others;
+}
+
+void ControlThread::askPeers(const GroupId &group, const DatabaseId &primary,
+                             const std::function<void(const PeerReport &)> &report)
+{
+    const std::string params = encodeVantageRequest({.group = group, .database = primary});
+    for (const PeerVm &vm : vantageVms()) {
+        callPeer(vm.peers, vantageMethod, params, vantageTimeout,
+                 [report](const Result<std::string> &text) {
+                     if (!text)
+                         return;
+                     const Result<VantageAnswer> answer = decodeVantageAnswer(text.value());
+                     if (!answer || !answer.value().known)
+                         return;
+                     report({.vm = answer.value().vm,
+                             .term = answer.value().term,
+                             .primaryReachable = answer.value().reachable,
+                             .heardAt = EventLoop::now()});
+                 });
+    }
+}
 
 } // namespace fescuespring
--- a/libs/proxy/src/controlthread.h
+++ b/libs/proxy/src/controlthread.h
@@ -11,9 +11,11 @@
 #include "net/httpserver.h"
 #include "net/udpsocket.h"
 #include "promotion/lossdetector.h"
+#include "rpc/rpcclient.h"
 #include "rpc/rpcserver.h"
 #include "settings/daemonsettings.h"
 #include "store/storeclient.h"
+#include "vantagewatch.h"
 
 #include <functional>
 #include <map>
@@ -53,7 +55,7 @@
                      SliceHooks::RecordWritten done);
 
     // Asks a few other VMs what they see of a primary.
-    void askPeers(const GroupId &group, const DatabaseId &primary, Term term,
+    void askPeers(const GroupId &group, const DatabaseId &primary,
                   const std::function<void(const PeerReport &)> &report);
 
     std::size_t otherVms() const;
@@ -84,23 +86,28 @@
     void addRpcMethods();
     void pullLists(const Endpoint &peer, const ListsRequest &request,
                    std::chrono::milliseconds timeout, const DistributionHooks::PullDone &done);
+    void callPeer(const Endpoint &peer, std::string_view method, std::string_view params,
+                  std::chrono::milliseconds timeout, const RpcCallback &callback);
+    std::vector<PeerVm> vantageVms() const;
+    std::optional<Endpoint> endpointOf(const VantageRequest &request) const;
     HttpClient &peerClient(const Endpoint &peer);
 
     EventLoop &m_loop;
     const DaemonSettings &m_settings;
     SharedState &m_state;
     Log &m_log;
-    Counters &m_counters;
     Hooks m_hooks;
     HttpObjectStore m_objectStore;
     StoreClient m_store;
     Membership m_membership;
     Distribution m_distribution;
     RpcServer m_rpc;
+    VantageWatch m_vantage;
     std::unique_ptr<UdpSocket> m_socket;
     std::map<Endpoint, std::unique_ptr<HttpClient>> m_peers;
     std::vector<PlatformVm> m_vms;
     Directory m_published;
+    std::size_t m_nextVantage = 0;
     bool m_leaving = false;
     bool m_wasReady = false;
 };
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -278,9 +278,9 @@
                                 m_loop.post([done, version] { done(version); });
                             });
     };
-    hooks.askPeers = [this, group](const DatabaseId &primary, Term term,
+    hooks.askPeers = [this, group](const DatabaseId &primary,
                                    std::function<void(const PeerReport &)> report) {
-        m_hooks.askPeers(group, primary, term,
+        m_hooks.askPeers(group, primary,
                          [this, report = std::move(report)](const PeerReport &heard) {
                              m_loop.post([report, heard] { report(heard); });
                          });
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -42,7 +42,7 @@
             writeRecord;
 
     // Asks other VMs for their view of a primary.
-    std::function<void(const GroupId &, const DatabaseId &, Term,
+    std::function<void(const GroupId &, const DatabaseId &,
                        std::function<void(const PeerReport &)>)>
             askPeers;
 };
--- a/libs/proxy/src/vm.cpp
+++ b/libs/proxy/src/vm.cpp
@@ -89,10 +89,10 @@
             control->writeRecord(group, record, ifVersion, done);
         });
     };
-    hooks.askPeers = [this](const GroupId &group, const DatabaseId &primary, Term term,
+    hooks.askPeers = [this](const GroupId &group, const DatabaseId &primary,
                             std::function<void(const PeerReport &)> report) {
-        loop.post([this, group, primary, term, report = std::move(report)] {
-            control->askPeers(group, primary, term, report);
+        loop.post([this, group, primary, report = std::move(report)] {
+            control->askPeers(group, primary, report);
         });
     };
     return hooks;
--- a/libs/sliceowner/include/sliceowner/sliceowner.h
+++ b/libs/sliceowner/include/sliceowner/sliceowner.h
@@ -61,7 +61,7 @@
     std::function<void(const GroupRecord &, ObjectVersion ifVersion, RecordWritten)> writeRecord;
 
     // Asks other VMs to probe the primary; each answer is a report.
-    std::function<void(const DatabaseId &, Term, std::function<void(const PeerReport &)>)> askPeers;
+    std::function<void(const DatabaseId &, std::function<void(const PeerReport &)>)> askPeers;
 
     // A change of primary that this owner made has ended. For the log.
     std::function<void(const GroupId &, const PromotionReport &)> promotionEnded;
--- a/libs/sliceowner/src/groupprober.cpp
+++ b/libs/sliceowner/src/groupprober.cpp
@@ -2,10 +2,9 @@
 
 namespace fescuespring {
 
-GroupProber::GroupProber(EventLoop &loop, GroupView &view, const DatabasePortFactory &ports,
+GroupProber::GroupProber(GroupView &view, const DatabasePortFactory &ports,
                          std::chrono::milliseconds timeout, Hooks hooks)
-    : m_loop(loop)
-    , m_view(view)
+    : m_view(view)
     , m_ports(ports)
     , m_timeout(timeout)
     , m_hooks(std::move(hooks))
--- a/libs/sliceowner/src/groupprober.h
+++ b/libs/sliceowner/src/groupprober.h
@@ -24,7 +24,7 @@
         std::function<void()> silent;
     };
 
-    GroupProber(EventLoop &loop, GroupView &view, const DatabasePortFactory &ports,
+    GroupProber(GroupView &view, const DatabasePortFactory &ports,
                 std::chrono::milliseconds timeout, Hooks hooks);
 
     // To be called after the sites of the view have changed.
@@ -48,7 +48,6 @@
 
     StatusCallback callback(const DatabaseId &database);
 
-    EventLoop &m_loop;
     GroupView &m_view;
     DatabasePortFactory m_ports;
     std::chrono::milliseconds m_timeout;
--- a/libs/sliceowner/src/primarykeeper.cpp
+++ b/libs/sliceowner/src/primarykeeper.cpp
@@ -64,7 +64,7 @@
     if (!primary || !m_sliceHooks.askPeers || now - m_askedPeersAt < peerInterval)
         return;
     m_askedPeersAt = now;
-    m_sliceHooks.askPeers(primary->database, primary->term,
+    m_sliceHooks.askPeers(primary->database,
                           [this, alive = std::weak_ptr(m_alive)](const PeerReport &report) {
                               if (!alive.expired())
                                   m_detector.report(report);
--- a/libs/sliceowner/src/sliceowner.cpp
+++ b/libs/sliceowner/src/sliceowner.cpp
@@ -26,7 +26,7 @@
         , options(std::move(sliceOptions))
         , hooks(std::move(sliceHooks))
         , view(options.group)
-        , prober(loop, view, hooks.databasePorts, options.probeTimeout,
+        , prober(view, hooks.databasePorts, options.probeTimeout,
                  {.heard = [this](const DatabaseStatus &status,
                                   Instant askedAt) { heard(status, askedAt); },
                   .silent =
