--- a/standins/upstream/src/logpuller.cpp
+++ b/standins/upstream/src/logpuller.cpp
@@ -15,10 +15,11 @@
 } // namespace
 
 LogPuller::LogPuller(EventLoop &loop, DatabaseServer &server, std::chrono::milliseconds wait,
-                     Hooks hooks)
+                     std::string localIp, Hooks hooks)
     : m_loop(loop)
     , m_server(server)
     , m_wait(wait)
+    , m_localIp(std::move(localIp))
     , m_hooks(std::move(hooks))
 {}
 
@@ -51,9 +52,12 @@
         return;
     }
     if (!m_connection)
-        m_connection = std::make_unique<HttpConnection>(
-                m_loop,
-                HttpConnectionOptions{.endpoint = *m_primary, .maxBodyBytes = maximumBatchBytes});
+        m_connection =
+                std::make_unique<HttpConnection>(m_loop, HttpConnectionOptions{
+                                                                 .endpoint = *m_primary,
+                                                                 .localIp = m_localIp,
+                                                                 .maxBodyBytes = maximumBatchBytes,
+                                                         });
     const Instant sentAt = EventLoop::now();
     m_connection->send(
             {.method = "GET", .target = logTarget(*request, m_wait)}, m_wait + answerTimeout,
--- a/standins/upstream/src/logpuller.h
+++ b/standins/upstream/src/logpuller.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace fescuespring {
 
@@ -25,8 +26,9 @@
         std::function<void()> onReceived;
     };
 
-    // The server must outlive the puller.
-    LogPuller(EventLoop &loop, DatabaseServer &server, std::chrono::milliseconds wait, Hooks hooks);
+    // Questions come from localIp. The server must outlive the puller.
+    LogPuller(EventLoop &loop, DatabaseServer &server, std::chrono::milliseconds wait,
+              std::string localIp, Hooks hooks);
     ~LogPuller();
     LogPuller(const LogPuller &) = delete;
     LogPuller &operator=(const LogPuller &) = delete;
@@ -42,6 +44,7 @@
     EventLoop &m_loop;
     DatabaseServer &m_server;
     std::chrono::milliseconds m_wait;
+    std::string m_localIp;
     Hooks m_hooks;
     std::optional<Endpoint> m_primary;
     std::unique_ptr<HttpConnection> m_connection;
--- a/standins/upstream/src/upstreamstandin.cpp
+++ b/standins/upstream/src/upstreamstandin.cpp
@@ -6,11 +6,11 @@
 #include "logpuller.h"
 #include "logwaiters.h"
 #include "net/httpserver.h"
+#include "standinsupport/answerdelay.h"
 #include "standinsupport/controlport.h"
 #include "standinsupport/faultfields.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 #include <vector>
 
@@ -27,8 +27,7 @@
     std::uint64_t loseAnswers = 0;
 
     // Every answer of the data port comes this much later, and up to the jitter later still.
-    Duration answerDelay{0};
-    Duration answerJitter{0};
+    AnswerDelay::Range delay;
 };
 
 struct Faults
@@ -46,8 +45,8 @@
                 {"cut", &database.cut},
                 {"connections", &database.connections},
                 {"loseAnswers", &port.loseAnswers},
-                {"answerDelayMs", &port.answerDelay},
-                {"answerJitterMs", &port.answerJitter},
+                {"answerDelayMs", &port.delay.delay},
+                {"answerJitterMs", &port.delay.jitter},
                 {"kill", &kill}};
     }
 };
@@ -70,13 +69,13 @@
         : loop(eventLoop)
         , options(std::move(standinOptions))
         , server(options.database, options.server)
-        , puller(eventLoop, server, options.pullWait,
+        , puller(eventLoop, server, options.pullWait, options.dataEndpoint.ip,
                  {.isCut = [this](const Endpoint &primary) { return isCut(primary); },
                   .onReceived =
                           [this] {
                               afterEvent();
                           }})
-        , random(options.seed)
+        , answerDelay(eventLoop, options.seed)
     {}
 
     ~Data()
@@ -85,6 +84,8 @@
     }
 
     std::optional<Error> listen();
+    void receive(HttpConnectionId connection, const HttpRequest &request,
+                 const HttpResponder &respond);
     void handle(HttpConnectionId connection, const HttpRequest &request,
                 const HttpResponder &respond);
     void handleOpen(HttpConnectionId connection, const HttpResponder &respond);
@@ -99,7 +100,6 @@
                 Change change);
 
     void count(const char *managementCall);
-    void send(const HttpResponder &respond, HttpResponse response);
     bool isCut(const Endpoint &peer) const;
     void afterEvent();
     void schedule();
@@ -113,7 +113,7 @@
     LogPuller puller;
     Counters counters;
     PortFaults portFaults;
-    std::mt19937_64 random;
+    AnswerDelay answerDelay;
     EventLoop::TimerId timer = 0;
     std::optional<Instant> timerAt;
     std::unique_ptr<HttpServer> dataPort;
@@ -123,16 +123,17 @@
 std::optional<Error> UpstreamStandin::Data::listen()
 {
     auto data = HttpServer::listen(
-            loop,
-            {.endpoint = options.dataEndpoint,
-             .maxConnections = maximumTcpConnections,
-             .handler =
-                     [this](HttpConnectionId connection, const HttpRequest &request,
-                            const HttpResponder &respond) { handle(connection, request, respond); },
-             .onClosed =
-                     [this](HttpConnectionId connection) {
-                         closed(connection);
-                     }});
+            loop, {.endpoint = options.dataEndpoint,
+                   .maxConnections = maximumTcpConnections,
+                   .handler =
+                           [this](HttpConnectionId connection, const HttpRequest &request,
+                                  const HttpResponder &respond) {
+                               receive(connection, request, respond);
+                           },
+                   .onClosed =
+                           [this](HttpConnectionId connection) {
+                               closed(connection);
+                           }});
     if (!data)
         return data.error();
     dataPort = std::move(data.value());
@@ -155,6 +156,19 @@
     return std::nullopt;
 }
 
+// Neither requests nor answers pass where the database is cut from the address they come from.
+void UpstreamStandin::Data::receive(HttpConnectionId connection, const HttpRequest &request,
+                                    const HttpResponder &respond)
+{
+    const std::string ip = dataPort->peerIp(connection);
+    if (server.isCutFrom(ip))
+        return;
+    handle(connection, request, [this, ip, respond](HttpResponse response) {
+        if (!server.isCutFrom(ip))
+            respond(std::move(response));
+    });
+}
+
 void UpstreamStandin::Data::handle(HttpConnectionId connection, const HttpRequest &request,
                                    const HttpResponder &respond)
 {
@@ -197,7 +211,7 @@
                     StatementAnswer open;
                     open.outcome = answer.outcome;
                     open.refusal = answer.refusal;
-                    send(respond, {.status = 200, .body = encodeOpenAnswer(open)});
+                    answerDelay.send(respond, {.status = 200, .body = encodeOpenAnswer(open)});
                 });
 }
 
@@ -215,7 +229,7 @@
                     response.dropConnection = portFaults.loseAnswers > 0;
                     if (response.dropConnection)
                         --portFaults.loseAnswers;
-                    send(respond, std::move(response));
+                    answerDelay.send(respond, std::move(response));
                 });
 }
 
@@ -226,14 +240,14 @@
     if (server.isCutFrom(question.from.value()))
         return;
     const std::chrono::milliseconds wait = logWaitOf(request.target);
-    server.perform(
-            EventLoop::now(), [this, question, wait, respond](Database &database, Instant now) {
-                waiters.ask(database, question, now, wait,
-                            [this, question, respond](const LogBatch &batch) {
-                                if (!server.isCutFrom(question.from.value()))
-                                    send(respond, {.status = 200, .body = encodeLogBatch(batch)});
-                            });
-            });
+    server.perform(EventLoop::now(), [this, question, wait, respond](Database &database,
+                                                                     Instant now) {
+        waiters.ask(
+                database, question, now, wait, [this, question, respond](const LogBatch &batch) {
+                    if (!server.isCutFrom(question.from.value()))
+                        answerDelay.send(respond, {.status = 200, .body = encodeLogBatch(batch)});
+                });
+    });
 }
 
 void UpstreamStandin::Data::closed(HttpConnectionId connection)
@@ -253,7 +267,7 @@
     }
     server.perform(EventLoop::now(),
                    [this, call = call.value(), respond, change](Database &database, Instant now) {
-                       send(respond, statusResponse(change(database, call, now)));
+                       answerDelay.send(respond, statusResponse(change(database, call, now)));
                    });
 }
 
@@ -262,20 +276,6 @@
     counters.counter("standin_management_calls_total", "call", managementCall).add();
 }
 
-void UpstreamStandin::Data::send(const HttpResponder &respond, HttpResponse response)
-{
-    Duration delay = portFaults.answerDelay;
-    if (portFaults.answerJitter > Duration(0)) {
-        std::uniform_int_distribution<Duration::rep> jitter(0, portFaults.answerJitter.count());
-        delay += Duration(jitter(random));
-    }
-    if (delay == Duration(0)) {
-        respond(std::move(response));
-        return;
-    }
-    loop.after(delay, [respond, response = std::move(response)] { respond(response); });
-}
-
 bool UpstreamStandin::Data::isCut(const Endpoint &peer) const
 {
     if (server.isCutFrom(toText(peer)))
@@ -319,6 +319,7 @@
     if (auto error = readFaults(body, faults.fields()))
         return error;
     portFaults = faults.port;
+    answerDelay.setRange(portFaults.delay);
     server.setFaults(faults.database, EventLoop::now());
     if (faults.kill && options.onKill)
         options.onKill();
--- a/standins/upstream/tests/upstreamstandintest.cpp
+++ b/standins/upstream/tests/upstreamstandintest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(returnedPrimaryDropsItsTail);
     CPPUNIT_TEST(cutReplicaFallsBehindAndCatchesUp);
     CPPUNIT_TEST(laggingReplicaTellsItsAge);
+    CPPUNIT_TEST(cutVmHearsNothing);
     CPPUNIT_TEST(wrongBodiesAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +180,20 @@
         waitUntil([this] { return status(1).age < 250ms; });
     }
 
+    void cutVmHearsNothing()
+    {
+        setFaults(1, R"({"cut":["127.0.0.2"]})");
+        HttpConnection cut(*m_loop,
+                           {.endpoint = m_standins[1]->dataEndpoint(), .localIp = "127.0.0.2"});
+        bool answered = false;
+        cut.send(
+                {.method = "POST", .target = "/v1/fence", .body = R"({"term":2})"}, 100ms,
+                [&answered](const Result<HttpResponse> &result) { answered = result.has_value(); });
+        run(150ms);
+        CPPUNIT_ASSERT(!answered);
+        CPPUNIT_ASSERT(Term(1) == status(1).term);
+    }
+
     void wrongBodiesAreRefused()
     {
         const auto connection = openConnection(0);
