--- a/cmake/FescueSpring.cmake
+++ b/cmake/FescueSpring.cmake
@@ -29,7 +29,8 @@
     set_target_properties(${name}_tests PROPERTIES RUNTIME_OUTPUT_DIRECTORY
                           ${CMAKE_BINARY_DIR}/tests)
     target_compile_definitions(${name}_tests PRIVATE
-                               TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
+                               TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data"
+                               PROJECT_DIR="${PROJECT_SOURCE_DIR}")
     target_link_libraries(${name}_tests PRIVATE PkgConfig::CPPUNIT)
     foreach(dependency IN LISTS ARG_DEPENDS)
         target_link_libraries(${name}_tests PRIVATE fescuespring::${dependency})
--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -53,36 +53,44 @@
     , m_membership(membershipOptions(settings, randomSeed), counters)
     , m_distribution(
               {.self = settings.vm, .dataCentre = settings.dataCentre, .randomSeed = randomSeed},
-              {.pull =
-                       [this](const Endpoint &peer, const ListsRequest &request,
-                              std::chrono::milliseconds timeout,
-                              const DistributionHooks::PullDone &done) {
-                           pullLists(peer, request, timeout, done);
-                       },
-               .inForce =
-                       [this](const std::shared_ptr<const PlanLists> &lists,
-                              const ListsMark &mark) {
-                           m_state.board.lists.publish(lists);
-                           take(m_membership.setLists(mark, EventLoop::now()));
-                           m_log.info("lists-in-force", {{"version", mark.version},
-                                                         {"plans", lists->plans.size()},
-                                                         {"customers", lists->customers.size()}});
-                           publishStatus();
-                           m_hooks.changed();
-                       },
-               .status =
-                       [this](const ListsStatus &status) {
-                           if (!status.refused.empty()) {
-                               m_log.warning("lists-refused",
-                                             {{"errors", describe(status.refused)}});
-                           }
-                           publishStatus();
-                       }},
-              m_store, counters)
+              distributionHooks(), m_store, counters)
+    , m_vantage(loop, httpDatabasePorts(loop, settings.peerEndpoint.ip),
+                [this](const VantageRequest &request) { return endpointOf(request); })
 {
     addRpcMethods();
 }
 
+DistributionHooks ControlThread::distributionHooks()
+{
+    DistributionHooks hooks;
+    hooks.pull = [this](const Endpoint &peer, const ListsRequest &request,
+                        std::chrono::milliseconds timeout,
+                        const DistributionHooks::PullDone &done) {
+        pullLists(peer, request, timeout, done);
+    };
+    hooks.inForce = [this](const std::shared_ptr<const PlanLists> &lists, const ListsMark &mark) {
+        listsInForce(lists, mark);
+    };
+    hooks.status = [this](const ListsStatus &status) {
+        if (!status.refused.empty())
+            m_log.warning("lists-refused", {{"errors", describe(status.refused)}});
+        publishStatus();
+    };
+    return hooks;
+}
+
+void ControlThread::listsInForce(const std::shared_ptr<const PlanLists> &lists,
+                                 const ListsMark &mark)
+{
+    m_state.board.lists.publish(lists);
+    take(m_membership.setLists(mark, EventLoop::now()));
+    m_log.info("lists-in-force", {{"version", mark.version},
+                                  {"plans", lists->plans.size()},
+                                  {"customers", lists->customers.size()}});
+    publishStatus();
+    m_hooks.changed();
+}
+
 Result<void> ControlThread::start()
 {
     BOOST_OUTCOME_TRY(m_socket,
--- a/libs/proxy/src/controlthread.h
+++ b/libs/proxy/src/controlthread.h
@@ -73,6 +73,8 @@
     }
 
 private:
+    DistributionHooks distributionHooks();
+    void listsInForce(const std::shared_ptr<const PlanLists> &lists, const ListsMark &mark);
     void tickMembership();
     void tickStore();
     void pollVms();
--- a/libs/settings/tests/daemonsettingstest.cpp
+++ b/libs/settings/tests/daemonsettingstest.cpp
@@ -26,7 +26,7 @@
 // The example of docs/SETTINGS.md, so that the page cannot go stale unseen.
 std::string documentedExample()
 {
-    std::ifstream file(TEST_DATA_DIR "/../../../../docs/SETTINGS.md");
+    std::ifstream file(PROJECT_DIR "/docs/SETTINGS.md");
     const std::string page{std::istreambuf_iterator<char>(file), {}};
     const std::string opening = "```yaml\n";
     const std::size_t start = page.find(opening) + opening.size();
