--- /dev/null
+++ b/libs/workload/include/workload/workload.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/types.h"
+#include "messages/plans.h"
+#include "messages/request.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuespring {
+
+// Requests of one kind: who sends them, what they do and how long they hold a slot. The statements
+// are those of the database stand-in.
+struct RequestClass
+{
+    std::string name;
+    CustomerId customer;
+    PlanId plan;
+
+    // Part of all arrivals, relative to the shares of the other classes.
+    double share = 1;
+
+    Access access = Access::Read;
+    bool idempotent = true;
+
+    // Time for which one statement holds a slot.
+    Duration work{0};
+
+    // Statements of a request; more than one make a transaction.
+    std::uint32_t statements = 1;
+
+    std::chrono::milliseconds deadline{2000};
+
+    // Of reads that accept data of an age.
+    std::optional<std::chrono::milliseconds> maximumAge;
+
+    WorkLength length = WorkLength::Unknown;
+
+    // Each session writes and reads a key of its own, so that its answers can be checked.
+    bool ownKey = false;
+};
+
+// What one operator's callers do, and on what: places, groups and mix of requests.
+struct Workload
+{
+    std::string name;
+    std::vector<DataCentreId> places;
+
+    // One way, between data centres and between callers and a data centre.
+    Duration placeDelay{0};
+    Duration callerDelay{0};
+
+    std::vector<GroupId> groups;
+    std::uint32_t databasesPerGroup = 3;
+    std::uint32_t slots = 3;
+    std::uint32_t connections = 20;
+    Duration connectionCost = std::chrono::milliseconds(10);
+
+    PlanLists lists;
+    std::vector<RequestClass> classes;
+};
+
+// Milking robots: stall views, milking records, billing, herd history, season yield reports.
+Workload herdviewWorkload();
+
+// Shelf labels: head office price changes, scanners, markdowns, planning queries, recalculations.
+Workload dvorakWorkload();
+
+// "herdview" or "dvorak".
+std::optional<Workload> workloadByName(std::string_view name);
+
+// Requests a second that the slots can carry with this mix: writes need slots of the primaries,
+// reads those of any database.
+double slotCapacity(const Workload &workload);
+
+// The same workload without the classes for which drop holds.
+Workload without(Workload workload, bool (*drop)(const RequestClass &));
+
+// Whether a request is one of the few jobs that run many times longer than the rest.
+bool isLongWork(const RequestClass &requestClass);
+
+} // namespace fescuespring
