--- a/libs/workload/src/workload.cpp
+++ b/libs/workload/src/workload.cpp
@@ -75,10 +75,10 @@
 Workload herdviewWorkload()
 {
     std::vector<RequestClass> classes{
-            readClass("stall-view", "coop-1", "parlour", 50, 2ms),
-            writeClass("milking-record", "coop-2", "parlour", 20, 3ms),
-            billingClass("billing", "utility", "billing", 5, 3ms),
-            agedClass("herd-history", "vets", "history", 24, 6ms, 5000ms),
+            readClass("stall-view", "coop-1", "parlour", 45, 2ms),
+            writeClass("milking-record", "coop-2", "parlour", 6, 3ms),
+            billingClass("billing", "utility", "billing", 3, 3ms),
+            agedClass("herd-history", "vets", "history", 45.8, 6ms, 5000ms),
             longClass(agedClass("season-report", "office", "reports", 0.2, 300ms, 60000ms))};
     classes[1].statements = 2;
     std::map<PlanId, Plan> plans{
@@ -102,10 +102,10 @@
 Workload dvorakWorkload()
 {
     std::vector<RequestClass> classes{
-            writeClass("price-change", "head-office", "head-office", 10, 3ms),
-            readClass("label-check", "scanners", "scanners", 60, 2ms),
-            billingClass("markdown", "stores", "scanners", 5, 3ms),
-            agedClass("planning-query", "planners", "planning", 24, 8ms, 10000ms),
+            writeClass("price-change", "head-office", "head-office", 8, 3ms),
+            readClass("label-check", "scanners", "scanners", 40, 2ms),
+            billingClass("markdown", "stores", "scanners", 4, 3ms),
+            agedClass("planning-query", "planners", "planning", 47.8, 8ms, 10000ms),
             longClass(writeClass("recalculation", "promotions", "planning", 0.2, 300ms))};
     std::map<PlanId, Plan> plans{
             {PlanId("head-office"), {.weight = 4, .priority = 2, .connections = 40}},
