--- a/libs/sliceowner/src/databaseexecutor.cpp
+++ b/libs/sliceowner/src/databaseexecutor.cpp
@@ -75,16 +75,24 @@
     pump();
 }
 
-Admission DatabaseExecutor::submit(ExecutorJob job)
+Submission DatabaseExecutor::submit(ExecutorJob job)
 {
     job.work.context = ++m_lastJob;
     const Admission admission = m_scheduler.enqueue(job.work, EventLoop::now());
     if (!admission)
-        return admission;
+        return admission.error();
     m_jobs.emplace(m_lastJob, std::move(job));
     // Not from here: run() must not be called before the caller has its admission.
     m_loop.post([this] { pump(); });
-    return admission;
+    return QueuedWork{.ticket = admission.value(), .job = m_lastJob};
+}
+
+bool DatabaseExecutor::withdraw(const QueuedWork &work)
+{
+    if (m_scheduler.cancel(work.ticket) != CancelResult::Removed)
+        return false;
+    m_jobs.erase(work.job);
+    return true;
 }
 
 void DatabaseExecutor::tick()
--- a/libs/sliceowner/src/databaseexecutor.h
+++ b/libs/sliceowner/src/databaseexecutor.h
@@ -47,6 +47,16 @@
     std::function<void(const Refusal &)> drop;
 };
 
+// Work that was admitted; names it until run or drop is called.
+struct QueuedWork
+{
+    Ticket ticket;
+    std::uint64_t job = 0;
+};
+
+using Submission =
+        boost::outcome_v2::basic_result<QueuedWork, Refusal, boost::outcome_v2::policy::terminate>;
+
 struct DatabaseExecutorOptions
 {
     DatabaseId database;
@@ -68,7 +78,11 @@
     void setPlans(const std::map<PlanId, Plan> &plans);
 
     // Refuses at once, or calls run or drop of the job later, one of them, once.
-    Admission submit(ExecutorJob job);
+    Submission submit(ExecutorJob job);
+
+    // Takes work back that still waits: neither run nor drop will be called. False if it was
+    // called.
+    bool withdraw(const QueuedWork &work);
 
     // To be called about every 10 ms: drops what is too late, opens and closes connections.
     void tick();
--- a/libs/sliceowner/src/requestrun.h
+++ b/libs/sliceowner/src/requestrun.h
@@ -34,6 +34,7 @@
     Term term;
     bool byReplica = false;
     bool needsConfirmation = false;
+    std::optional<QueuedWork> queued;
     std::unique_ptr<ConnectionLease> lease;
     Instant sentAt;
     std::vector<std::string> results;
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -258,7 +258,7 @@
 void RequestRunner::enqueue(RequestRun &run, DatabaseExecutor &executor)
 {
     const CallerRequest &request = run.request();
-    const Admission admission =
+    const Submission submission =
             executor.submit({.work = {.plan = run.planId,
                                       .customer = request.customer,
                                       .length = request.length,
@@ -274,8 +274,10 @@
                                          if (found != m_runs.end())
                                              refuse(*found->second, refusal);
                                      }});
-    if (!admission)
-        refuse(run, admission.error());
+    if (submission)
+        run.queued = submission.value();
+    else
+        refuse(run, submission.error());
 }
 
 void RequestRunner::park(RequestRun &run, Instant until, Reason reason)
@@ -297,6 +299,7 @@
         return;
     }
     RequestRun &run = *found->second;
+    run.queued.reset();
     const bool isHeld = m_holdWrites && !run.isRead();
     // The primary may have changed while the request was queued.
     const bool isStale = !run.isRead() && run.term != m_view.highestTerm();
@@ -502,9 +505,40 @@
 {
     const Instant now = EventLoop::now();
     advanceConfirmations(now);
+    withdrawMisrouted();
     wakeParked(now, true);
 }
 
+// Work that waits at a database which has been replaced or cannot be reached would wait there until
+// its deadline: it is routed again.
+void RequestRunner::withdrawMisrouted()
+{
+    std::vector<RunId> withdrawn;
+    for (const auto &[id, run] : m_runs) {
+        if (!run->queued || !isMisrouted(*run))
+            continue;
+        const auto executor = m_executors.find(run->database);
+        if (executor == m_executors.end() || !executor->second->withdraw(*run->queued))
+            continue;
+        run->queued.reset();
+        withdrawn.push_back(id);
+    }
+    std::sort(withdrawn.begin(), withdrawn.end());
+    for (const RunId id : withdrawn)
+        route(id);
+}
+
+bool RequestRunner::isMisrouted(const RequestRun &run) const
+{
+    const DatabaseView *database = m_view.find(run.database);
+    if (database == nullptr || !database->reachable)
+        return true;
+    if (run.isRead())
+        return false;
+    const std::optional<PrimaryView> primary = m_view.primary();
+    return primary && (primary->database != run.database || primary->term != run.term);
+}
+
 void RequestRunner::advanceConfirmations(Instant now)
 {
     for (const ConfirmationResult &result : m_confirmer.advance(m_view, now))
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -84,6 +84,8 @@
     std::unique_ptr<DatabaseExecutor> makeExecutor(const SliceDatabase &database);
     void answer(RequestRun &run, CallerAnswer reply);
     void releaseLease(RequestRun &run, bool dirty);
+    void withdrawMisrouted();
+    bool isMisrouted(const RequestRun &run) const;
     void wakeParked(Instant now, bool statusArrived);
     RequestTraits traits(const RequestRun &run) const;
     std::chrono::milliseconds timeLeft(const RequestRun &run) const;
