--- /dev/null
+++ b/libs/operatortool/src/table.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace fescuespring {
+
+// A table of left-aligned columns, as wide as their longest cell, under a line of headings.
+//
+//     Table table({"GROUP", "TERM"});
+//     table.add({"herd", "3"});
+//     table.print(out);
+class Table
+{
+public:
+    explicit Table(std::vector<std::string> headings);
+
+    // Cells that are left out are empty; there may not be more than headings.
+    void add(std::vector<std::string> cells);
+
+    // Prints nothing where no row was added.
+    void print(std::ostream &out) const;
+
+private:
+    std::vector<std::size_t> widths() const;
+
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+} // namespace fescuespring
