Show status and routes in fescuectl's form; a dead database's queue is no overload

Ruled out: the retry budget and the caller's deadline (8 s). Change: work dropped as queue-full where the database has no connection waits for another route; status and route pages answer with VmStatus and RouteAnswer.

--- a/libs/proxy/src/controlthread.h
+++ b/libs/proxy/src/controlthread.h
@@ -67,6 +67,11 @@
     {
         return m_store.isReachable();
     }
+    std::vector<Member> members() const
+    {
+        return m_membership.members();
+    }
+    HttpClient &peerClient(const Endpoint &peer);
     bool isLeaving() const
     {
         return m_leaving;
@@ -92,7 +97,6 @@
                   std::chrono::milliseconds timeout, const RpcCallback &callback);
     std::vector<PeerVm> vantageVms() const;
     std::optional<Endpoint> endpointOf(const VantageRequest &request) const;
-    HttpClient &peerClient(const Endpoint &peer);
 
     EventLoop &m_loop;
     const DaemonSettings &m_settings;
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -401,13 +401,26 @@
     });
 }
 
-void TrafficThread::sliceStatus(std::function<void(std::vector<SliceStatus>)> callback)
+void TrafficThread::status(
+        std::function<void(const std::vector<GroupStatus> &, std::size_t)> callback)
 {
     m_loop.post([this, callback = std::move(callback)] {
-        std::vector<SliceStatus> slices;
+        std::vector<GroupStatus> groups;
         for (const auto &[group, slice] : m_slices)
-            slices.push_back(slice.owner->status());
-        callback(std::move(slices));
+            groups.push_back(slice.owner->status());
+        callback(groups, m_callers->connectionCount());
+    });
+}
+
+void TrafficThread::explain(const GroupId &group, const RouteQuestion &question,
+                            std::function<void(const std::optional<RouteAnswer> &)> callback)
+{
+    m_loop.post([this, group, question, callback = std::move(callback)] {
+        const auto found = m_slices.find(group);
+        if (found == m_slices.end())
+            callback(std::nullopt);
+        else
+            callback(found->second.owner->explain(question));
     });
 }
 
--- a/libs/proxy/src/trafficthread.h
+++ b/libs/proxy/src/trafficthread.h
@@ -73,7 +73,12 @@
     void drainSlices(std::function<void()> done);
     void drainPorts(std::chrono::milliseconds grace, std::function<void()> done);
 
-    void sliceStatus(std::function<void(std::vector<SliceStatus>)> callback);
+    // Groups whose slice is on this thread, and the caller connections of this thread.
+    void status(std::function<void(const std::vector<GroupStatus> &, std::size_t)> callback);
+
+    // Nothing where the slice is not on this VM.
+    void explain(const GroupId &group, const RouteQuestion &question,
+                 std::function<void(const std::optional<RouteAnswer> &)> callback);
 
     EventLoop &loop()
     {
--- a/libs/proxy/src/vm.cpp
+++ b/libs/proxy/src/vm.cpp
@@ -2,7 +2,7 @@
 
 #include "controlthread.h"
 #include "keys/keyring.h"
-#include "statuspage.h"
+#include "operatorpages.h"
 #include "trafficthread.h"
 
 #include <atomic>
@@ -57,6 +57,7 @@
     EventLoop loop;
     std::unique_ptr<ControlThread> control;
     std::vector<std::unique_ptr<TrafficThread>> threads;
+    std::unique_ptr<OperatorPages> pages;
     std::atomic<std::size_t> otherVms = 0;
     std::size_t draining = 0;
     bool stopping = false;
@@ -111,7 +112,11 @@
         return;
     }
     if (path == "/v1/status") {
-        collectStatus(loop, threads, settings, state, control->listsStatus(), respond);
+        pages->status(respond);
+        return;
+    }
+    if (path == "/v1/route") {
+        pages->route(request, respond);
         return;
     }
     respond({.status = 404, .body = R"({"error":"no such page"})"});
@@ -206,6 +211,8 @@
                                          [raw] {
                                              raw->beginStop();
                                          }});
+    data->pages = std::make_unique<OperatorPages>(data->loop, data->threads, data->settings,
+                                                  data->state, *data->control);
     BOOST_OUTCOME_TRY(data->control->start());
     for (const auto &thread : data->threads)
         thread->start();
--- a/libs/sliceowner/include/sliceowner/sliceowner.h
+++ b/libs/sliceowner/include/sliceowner/sliceowner.h
@@ -5,6 +5,7 @@
 #include "groupview/groupview.h"
 #include "messages/plans.h"
 #include "messages/request.h"
+#include "messages/vmstatus.h"
 #include "net/eventloop.h"
 #include "promotion/grouprecord.h"
 #include "promotion/lossdetector.h"
@@ -85,28 +86,12 @@
     bool mayPromote = true;
 };
 
-// State of one database in a slice, for status pages.
-struct SliceDatabaseStatus
+// What an operator asks about the way of a request.
+struct RouteQuestion
 {
-    DatabaseId database;
-    DataCentreId dataCentre;
-    bool reachable = false;
-    bool leaving = false;
-    Role role = Role::Replica;
-    Term term;
-    LogPoint applied;
-    std::chrono::milliseconds age{0};
-    std::uint32_t connections = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t running = 0;
-};
-
-struct SliceStatus
-{
-    GroupId group;
-    DatabaseId primary;
-    Term term;
-    std::vector<SliceDatabaseStatus> databases;
+    Access access = Access::Read;
+    std::string token;
+    std::optional<std::chrono::milliseconds> maximumAge;
 };
 
 // Owns one slice: the connections to the databases of a group in this data centre. It probes the
@@ -140,7 +125,11 @@
     // Requests that are not answered yet.
     std::size_t inFlight() const;
 
-    SliceStatus status() const;
+    // The group as this owner sees it, for operators.
+    GroupStatus status() const;
+
+    // Where a request of this kind would go now. Nothing is run and nothing waits.
+    RouteAnswer explain(const RouteQuestion &question) const;
 
 private:
     struct Data;
--- a/libs/sliceowner/src/databaseexecutor.h
+++ b/libs/sliceowner/src/databaseexecutor.h
@@ -92,6 +92,12 @@
     void stop();
     bool isDrained() const;
 
+    // Whether a connection is open.
+    bool isConnected() const
+    {
+        return m_pool.idle() + m_pool.inUse() > 0;
+    }
+
     const std::shared_ptr<DatabasePort> &port() const
     {
         return m_port;
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -258,26 +258,37 @@
 void RequestRunner::enqueue(RequestRun &run, DatabaseExecutor &executor)
 {
     const CallerRequest &request = run.request();
-    const Submission submission =
-            executor.submit({.work = {.plan = run.planId,
-                                      .customer = request.customer,
-                                      .length = request.length,
-                                      .fingerprint = requestFingerprint(request.statements),
-                                      .deadline = run.deadline},
-                             .run =
-                                     [this, id = run.id](std::unique_ptr<ConnectionLease> lease) {
-                                         start(id, std::move(lease));
-                                     },
-                             .drop =
-                                     [this, id = run.id](const Refusal &refusal) {
-                                         const auto found = m_runs.find(id);
-                                         if (found != m_runs.end())
-                                             refuse(*found->second, refusal);
-                                     }});
+    ExecutorJob job{.work = {.plan = run.planId,
+                             .customer = request.customer,
+                             .length = request.length,
+                             .fingerprint = requestFingerprint(request.statements),
+                             .deadline = run.deadline}};
+    job.run = [this, id = run.id](std::unique_ptr<ConnectionLease> lease) {
+        start(id, std::move(lease));
+    };
+    job.drop = [this, id = run.id](const Refusal &refusal) {
+        const auto found = m_runs.find(id);
+        if (found != m_runs.end())
+            dropped(*found->second, refusal);
+    };
+    const Submission submission = executor.submit(std::move(job));
     if (submission)
         run.queued = submission.value();
     else
-        refuse(run, submission.error());
+        dropped(run, submission.error());
+}
+
+// A queue that stands because its database cannot be reached is no overload: the request waits for
+// another database or a change of primary, as its deadline allows.
+void RequestRunner::dropped(RequestRun &run, const Refusal &refusal)
+{
+    run.queued.reset();
+    const auto executor = m_executors.find(run.database);
+    const bool isUnreachable = executor != m_executors.end() && !executor->second->isConnected();
+    if (isUnreachable && refusal.reason == Reason::QueueFull)
+        park(run, EventLoop::now() + parkedRecheck, Reason::UpstreamUnreachable);
+    else
+        refuse(run, refusal);
 }
 
 void RequestRunner::park(RequestRun &run, Instant until, Reason reason)
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -29,6 +29,8 @@
 
     void submit(OwnerRequest request);
 
+    RouteAnswer explain(const RouteQuestion &question) const;
+
     // A status has arrived: answers may be confirmed, parked requests may go on.
     void viewChanged();
 
@@ -69,6 +71,7 @@
     void send(RequestRun &run, const DatabaseId &database, Term term);
     void forward(RequestRun &run, const DataCentreId &dataCentre);
     void enqueue(RequestRun &run, DatabaseExecutor &executor);
+    void dropped(RequestRun &run, const Refusal &refusal);
     void park(RequestRun &run, Instant until, Reason reason);
     void start(RunId id, std::unique_ptr<ConnectionLease> lease);
     void sendNext(RequestRun &run);
@@ -84,6 +87,9 @@
     std::unique_ptr<DatabaseExecutor> makeExecutor(const SliceDatabase &database);
     void answer(RequestRun &run, CallerAnswer reply);
     void releaseLease(RequestRun &run, bool dirty);
+    RouteAnswer explainRead(const RouteQuestion &question) const;
+    RouteAnswer explainWrite() const;
+    std::string explainDatabase(const DatabaseView &database, LogPoint point) const;
     void withdrawMisrouted();
     bool isMisrouted(const RequestRun &run) const;
     void wakeParked(Instant now, bool statusArrived);
--- a/libs/sliceowner/src/sliceowner.cpp
+++ b/libs/sliceowner/src/sliceowner.cpp
@@ -85,6 +85,27 @@
         timer = loop.after(std::max(next - now, shortestWait), [this] { wake(); });
     }
 
+    DatabaseLine databaseLine(const DatabaseView &database, LogPosition furthest) const
+    {
+        DatabaseLine line{.database = database.site.database,
+                          .dataCentre = database.site.dataCentre,
+                          .reachable = database.reachable};
+        if (database.status) {
+            line.role = database.status->role;
+            line.term = database.status->term;
+            line.applied = database.status->applied.position;
+            line.age = database.status->age;
+            if (furthest > line.applied)
+                line.lag = furthest.value() - line.applied.value();
+        }
+        if (const DatabaseExecutor *executor = runner.executor(line.database)) {
+            line.connections = executor->pool().total();
+            line.waiting = executor->scheduler().load().queued;
+            line.running = executor->scheduler().load().running;
+        }
+        return line;
+    }
+
     EventLoop &loop;
     SliceOwnerOptions options;
     SliceHooks hooks;
@@ -149,32 +170,24 @@
     return m_data->runner.inFlight();
 }
 
-SliceStatus SliceOwner::status() const
+GroupStatus SliceOwner::status() const
 {
-    SliceStatus status{.group = m_data->options.group};
+    GroupStatus status{.group = m_data->options.group, .owner = m_data->options.vm};
+    LogPosition furthest;
     if (const auto primary = m_data->view.primary()) {
         status.primary = primary->database;
         status.term = primary->term;
+        const DatabaseView *database = m_data->view.find(primary->database);
+        furthest = database->status->applied.position;
     }
-    for (const DatabaseView &database : m_data->view.databases()) {
-        SliceDatabaseStatus one{.database = database.site.database,
-                                .dataCentre = database.site.dataCentre,
-                                .reachable = database.reachable,
-                                .leaving = database.site.leaving};
-        if (database.status) {
-            one.role = database.status->role;
-            one.term = database.status->term;
-            one.applied = database.status->applied;
-            one.age = database.status->age;
-        }
-        if (const DatabaseExecutor *executor = m_data->runner.executor(one.database)) {
-            one.connections = executor->pool().total();
-            one.queued = executor->scheduler().load().queued;
-            one.running = executor->scheduler().load().running;
-        }
-        status.databases.push_back(one);
-    }
+    for (const DatabaseView &database : m_data->view.databases())
+        status.databases.push_back(m_data->databaseLine(database, furthest));
     return status;
 }
 
+RouteAnswer SliceOwner::explain(const RouteQuestion &question) const
+{
+    return m_data->runner.explain(question);
+}
+
 } // namespace fescuespring
