fescuectl: plans and customers

Cause: the two lists are all that operators edit. Conflict, refusal, no answer and unknown have exit codes of their own and say what to do next. Ruled out: starting an editor (no process of ours starts another); several fields in one 'set' as edits in a row, which would not be one change. Conclusion: whole but for a list longer than one object of customers, which planlists handles and no test here covers.

--- a/libs/operatortool/src/arguments.cpp
+++ b/libs/operatortool/src/arguments.cpp
@@ -76,9 +76,17 @@
 
 void Arguments::positional(const std::string &name, const std::string &meaning)
 {
-    m_words.add_options()(name.c_str(), options::value<Words>(), meaning.c_str());
+    m_words.add_options()(name.c_str(), options::value<std::string>(), meaning.c_str());
     m_positions.add(name.c_str(), 1);
     m_usage += " " + name;
+    m_required.push_back(name);
+}
+
+void Arguments::optionalPositional(const std::string &name, const std::string &meaning)
+{
+    m_words.add_options()(name.c_str(), options::value<std::string>(), meaning.c_str());
+    m_positions.add(name.c_str(), 1);
+    m_usage += " [" + name + "]";
 }
 
 void Arguments::words(const std::string &name, const std::string &meaning)
@@ -104,6 +112,15 @@
     } catch (const std::exception &exception) {
         return usageError(exception.what());
     }
+    return checkRequired();
+}
+
+Result<void> Arguments::checkRequired() const
+{
+    for (const std::string &name : m_required) {
+        if (value(name).empty() && !has("help"))
+            return usageError("is missing", name);
+    }
     return boost::outcome_v2::success();
 }
 
@@ -114,12 +131,7 @@
 
 std::string Arguments::value(const std::string &name) const
 {
-    if (!has(name))
-        return {};
-    const auto &value = m_values[name].value();
-    if (const auto *words = boost::any_cast<Words>(&value))
-        return words->front();
-    return m_values[name].as<std::string>();
+    return has(name) ? m_values[name].as<std::string>() : std::string();
 }
 
 std::vector<std::string> Arguments::values(const std::string &name) const
@@ -153,7 +165,7 @@
     text << "Usage: fescuectl " << m_command << m_usage << " [options]\n" << m_purpose << "\n";
     if (!m_words.options().empty())
         text << '\n' << m_words;
-    text << '\n' << m_options << '\n';
+    text << '\n' << m_options;
     return text.str();
 }
 
--- a/libs/operatortool/src/arguments.h
+++ b/libs/operatortool/src/arguments.h
@@ -32,12 +32,14 @@
     void option(const std::string &name, const std::string &meaning,
                 const std::string &defaultValue = {});
 
-    // A word without a name; they are taken in the order of declaration.
+    // Words without a name; they are taken in the order of declaration.
     void positional(const std::string &name, const std::string &meaning);
+    void optionalPositional(const std::string &name, const std::string &meaning);
 
     // Any further words, at the end.
     void words(const std::string &name, const std::string &meaning);
 
+    // Unless help is asked for, every positional word must be there.
     Result<void> parse(const std::vector<std::string> &words);
 
     bool has(const std::string &name) const;
@@ -53,9 +55,12 @@
     std::string help() const;
 
 private:
+    Result<void> checkRequired() const;
+
     std::string m_command;
     std::string m_purpose;
     std::string m_usage;
+    std::vector<std::string> m_required;
     boost::program_options::options_description m_options;
     boost::program_options::options_description m_words;
     boost::program_options::positional_options_description m_positions;
--- a/libs/operatortool/src/operatortool.cpp
+++ b/libs/operatortool/src/operatortool.cpp
@@ -10,7 +10,12 @@
 
 namespace {
 
-constexpr std::array commands{
+// Width of the column of names in help.
+constexpr std::size_t nameWidth = 12;
+
+constexpr std::array toolCommands{
+        Command{"plans", "shows, checks and edits the plans", runPlans},
+        Command{"customers", "shows and edits which plans customers hold", runCustomers},
         Command{"status", "members, owners, groups and what is in force at a VM", runStatus},
         Command{"counters", "the counters of a VM", runCounters},
         Command{"route", "where a request would go now, and why", runRoute},
@@ -26,33 +31,45 @@
                                   "  4  somebody else changed the same thing; nothing changed\n"
                                   "  5  no answer, and the change may have been made\n";
 
-void printHelp(std::ostream &out)
+std::string commandLine(const std::string &group)
+{
+    return group.empty() ? "fescuectl" : "fescuectl " + group;
+}
+
+void printHelp(const std::string &group, std::span<const Command> commands, std::ostream &out)
 {
-    out << "Usage: fescuectl COMMAND [options]\n"
-           "The operator's tool of fescuespring.\n\nCommands:\n";
+    out << "Usage: " << commandLine(group) << " COMMAND [options]\n";
+    if (group.empty())
+        out << "The operator's tool of fescuespring.\n";
+    out << "\nCommands:\n";
     for (const Command &command : commands) {
         std::string name = command.name;
-        name.resize(12, ' ');
+        name.resize(nameWidth, ' ');
         out << "  " << name << command.summary << '\n';
     }
-    out << "\nfescuectl COMMAND --help shows the options of a command.\n\n" << exitCodes;
+    out << '\n' << commandLine(group) << " COMMAND --help shows the options of a command.\n";
+    if (group.empty())
+        out << '\n' << exitCodes;
 }
 
-ToolOutcome runCommand(const std::vector<std::string> &arguments, ToolStreams streams)
+} // namespace
+
+ToolOutcome runOneOf(const std::string &group, std::span<const Command> commands,
+                     const std::vector<std::string> &words, ToolStreams streams)
 {
-    if (arguments.empty() || arguments.front() == "--help") {
-        printHelp(arguments.empty() ? streams.error : streams.out);
-        return arguments.empty() ? ToolOutcome::Usage : ToolOutcome::Done;
+    if (words.empty() || words.front() == "--help") {
+        printHelp(group, commands, words.empty() ? streams.error : streams.out);
+        return words.empty() ? ToolOutcome::Usage : ToolOutcome::Done;
     }
     for (const Command &command : commands) {
-        if (arguments.front() == command.name)
-            return command.run({arguments.begin() + 1, arguments.end()}, streams);
+        if (words.front() == command.name)
+            return command.run({words.begin() + 1, words.end()}, streams);
     }
-    return usageFault(Error{.message = "no command '" + arguments.front() + "'"}, streams);
+    return usageFault(
+            Error{.message = "no command '" + words.front() + "' of " + commandLine(group)},
+            streams);
 }
 
-} // namespace
-
 ToolOutcome usageFault(const Error &error, ToolStreams streams)
 {
     streams.error << "fescuectl: " << describe(error) << '\n' << "See fescuectl --help.\n";
@@ -78,7 +95,7 @@
 ToolOutcome runOperatorTool(const std::vector<std::string> &arguments, ToolStreams streams)
 {
     try {
-        return runCommand(arguments, streams);
+        return runOneOf({}, toolCommands, arguments, streams);
     } catch (const std::exception &exception) {
         streams.error << "fescuectl: " << exception.what() << '\n';
         return ToolOutcome::Usage;
