Membership: a deaf VM takes nobody down; mutants of the control tests

Change: what a VM that is held for gone says of others is not believed until it has refuted. New test deafVmTakesNobodyDown, seen red first; the test of the lagging list looks at every change. Peers of the data centre are no longer asked at a start without a mark: heartbeats bring it, and the tests were green without it; VMs of other data centres still are, now with a test.

--- a/libs/distribution/include/distribution/distribution.h
+++ b/libs/distribution/include/distribution/distribution.h
@@ -51,8 +51,9 @@
     // How often a watcher asks a VM of another data centre, for when the store cannot be reached.
     std::chrono::milliseconds remoteInterval{2000};
 
-    // A VM without lists asks a peer this often, and reads the store itself after storePatience.
-    std::chrono::milliseconds bootstrapInterval{100};
+    // A VM without lists asks a VM of another data centre this often, and reads the store itself
+    // after storePatience.
+    std::chrono::milliseconds bootstrapInterval{250};
     std::chrono::milliseconds storePatience{1000};
 
     // The status object is written on a change, but not more often than this.
--- a/libs/distribution/src/distribution.cpp
+++ b/libs/distribution/src/distribution.cpp
@@ -129,7 +129,6 @@
     std::map<std::string, StoredObject> m_refused;
     ListErrors m_errors;
 
-    std::vector<Endpoint> m_peers;
     std::vector<Endpoint> m_remotePeers;
     std::size_t m_memberCount = 0;
     bool m_isWatcher = false;
@@ -172,18 +171,15 @@
     writeStatus(now);
 }
 
-// Asks one peer after the other, those of other data centres too, until there are lists.
+// Asks VMs of other data centres, one after the other, until there are lists. Those of this data
+// centre show on their heartbeats that they have lists.
 void Distribution::Data::bootstrap(Instant now)
 {
     if (now < m_nextBootstrap)
         return;
     m_nextBootstrap = now + m_options.bootstrapInterval;
-    const std::size_t count = m_peers.size() + m_remotePeers.size();
-    if (count == 0)
-        return;
-    const std::size_t index = m_random() % count;
-    const bool isLocal = index < m_peers.size();
-    pull({isLocal ? m_peers[index] : m_remotePeers[index - m_peers.size()], std::nullopt});
+    if (!m_remotePeers.empty())
+        pull({m_remotePeers[m_random() % m_remotePeers.size()], std::nullopt});
 }
 
 // Holds the watches where this VM is to, or where no peer has helped it to lists.
@@ -239,13 +235,10 @@
 {
     notice(now);
     std::vector<VmId> active;
-    m_peers.clear();
     m_memberCount = members.size();
     for (const Member &member : members) {
         if (member.state == MemberState::Alive)
             active.push_back(member.vm);
-        if (member.vm != m_options.self)
-            m_peers.push_back(member.endpoints.peers);
     }
     const std::vector<VmId> order =
             m_hooks.watcherOrder ? m_hooks.watcherOrder(active)
--- a/libs/distribution/tests/distributiontest.cpp
+++ b/libs/distribution/tests/distributiontest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(storeDownAcrossAStartAnEditAndAStop);
     CPPUNIT_TEST(sidesOfACutWithDifferentVersionsMeet);
     CPPUNIT_TEST(dataCentreCutFromTheStoreLearnsFromAnother);
+    CPPUNIT_TEST(dataCentreThatStartsInAnOutageLearnsFromAnother);
     CPPUNIT_TEST(badListIsRefusedAndSaidSo);
     CPPUNIT_TEST(olderAnswerOfTheStoreChangesNothing);
     CPPUNIT_TEST(withoutStoreAndPeersNoVmIsReady);
@@ -144,6 +145,23 @@
         CPPUNIT_ASSERT(fleet.untilInForce(4, 20s) < 9s);
     }
 
+    void dataCentreThatStartsInAnOutageLearnsFromAnother()
+    {
+        ListsFleet fleet({.count = 4, .seed = 11});
+        fleet.network.run(10s);
+        fleet.store.isDown = true;
+        fleet.pullsCross = true;
+        fleet.side = [](std::size_t i) {
+            return i < 4 ? 1 : 2;
+        };
+        for (int i = 0; i < 5; ++i)
+            fleet.add();
+        fleet.network.cut(fleet.side);
+        for (std::size_t i = 4; i < 9; ++i)
+            fleet.nodes[i].distribution->setRemotePeers({{"10.0.0.1", 20002}});
+        CPPUNIT_ASSERT(fleet.untilInForce(3, 20s) < 1s);
+    }
+
     void badListIsRefusedAndSaidSo()
     {
         ListsFleet fleet({.count = 9, .seed = 8});
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -383,8 +383,15 @@
     if (m_state == MemberState::Left)
         return;
     m_lastHeard = now;
-    for (const MemberUpdate &update : message.updates)
-        takeUpdate(update, now);
+    // One that is held for gone may be deaf, and take everybody else for gone: it is believed again
+    // when it has refuted.
+    const MemberList::Record *sender = m_list.find(message.sender);
+    const bool isBelieved = !sender || counts(sender->member.state)
+                            || message.incarnation.value() > sender->member.incarnation.value();
+    for (const MemberUpdate &update : message.updates) {
+        if (isBelieved || update.vm == m_options.self)
+            takeUpdate(update, now);
+    }
     takeSender(message, from, now);
     takeView(message, from, now);
     switch (message.kind) {
--- a/libs/membership/tests/membershiptest.cpp
+++ b/libs/membership/tests/membershiptest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(frozenVmKnowsThatItWasAwayAndDeclaresNobodyDead);
     CPPUNIT_TEST(halvesOfACutGoOnAndMeetAgain);
     CPPUNIT_TEST(vmCutOffAloneGoesOnAndComesBack);
+    CPPUNIT_TEST(deafVmTakesNobodyDown);
     CPPUNIT_TEST(plannedStopIsNoDeath);
     CPPUNIT_TEST(restartedVmIsTakenBack);
     CPPUNIT_TEST(laggingListMakesNobodyAliveOrDead);
@@ -111,6 +112,18 @@
         CPPUNIT_ASSERT(network.runUntil([&] { return network.allCount(9); }, 20s) < 3s);
     }
 
+    void deafVmTakesNobodyDown()
+    {
+        MemberNetwork network({.count = 20, .seed = 14});
+        network.run(5s);
+        network.deafen(7);
+        network.run(20s);
+        const std::size_t others = network.deaths(
+                [](const auto &change) { return change.member != 7 && change.observer != 7; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), others);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(19), network[3].size());
+    }
+
     void plannedStopIsNoDeath()
     {
         MemberNetwork network({.count = 20, .loss = 0.05, .seed = 9});
@@ -146,9 +159,11 @@
         std::vector<ListedVm> list;
         for (std::size_t i = 0; i < 8; ++i)
             list.push_back({MemberNetwork::vmOf(i), MemberNetwork::heartbeatOf(i), false});
+        network.changes().clear();
         for (std::size_t i = 0; i < 9; ++i)
             network.apply(i, network[i].platformList(list, network.now()));
         network.run(5s);
+        CPPUNIT_ASSERT(network.changes().empty());
         CPPUNIT_ASSERT(network.allCount(8));
         const std::vector<VmId> active = network[0].activeMembers();
         CPPUNIT_ASSERT(std::find(active.begin(), active.end(), VmId("vm-4")) == active.end());
--- a/tests/support/membernetwork.h
+++ b/tests/support/membernetwork.h
@@ -80,6 +80,11 @@
     {
         m_nodes[index].isFrozen = true;
     }
+    // The member sends, but receives nothing any more.
+    void deafen(std::size_t index)
+    {
+        m_nodes[index].isDeaf = true;
+    }
     void thaw(std::size_t index)
     {
         Node &node = m_nodes[index];
@@ -196,6 +201,7 @@
         std::unique_ptr<Membership> membership;
         bool isUp = true;
         bool isFrozen = false;
+        bool isDeaf = false;
         bool toldToLeave = false;
         int side = 0;
         int pauses = 0;
@@ -259,7 +265,7 @@
                 node.held.push_back({from, bytes});
             return;
         }
-        if (node.isUp)
+        if (node.isUp && !node.isDeaf)
             apply(to, node.membership->receive(from, bytes, m_now));
     }
 
