--- a/libs/experiment/include/experiment/workload.h
+++ b/libs/experiment/include/experiment/databaseload.h
@@ -41,7 +41,7 @@
 };
 
 // One database of a group, its callers and its places.
-struct Workload
+struct DatabaseLoad
 {
     std::string name;
     std::uint32_t slots = 3;
@@ -70,12 +70,12 @@
 };
 
 // Dashboard of the dairy cooperatives: three plans of the same priority by weight.
-Workload herdViewWorkload();
+DatabaseLoad herdviewDatabaseLoad();
 
 // Shelf labels: price changes of head office first, then scanners, then planning queries.
-Workload dvorakWorkload();
+DatabaseLoad dvorakDatabaseLoad();
 
 // "herdview" or "dvorak".
-std::optional<Workload> workloadFromName(std::string_view name);
+std::optional<DatabaseLoad> databaseLoadFromName(std::string_view name);
 
 } // namespace fescuespring
--- a/libs/experiment/include/experiment/experiment.h
+++ b/libs/experiment/include/experiment/experiment.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/types.h"
-#include "experiment/workload.h"
+#include "experiment/databaseload.h"
 #include "messages/request.h"
 #include "pool/connectionpool.h"
 #include "scheduling/scheduler.h"
@@ -19,11 +19,11 @@
 // are the real ones; the database is a model with slots, a cost of connections and a limit of
 // them; the network is a delay. The same seed gives the same figures.
 //
-//     const ExperimentReport report = runCrest({.workload = dvorakWorkload(), .seed = 7});
-//     for (const Target &target : report.targets)
+//     const QueueReport report = runCrest({.load = dvorakDatabaseLoad(), .seed = 7});
+//     for (const QueueTarget &target : report.targets)
 //         print(target.name, target.value, target.isMet);
 
-enum class Policy {
+enum class QueuePolicy {
     // One owner holds the connections and schedules; other VMs forward to it.
     Product,
     // Every VM opens connections as it needs them, and serves first come, first served, without
@@ -35,16 +35,16 @@
     TwoOwners,
 };
 
-const char *toString(Policy policy);
-std::optional<Policy> policyFromString(std::string_view text);
+const char *toString(QueuePolicy policy);
+std::optional<QueuePolicy> queuePolicyFromString(std::string_view text);
 
-struct ExperimentOptions
+struct QueueExperimentOptions
 {
-    Workload workload = {};
-    Policy policy = Policy::Product;
+    DatabaseLoad load = {};
+    QueuePolicy policy = QueuePolicy::Product;
     std::uint64_t seed = 1;
 
-    // slots and limit are taken from the workload.
+    // slots and limit are taken from the load.
     SchedulerOptions scheduler = {};
     PoolOptions pool = {};
 
@@ -93,36 +93,37 @@
 };
 
 // A bound and what was measured.
-struct Target
+struct QueueTarget
 {
     std::string name;
     double bound = 0.0;
     double value = 0.0;
     std::string unit;
+
     bool isMet = false;
 };
 
-struct ExperimentReport
+struct QueueReport
 {
     std::string experiment;
-    std::string workload;
-    Policy policy = Policy::Product;
+    std::string load;
+    QueuePolicy policy = QueuePolicy::Product;
     std::uint64_t seed = 0;
     std::vector<PhaseFigures> phases;
-    std::vector<Target> targets;
+    std::vector<QueueTarget> targets;
     std::uint32_t mostConnections = 0;
 
     const PhaseFigures *find(std::string_view phase) const;
-    const Target *target(std::string_view name) const;
+    const QueueTarget *target(std::string_view name) const;
 };
 
 // Quiet load, a pause, three times the capacity for 10 s, quiet load again.
-ExperimentReport runCrest(const ExperimentOptions &options);
+QueueReport runCrest(const QueueExperimentOptions &options);
 
 // Short work alone, then with long jobs that fill every queue.
-ExperimentReport runHeadOfLine(const ExperimentOptions &options);
+QueueReport runHeadOfLine(const QueueExperimentOptions &options);
 
 // Saturation by every plan, each through other VMs: does each get its share?
-ExperimentReport runPlanShares(const ExperimentOptions &options);
+QueueReport runPlanShares(const QueueExperimentOptions &options);
 
 } // namespace fescuespring
--- a/libs/experiment/src/crest.cpp
+++ b/libs/experiment/src/crest.cpp
@@ -34,10 +34,10 @@
     return longest;
 }
 
-std::vector<Target> targets(const PhaseFigures &quiet, const PhaseFigures &crest,
-                            Duration timeToNormal)
+std::vector<QueueTarget> targets(const PhaseFigures &quiet, const PhaseFigures &crest,
+                                 Duration timeToNormal)
 {
-    std::vector<Target> targets;
+    std::vector<QueueTarget> targets;
     targets.push_back(detail::atLeast("goodput in the worst second of the crest", goodputBound,
                                       crest.worstSecond, "share of slot capacity"));
     for (const MustServe &must : mustServe) {
@@ -62,7 +62,7 @@
 
 } // namespace
 
-ExperimentReport runCrest(const ExperimentOptions &options)
+QueueReport runCrest(const QueueExperimentOptions &options)
 {
     const auto quietLoad = [](const CallerStream &stream) {
         return stream.quietLoad;
@@ -78,7 +78,7 @@
     simulation.drain(drainTime);
 
     const detail::Recorder &recorder = simulation.recorder();
-    ExperimentReport report = detail::emptyReport("crest", options);
+    QueueReport report = detail::emptyReport("crest", options);
     report.phases = {recorder.figures("quiet", quiet), recorder.figures("crest", crest),
                      recorder.figures("after", after)};
     const Duration toNormal = recorder.timeToNormal(after.begin, after.end, quiet);
--- a/libs/experiment/src/experiment.cpp
+++ b/libs/experiment/src/experiment.cpp
@@ -12,14 +12,14 @@
 
 } // namespace
 
-const char *toString(Policy policy)
+const char *toString(QueuePolicy policy)
 {
     return policyNames[static_cast<std::size_t>(policy)];
 }
 
-std::optional<Policy> policyFromString(std::string_view text)
+std::optional<QueuePolicy> queuePolicyFromString(std::string_view text)
 {
-    return detail::enumFromName<Policy>(policyNames, text);
+    return detail::enumFromName<QueuePolicy>(policyNames, text);
 }
 
 double StreamFigures::servedShare() const
@@ -33,15 +33,15 @@
     return found == streams.end() ? nullptr : &*found;
 }
 
-const PhaseFigures *ExperimentReport::find(std::string_view phase) const
+const PhaseFigures *QueueReport::find(std::string_view phase) const
 {
     const auto found = std::ranges::find(phases, phase, &PhaseFigures::phase);
     return found == phases.end() ? nullptr : &*found;
 }
 
-const Target *ExperimentReport::target(std::string_view name) const
+const QueueTarget *QueueReport::target(std::string_view name) const
 {
-    const auto found = std::ranges::find(targets, name, &Target::name);
+    const auto found = std::ranges::find(targets, name, &QueueTarget::name);
     return found == targets.end() ? nullptr : &*found;
 }
 
--- a/libs/experiment/src/headofline.cpp
+++ b/libs/experiment/src/headofline.cpp
@@ -18,19 +18,19 @@
 constexpr double p99RatioBound = 1.5;
 
 // Share of the slots that the plan of the long jobs is entitled to while all plans are busy.
-double planShare(const Workload &workload)
+double planShare(const DatabaseLoad &load)
 {
     double sum = 0.0;
-    for (const auto &[id, plan] : workload.plans)
+    for (const auto &[id, plan] : load.plans)
         sum += plan.weight;
-    return workload.plans.at(workload.longJobs.plan).weight / sum;
+    return load.plans.at(load.longJobs.plan).weight / sum;
 }
 
-double worstRatio(const PhaseFigures &alone, const PhaseFigures &mixed, const Workload &workload)
+double worstRatio(const PhaseFigures &alone, const PhaseFigures &mixed, const DatabaseLoad &load)
 {
     double worst = 0.0;
     for (const StreamFigures &stream : mixed.streams) {
-        if (stream.stream == workload.longJobs.name)
+        if (stream.stream == load.longJobs.name)
             continue;
         const Duration before = alone.find(stream.stream)->p99;
         worst = std::max(worst, detail::milliseconds(stream.p99) / detail::milliseconds(before));
@@ -39,11 +39,11 @@
 }
 
 // Late and refused requests count as well: a p99 of the few that were served says little.
-double leastServed(const PhaseFigures &mixed, const Workload &workload)
+double leastServed(const PhaseFigures &mixed, const DatabaseLoad &load)
 {
     double least = 1.0;
     for (const StreamFigures &stream : mixed.streams) {
-        if (stream.stream != workload.longJobs.name)
+        if (stream.stream != load.longJobs.name)
             least = std::min(least, stream.servedShare());
     }
     return least;
@@ -51,12 +51,12 @@
 
 } // namespace
 
-ExperimentReport runHeadOfLine(const ExperimentOptions &options)
+QueueReport runHeadOfLine(const QueueExperimentOptions &options)
 {
-    ExperimentOptions withJobs = options;
-    Workload &workload = withJobs.workload;
-    workload.streams.push_back(workload.longJobs);
-    const std::string longName = workload.longJobs.name;
+    QueueExperimentOptions withJobs = options;
+    DatabaseLoad &load = withJobs.load;
+    load.streams.push_back(load.longJobs);
+    const std::string longName = load.longJobs.name;
     const auto shortOnly = [&](const CallerStream &stream) {
         return stream.name == longName ? 0.0 : stream.quietLoad * options.shortLoad;
     };
@@ -71,15 +71,15 @@
     simulation.drain(drainTime);
 
     const detail::Recorder &recorder = simulation.recorder();
-    ExperimentReport report = detail::emptyReport("head-of-line", options);
+    QueueReport report = detail::emptyReport("head-of-line", options);
     report.phases = {recorder.figures("alone", alone), recorder.figures("mixed", mixed)};
     const PhaseFigures &before = report.phases[0];
     const PhaseFigures &during = report.phases[1];
     report.targets = {detail::atMost("p99 of short work with long jobs, by that without",
-                                     p99RatioBound, worstRatio(before, during, workload), "ratio"),
+                                     p99RatioBound, worstRatio(before, during, load), "ratio"),
                       detail::atLeast("short work served with long jobs", 0.999,
-                                      leastServed(during, workload), "share"),
-                      detail::atLeast("slot share of long jobs", planShare(workload),
+                                      leastServed(during, load), "share"),
+                      detail::atLeast("slot share of long jobs", planShare(load),
                                       during.find(longName)->slotShare, "share of slot capacity")};
     report.mostConnections = simulation.mostConnections();
     return report;
--- a/libs/experiment/src/planshares.cpp
+++ b/libs/experiment/src/planshares.cpp
@@ -18,32 +18,32 @@
 
 } // namespace
 
-ExperimentReport runPlanShares(const ExperimentOptions &options)
+QueueReport runPlanShares(const QueueExperimentOptions &options)
 {
-    ExperimentOptions saturated = options;
-    Workload &workload = saturated.workload;
+    QueueExperimentOptions saturated = options;
+    DatabaseLoad &load = saturated.load;
     double weights = 0.0;
     std::uint32_t vms = 1;
-    for (CallerStream &stream : workload.streams) {
+    for (CallerStream &stream : load.streams) {
         // Through one VM, through three, through nine.
-        stream.vms = std::min(vms, workload.vms());
+        stream.vms = std::min(vms, load.vms());
         vms *= 3;
-        workload.plans.at(stream.plan).priority = 0;
-        weights += workload.plans.at(stream.plan).weight;
+        load.plans.at(stream.plan).priority = 0;
+        weights += load.plans.at(stream.plan).weight;
     }
-    const auto load = [](const CallerStream &) {
+    const auto loadOf = [](const CallerStream &) {
         return loadOfEach;
     };
     detail::Simulation simulation(saturated);
-    simulation.run(settleTime, load);
-    const detail::Span span = simulation.run(saturatedTime, load);
+    simulation.run(settleTime, loadOf);
+    const detail::Span span = simulation.run(saturatedTime, loadOf);
     simulation.drain(drainTime);
 
-    ExperimentReport report = detail::emptyReport("plan-shares", options);
+    QueueReport report = detail::emptyReport("plan-shares", options);
     report.phases = {simulation.recorder().figures("saturated", span)};
     const PhaseFigures &phase = report.phases.front();
-    for (const CallerStream &stream : workload.streams) {
-        const double entitled = workload.plans.at(stream.plan).weight / weights;
+    for (const CallerStream &stream : load.streams) {
+        const double entitled = load.plans.at(stream.plan).weight / weights;
         const double share = phase.find(stream.name)->slotShare / phase.goodput;
         report.targets.push_back(detail::atMost(stream.name + " away from its share",
                                                 deviationBound, std::abs(share / entitled - 1.0),
--- a/libs/experiment/src/recorder.cpp
+++ b/libs/experiment/src/recorder.cpp
@@ -27,9 +27,9 @@
     return times[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
 }
 
-Recorder::Recorder(const Workload &workload)
-    : m_slots(workload.slots)
-    , m_streams(workload.streams)
+Recorder::Recorder(const DatabaseLoad &load)
+    : m_slots(load.slots)
+    , m_streams(load.streams)
 {}
 
 std::size_t Recorder::arrived(std::uint32_t stream, Duration service, Instant now, Instant deadline)
--- a/libs/experiment/src/recorder.h
+++ b/libs/experiment/src/recorder.h
@@ -44,7 +44,7 @@
 class Recorder
 {
 public:
-    explicit Recorder(const Workload &workload);
+    explicit Recorder(const DatabaseLoad &load);
 
     // To be told before the figures are taken: what is not answered by then waited until then.
     void ended(Instant now);
--- a/libs/experiment/src/simulation.cpp
+++ b/libs/experiment/src/simulation.cpp
@@ -6,35 +6,34 @@
 
 namespace fescuespring::detail {
 
-Simulation::Simulation(const ExperimentOptions &options)
+Simulation::Simulation(const QueueExperimentOptions &options)
     : m_options(options)
-    , m_database(m_loop, options.workload.slots, options.workload.connectionLimit,
-                 options.workload.openCost)
-    , m_recorder(options.workload)
+    , m_database(m_loop, options.load.slots, options.load.connectionLimit, options.load.openCost)
+    , m_recorder(options.load)
     , m_random(options.seed)
 {
     switch (options.policy) {
-    case Policy::Product:
+    case QueuePolicy::Product:
         addOwners(1);
         break;
-    case Policy::TwoOwners:
+    case QueuePolicy::TwoOwners:
         addOwners(2);
         break;
-    case Policy::Naive:
+    case QueuePolicy::Naive:
         addNaiveVms();
         break;
-    case Policy::Split:
+    case QueuePolicy::Split:
         addSplitVms();
         break;
     }
 }
 
-Span Simulation::run(Duration length, const LoadOf &load)
+Span Simulation::run(Duration length, const LoadOf &loadOf)
 {
     const Span span{m_loop.now(), m_loop.now() + length};
-    const auto &streams = m_options.workload.streams;
+    const auto &streams = m_options.load.streams;
     for (std::uint32_t stream = 0; stream < streams.size(); ++stream) {
-        const double offered = load(streams[stream]) * m_options.workload.slots;
+        const double offered = loadOf(streams[stream]) * m_options.load.slots;
         if (offered <= 0.0)
             continue;
         const double mean = static_cast<double>(streams[stream].meanService().count());
@@ -54,25 +53,24 @@
 // owner, one hop more.
 void Simulation::addOwners(std::uint32_t count)
 {
-    const Workload &workload = m_options.workload;
+    const DatabaseLoad &load = m_options.load;
     for (std::uint32_t i = 0; i < count; ++i) {
-        m_proxies.push_back(owner(workload.slots, m_options.scheduler.spare,
-                                  workload.connectionLimit, workload.localDelay));
+        m_proxies.push_back(owner(load.slots, m_options.scheduler.spare, load.connectionLimit,
+                                  load.localDelay));
     }
-    for (std::uint32_t vm = 0; vm < workload.vms(); ++vm) {
+    for (std::uint32_t vm = 0; vm < load.vms(); ++vm) {
         const bool isOwner = vm < count;
-        const bool isLocal = vm < workload.vmsPerDataCentre;
-        const Duration hop =
-                isLocal ? workload.localDelay : workload.localDelay + workload.dataCentreDelay;
+        const bool isLocal = vm < load.vmsPerDataCentre;
+        const Duration hop = isLocal ? load.localDelay : load.localDelay + load.dataCentreDelay;
         m_entries.push_back({isOwner ? Duration(0) : hop, m_proxies[vm % count].get()});
     }
 }
 
 void Simulation::addNaiveVms()
 {
-    const Workload &workload = m_options.workload;
-    const std::uint32_t connections = std::max(workload.connectionLimit / workload.vms(), 1U);
-    for (std::uint32_t vm = 0; vm < workload.vms(); ++vm) {
+    const DatabaseLoad &load = m_options.load;
+    const std::uint32_t connections = std::max(load.connectionLimit / load.vms(), 1U);
+    for (std::uint32_t vm = 0; vm < load.vms(); ++vm) {
         m_proxies.push_back(
                 std::make_unique<NaiveProxy>(m_loop, m_database, delayToDatabase(vm), connections));
         m_entries.push_back({Duration(0), m_proxies.back().get()});
@@ -81,9 +79,9 @@
 
 void Simulation::addSplitVms()
 {
-    const Workload &workload = m_options.workload;
-    const std::uint32_t connections = std::max(workload.connectionLimit / workload.vms(), 1U);
-    for (std::uint32_t vm = 0; vm < workload.vms(); ++vm) {
+    const DatabaseLoad &load = m_options.load;
+    const std::uint32_t connections = std::max(load.connectionLimit / load.vms(), 1U);
+    for (std::uint32_t vm = 0; vm < load.vms(); ++vm) {
         m_proxies.push_back(owner(1, 0, connections, delayToDatabase(vm)));
         m_entries.push_back({Duration(0), m_proxies.back().get()});
     }
@@ -99,13 +97,13 @@
     pool.limit = connections;
     pool.minimum = std::min(pool.minimum, connections);
     return std::make_unique<OwnerProxy>(m_loop, m_database, databaseDelay, scheduler, pool,
-                                        m_options.workload.plans);
+                                        m_options.load.plans);
 }
 
 Duration Simulation::delayToDatabase(std::uint32_t vm) const
 {
-    const Workload &workload = m_options.workload;
-    return vm < workload.vmsPerDataCentre ? workload.localDelay : workload.dataCentreDelay;
+    const DatabaseLoad &load = m_options.load;
+    return vm < load.vmsPerDataCentre ? load.localDelay : load.dataCentreDelay;
 }
 
 void Simulation::arrive(std::uint32_t stream, Instant end, Duration meanGap)
@@ -121,16 +119,16 @@
 
 void Simulation::call(std::uint32_t stream)
 {
-    const Workload &workload = m_options.workload;
-    const CallerStream &callers = workload.streams[stream];
+    const DatabaseLoad &load = m_options.load;
+    const CallerStream &callers = load.streams[stream];
     const Duration service = callers.leastService + exponential(callers.meanExtraService);
     const Instant deadline = m_loop.now() + callers.deadline;
     const std::size_t sample = m_recorder.arrived(stream, service, m_loop.now(), deadline);
 
-    const std::uint32_t vms = callers.vms == 0 ? workload.vms() : callers.vms;
+    const std::uint32_t vms = callers.vms == 0 ? load.vms() : callers.vms;
     const Entry entry = m_entries[m_random() % vms];
     const std::uint64_t customer = m_random() % callers.customers;
-    const Duration way = workload.callerDelay + entry.delay;
+    const Duration way = load.callerDelay + entry.delay;
 
     ProxyRequest request;
     request.plan = callers.plan;
--- a/libs/experiment/src/simulation.h
+++ b/libs/experiment/src/simulation.h
@@ -21,10 +21,10 @@
 class Simulation
 {
 public:
-    explicit Simulation(const ExperimentOptions &options);
+    explicit Simulation(const QueueExperimentOptions &options);
 
     // Runs a phase of open-loop load and gives its time span.
-    Span run(Duration length, const LoadOf &load);
+    Span run(Duration length, const LoadOf &loadOf);
 
     // Runs on without new requests.
     void drain(Duration length);
@@ -56,7 +56,7 @@
     void call(std::uint32_t stream);
     Duration exponential(Duration mean);
 
-    ExperimentOptions m_options;
+    QueueExperimentOptions m_options;
     EventLoop m_loop;
     DatabaseQueue m_database;
     Recorder m_recorder;
--- a/libs/experiment/src/targets.cpp
+++ b/libs/experiment/src/targets.cpp
@@ -7,21 +7,21 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-Target atLeast(const std::string &name, double bound, double value, const std::string &unit)
+QueueTarget atLeast(const std::string &name, double bound, double value, const std::string &unit)
 {
     return {name, bound, value, unit, value >= bound};
 }
 
-Target atMost(const std::string &name, double bound, double value, const std::string &unit)
+QueueTarget atMost(const std::string &name, double bound, double value, const std::string &unit)
 {
     return {name, bound, value, unit, value <= bound};
 }
 
-ExperimentReport emptyReport(const std::string &experiment, const ExperimentOptions &options)
+QueueReport emptyReport(const std::string &experiment, const QueueExperimentOptions &options)
 {
-    ExperimentReport report;
+    QueueReport report;
     report.experiment = experiment;
-    report.workload = options.workload.name;
+    report.load = options.load.name;
     report.policy = options.policy;
     report.seed = options.seed;
     return report;
--- a/libs/experiment/src/targets.h
+++ b/libs/experiment/src/targets.h
@@ -9,10 +9,10 @@
 
 double milliseconds(Duration time);
 
-Target atLeast(const std::string &name, double bound, double value, const std::string &unit);
-Target atMost(const std::string &name, double bound, double value, const std::string &unit);
+QueueTarget atLeast(const std::string &name, double bound, double value, const std::string &unit);
+QueueTarget atMost(const std::string &name, double bound, double value, const std::string &unit);
 
 // The report of a run without phases and targets.
-ExperimentReport emptyReport(const std::string &experiment, const ExperimentOptions &options);
+QueueReport emptyReport(const std::string &experiment, const QueueExperimentOptions &options);
 
 } // namespace fescuespring::detail
--- a/libs/experiment/tests/experimenttest.cpp
+++ b/libs/experiment/tests/experimenttest.cpp
@@ -16,15 +16,15 @@
     CPPUNIT_TEST(sameSeedGivesTheSameFigures);
     CPPUNIT_TEST_SUITE_END();
 
-    using Run = ExperimentReport (*)(const ExperimentOptions &);
+    using Run = QueueReport (*)(const QueueExperimentOptions &);
 
-    static void assertTargetsMet(Run run, const ExperimentOptions &options)
+    static void assertTargetsMet(Run run, const QueueExperimentOptions &options)
     {
-        const ExperimentReport report = run(options);
+        const QueueReport report = run(options);
         CPPUNIT_ASSERT(!report.targets.empty());
-        for (const Target &target : report.targets) {
-            const std::string what = report.workload + ", seed " + std::to_string(report.seed)
-                                     + ": " + target.name + " is " + std::to_string(target.value);
+        for (const QueueTarget &target : report.targets) {
+            const std::string what = report.load + ", seed " + std::to_string(report.seed) + ": "
+                                     + target.name + " is " + std::to_string(target.value);
             CPPUNIT_ASSERT_MESSAGE(what, target.isMet);
         }
     }
@@ -32,14 +32,14 @@
     static void assertTargetsMet(Run run)
     {
         for (const std::uint64_t seed : {1, 2, 3}) {
-            assertTargetsMet(run, {.workload = herdViewWorkload(), .seed = seed});
-            assertTargetsMet(run, {.workload = dvorakWorkload(), .seed = seed});
+            assertTargetsMet(run, {.load = herdviewDatabaseLoad(), .seed = seed});
+            assertTargetsMet(run, {.load = dvorakDatabaseLoad(), .seed = seed});
         }
     }
 
-    static bool missesAny(const ExperimentReport &report)
+    static bool missesAny(const QueueReport &report)
     {
-        for (const Target &target : report.targets) {
+        for (const QueueTarget &target : report.targets) {
             if (!target.isMet)
                 return true;
         }
@@ -59,11 +59,11 @@
 
     void undeclaredLongJobsAreLearnt()
     {
-        ExperimentOptions options{.workload = herdViewWorkload()};
-        options.workload.longJobs.length = WorkLength::Unknown;
+        QueueExperimentOptions options{.load = herdviewDatabaseLoad()};
+        options.load.longJobs.length = WorkLength::Unknown;
         assertTargetsMet(runHeadOfLine, options);
-        options.workload = dvorakWorkload();
-        options.workload.longJobs.length = WorkLength::Unknown;
+        options.load = dvorakDatabaseLoad();
+        options.load.longJobs.length = WorkLength::Unknown;
         assertTargetsMet(runHeadOfLine, options);
     }
 
@@ -74,8 +74,8 @@
 
     void naiveProxyMissesWhatTheProductMeets()
     {
-        for (const Workload &workload : {herdViewWorkload(), dvorakWorkload()}) {
-            const ExperimentOptions options{.workload = workload, .policy = Policy::Naive};
+        for (const DatabaseLoad &load : {herdviewDatabaseLoad(), dvorakDatabaseLoad()}) {
+            const QueueExperimentOptions options{.load = load, .policy = QueuePolicy::Naive};
             CPPUNIT_ASSERT(missesAny(runCrest(options)));
             CPPUNIT_ASSERT(missesAny(runHeadOfLine(options)));
             CPPUNIT_ASSERT(missesAny(runPlanShares(options)));
@@ -84,20 +84,21 @@
 
     void twoOwnersKeepToTheConnectionLimit()
     {
-        ExperimentOptions options{.workload = herdViewWorkload(), .policy = Policy::TwoOwners};
+        QueueExperimentOptions options{.load = herdviewDatabaseLoad(),
+                                       .policy = QueuePolicy::TwoOwners};
         CPPUNIT_ASSERT(runCrest(options).mostConnections <= 10);
         // A limit that is too small for two: the refused owner backs off and all work is done.
-        options.workload.connectionLimit = 6;
-        const ExperimentReport tight = runCrest(options);
+        options.load.connectionLimit = 6;
+        const QueueReport tight = runCrest(options);
         CPPUNIT_ASSERT_EQUAL(6U, tight.mostConnections);
         CPPUNIT_ASSERT(tight.find("quiet")->find("gold")->servedShare() >= 0.999);
     }
 
     void sameSeedGivesTheSameFigures()
     {
-        const ExperimentOptions options{.workload = dvorakWorkload(), .seed = 9};
-        const ExperimentReport first = runCrest(options);
-        const ExperimentReport second = runCrest(options);
+        const QueueExperimentOptions options{.load = dvorakDatabaseLoad(), .seed = 9};
+        const QueueReport first = runCrest(options);
+        const QueueReport second = runCrest(options);
         for (std::size_t i = 0; i < first.targets.size(); ++i)
             CPPUNIT_ASSERT_EQUAL(first.targets[i].value, second.targets[i].value);
     }
