Keep the load of a scheduler in counters

Cause: load() walked all plans, and the owner asks for it at every dispatch. Change: counted where work is queued and taken.

--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -6,6 +6,7 @@
 #include "workstore.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <unordered_map>
 #include <vector>
@@ -94,6 +95,7 @@
     std::unordered_map<PlanId, PlanState> plans;
     std::vector<std::uint32_t> running;
     std::vector<DroppedWork> dropped;
+    std::array<std::uint32_t, detail::flowKinds> queued{};
     std::uint32_t slots;
     std::uint32_t runningLong = 0;
     std::uint64_t shortFinished = 0;
@@ -181,6 +183,7 @@
     priorities.willPush(flow, item.cost);
     flow.push(store, index);
     item.state = WorkState::Queued;
+    ++queued[detail::indexOf(flow.kind)];
     priorities.refresh(plan);
 }
 
@@ -189,6 +192,7 @@
     WorkItem &item = store[index];
     item.flow->remove(store, index);
     priorities.didRemove(*item.flow, item.cost);
+    --queued[detail::indexOf(item.flow->kind)];
     priorities.refresh(*item.flow->plan);
 }
 
@@ -482,10 +486,8 @@
 SchedulerLoad Scheduler::load() const
 {
     SchedulerLoad load;
-    for (const auto &[id, state] : m_data->plans) {
-        load.queued += state.queued();
-        load.queuedLong += state.flow(FlowKind::Long).size();
-    }
+    load.queued = m_data->queued[0] + m_data->queued[1];
+    load.queuedLong = m_data->queued[detail::indexOf(FlowKind::Long)];
     load.running = static_cast<std::uint32_t>(m_data->running.size());
     load.runningLong = m_data->runningLong;
     load.backlog = m_data->priorities.backlog();
