--- a/libs/loadtest/include/loadtest/loadrecorder.h
+++ b/libs/loadtest/include/loadtest/loadrecorder.h
@@ -35,7 +35,7 @@
     LatencyHistogram doneLatency;
     LatencyHistogram refusalLatency;
 
-    // Slot time of what was done.
+    // Slot time of what was done within the recorder's window, whenever it was planned.
     Duration workDone{0};
 };
 
--- a/libs/loadtest/src/loadrecorder.cpp
+++ b/libs/loadtest/src/loadrecorder.cpp
@@ -23,6 +23,9 @@
 {
     if (arrival.at >= m_from && arrival.at < m_to)
         recordInClass(arrival, result);
+    const bool endedInWindow = result.endedAt >= m_from && result.endedAt < m_to;
+    if (endedInWindow && result.outcome == Outcome::Done)
+        m_classes[arrival.requestClass].workDone += workOf(arrival);
     ++at(arrival.at).offered;
     SeriesPoint &end = at(result.endedAt);
     switch (result.outcome) {
@@ -71,7 +74,6 @@
     case Outcome::Done:
         ++record.done;
         record.doneByReplica += result.byReplica ? 1 : 0;
-        record.workDone += workOf(arrival);
         record.doneLatency.add(latency);
         break;
     case Outcome::NotRun:
--- a/libs/loadtest/tests/loadtesttest.cpp
+++ b/libs/loadtest/tests/loadtesttest.cpp
@@ -49,9 +49,10 @@
         LoadRecorder recorder(m_workload, 100ms);
         recorder.setWindow(1s, 2s);
         for (const Duration at : {Duration(999ms), Duration(1s), Duration(2s)})
-            recorder.record(arrivalAt(0, at), {.outcome = Outcome::Done, .endedAt = at});
+            recorder.record(arrivalAt(0, at), {.outcome = Outcome::Done, .endedAt = at + 1ms});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), recorder.classes()[0].offered);
         CPPUNIT_ASSERT_EQUAL(std::size_t(21), recorder.series().size());
+        CPPUNIT_ASSERT(2 * m_workload.classes[0].work == recorder.classes()[0].workDone);
     }
 
     void gapCountsToTheEnds()
