--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -258,24 +258,37 @@
 void RequestRunner::enqueue(RequestRun &run, DatabaseExecutor &executor)
 {
     const CallerRequest &request = run.request();
-    const Admission admission =
-            executor.submit({.work = {.plan = run.planId,
-                                      .customer = request.customer,
-                                      .length = request.length,
-                                      .fingerprint = requestFingerprint(request.statements),
-                                      .deadline = run.deadline},
-                             .run =
-                                     [this, id = run.id](std::unique_ptr<ConnectionLease> lease) {
-                                         start(id, std::move(lease));
-                                     },
-                             .drop =
-                                     [this, id = run.id](const Refusal &refusal) {
-                                         const auto found = m_runs.find(id);
-                                         if (found != m_runs.end())
-                                             refuse(*found->second, refusal);
-                                     }});
-    if (!admission)
-        refuse(run, admission.error());
+    ExecutorJob job{.work = {.plan = run.planId,
+                             .customer = request.customer,
+                             .length = request.length,
+                             .fingerprint = requestFingerprint(request.statements),
+                             .deadline = run.deadline}};
+    job.run = [this, id = run.id](std::unique_ptr<ConnectionLease> lease) {
+        start(id, std::move(lease));
+    };
+    job.drop = [this, id = run.id](const Refusal &refusal) {
+        const auto found = m_runs.find(id);
+        if (found != m_runs.end())
+            dropped(*found->second, refusal);
+    };
+    const Submission submission = executor.submit(std::move(job));
+    if (submission)
+        run.queued = submission.value();
+    else
+        dropped(run, submission.error());
+}
+
+// A queue that stands because its database cannot be reached is no overload: the request waits for
+// another database or a change of primary, as its deadline allows.
+void RequestRunner::dropped(RequestRun &run, const Refusal &refusal)
+{
+    run.queued.reset();
+    const auto executor = m_executors.find(run.database);
+    const bool isUnreachable = executor != m_executors.end() && !executor->second->isConnected();
+    if (isUnreachable && refusal.reason == Reason::QueueFull)
+        park(run, EventLoop::now() + parkedRecheck, Reason::UpstreamUnreachable);
+    else
+        refuse(run, refusal);
 }
 
 void RequestRunner::park(RequestRun &run, Instant until, Reason reason)
@@ -297,6 +310,7 @@
         return;
     }
     RequestRun &run = *found->second;
+    run.queued.reset();
     const bool isHeld = m_holdWrites && !run.isRead();
     // The primary may have changed while the request was queued.
     const bool isStale = !run.isRead() && run.term != m_view.highestTerm();
@@ -502,9 +516,40 @@
 {
     const Instant now = EventLoop::now();
     advanceConfirmations(now);
+    withdrawMisrouted();
     wakeParked(now, true);
 }
 
+// Work that waits at a database which has been replaced or cannot be reached would wait there until
+// its deadline: it is routed again.
+void RequestRunner::withdrawMisrouted()
+{
+    std::vector<RunId> withdrawn;
+    for (const auto &[id, run] : m_runs) {
+        if (!run->queued || !isMisrouted(*run))
+            continue;
+        const auto executor = m_executors.find(run->database);
+        if (executor == m_executors.end() || !executor->second->withdraw(*run->queued))
+            continue;
+        run->queued.reset();
+        withdrawn.push_back(id);
+    }
+    std::sort(withdrawn.begin(), withdrawn.end());
+    for (const RunId id : withdrawn)
+        route(id);
+}
+
+bool RequestRunner::isMisrouted(const RequestRun &run) const
+{
+    const DatabaseView *database = m_view.find(run.database);
+    if (database == nullptr || !database->reachable)
+        return true;
+    if (run.isRead())
+        return false;
+    const std::optional<PrimaryView> primary = m_view.primary();
+    return primary && (primary->database != run.database || primary->term != run.term);
+}
+
 void RequestRunner::advanceConfirmations(Instant now)
 {
     for (const ConfirmationResult &result : m_confirmer.advance(m_view, now))
