fescueslopes: what control costs by size; spread the probing periods

Cause: docs/CAPACITY.md is to stand on measured slopes. The first run showed two faults. Ruled out: taking the first figures: all members started together probed at the same instant, and the crash always fell on the same moment of a period (735 to 770 ms at every size). The first period of a VM has a random length. A customer is looked for in other parts only where its hash is known, since taking in 100,000 customers was quadratic.

--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -212,7 +212,10 @@
         return;
     stepProbes(now);
     if (now >= m_nextPeriod) {
-        m_nextPeriod = now + m_options.period;
+        // The first periods differ in length, so that VMs started together do not probe together.
+        const Duration period = m_options.period;
+        const bool isFirst = m_sequence == 0;
+        m_nextPeriod = now + (isFirst ? Duration(m_random() % period.count()) : period);
         if (!m_isProven)
             join(now);
         startProbes(now);
--- a/libs/planlists/include/planlists/listset.h
+++ b/libs/planlists/include/planlists/listset.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace fescuespring {
@@ -60,9 +61,17 @@
     ListErrors offerPlans(const StoredObject &object);
     ListErrors offerCustomers(const StoredObject &object);
 
+    // Errors of customers that stand in another part too.
+    void checkElsewhere(const StoredObject &object, const CustomersPart &part,
+                        ListErrors &errors) const;
+    void accept(const StoredObject &object, CustomersPart part);
+
     StoredObject m_plansObject;
     PlansPart m_plans;
     std::map<std::string, CustomersObject> m_customers;
+
+    // Hashes of all customers' names, so that most need not be looked for in the other parts.
+    std::unordered_multiset<std::size_t> m_names;
 };
 
 } // namespace fescuespring
--- a/libs/planlists/src/listset.cpp
+++ b/libs/planlists/src/listset.cpp
@@ -88,8 +88,6 @@
 {
     ListErrors errors;
     CustomersPart part = parseCustomers(object.key, object.value, errors);
-    const CustomersPart *last =
-            m_customers.contains(object.key) ? &m_customers[object.key].part : nullptr;
     std::vector<std::string> planNames;
     for (const auto &[id, plan] : m_plans.plans)
         planNames.push_back(id.value());
@@ -101,7 +99,20 @@
                                "unknown plan '" + entry.plan.value() + "'"
                                        + detail::suggestion(entry.plan.value(), planNames),
                                field, entry.line}});
-        if (last && last->customers.contains(id))
+    }
+    checkElsewhere(object, part, errors);
+    if (errors.empty())
+        accept(object, std::move(part));
+    return errors;
+}
+
+void ListSet::checkElsewhere(const StoredObject &object, const CustomersPart &part,
+                             ListErrors &errors) const
+{
+    const auto last = m_customers.find(object.key);
+    for (const auto &[id, entry] : part.customers) {
+        const bool isOld = last != m_customers.end() && last->second.part.customers.contains(id);
+        if (isOld || !m_names.contains(std::hash<CustomerId>()(id)))
             continue;
         for (const auto &[key, other] : m_customers) {
             const auto found = other.part.customers.find(id);
@@ -110,12 +121,19 @@
                         {object.key,
                          {ErrorCode::InvalidField,
                           "stands in " + key + " too, line " + std::to_string(found->second.line),
-                          field, entry.line}});
+                          "customers." + id.value(), entry.line}});
         }
     }
-    if (errors.empty())
-        m_customers[object.key] = {object, std::move(part)};
-    return errors;
+}
+
+void ListSet::accept(const StoredObject &object, CustomersPart part)
+{
+    CustomersObject &kept = m_customers[object.key];
+    for (const auto &[id, entry] : kept.part.customers)
+        m_names.erase(m_names.find(std::hash<CustomerId>()(id)));
+    for (const auto &[id, entry] : part.customers)
+        m_names.insert(std::hash<CustomerId>()(id));
+    kept = {object, std::move(part)};
 }
 
 bool ListSet::isComplete() const
--- a/tests/support/listsfleet.h
+++ b/tests/support/listsfleet.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -80,7 +81,8 @@
         std::vector<std::uint64_t> versions;
         bool isUp = true;
         bool isFrozen = false;
-        std::size_t members = 0;
+        std::size_t members = std::numeric_limits<std::size_t>::max();
+        Instant nextMembers;
     };
 
     explicit ListsFleet(const MemberNetwork::Options &options, std::size_t parts = 2)
@@ -179,6 +181,7 @@
 
 private:
     static constexpr std::chrono::milliseconds stepInterval{10};
+    static constexpr std::chrono::milliseconds membersInterval{50};
     static constexpr std::size_t peerPorts = 20000;
 
     void start(std::size_t index)
@@ -242,8 +245,9 @@
             if (!node.isUp || node.isFrozen)
                 continue;
             const std::size_t changes = network.changes().size();
-            if (node.members != changes || now.time_since_epoch() < std::chrono::seconds(1)) {
+            if (node.members != changes && now >= node.nextMembers) {
                 node.members = changes;
+                node.nextMembers = now + membersInterval;
                 node.distribution->setMembers(network[index].members(), now);
             }
             node.client->tick(now);
--- a/tests/support/membernetwork.h
+++ b/tests/support/membernetwork.h
@@ -174,6 +174,12 @@
         return *m_nodes[index].counters;
     }
 
+    // Processor time of all members together, as wall time of their calls.
+    std::chrono::nanoseconds spent() const
+    {
+        return m_spent;
+    }
+
     void schedule(Instant at, std::function<void()> action)
     {
         m_events.push({at, m_nextEvent++, std::move(action)});
@@ -242,7 +248,7 @@
     {
         const Node &node = m_nodes[index];
         if (node.isUp && !node.isFrozen)
-            apply(index, node.membership->tick(m_now));
+            apply(index, timed([&] { return node.membership->tick(m_now); }));
         schedule(m_now + Membership::tickInterval, [this, index] { tick(index); });
     }
 
@@ -266,10 +272,20 @@
             return;
         }
         if (node.isUp && !node.isDeaf)
-            apply(to, node.membership->receive(from, bytes, m_now));
+            apply(to, timed([&] { return node.membership->receive(from, bytes, m_now); }));
+    }
+
+    template <typename Call>
+    MembershipActions timed(const Call &call)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        MembershipActions actions = call();
+        m_spent += std::chrono::steady_clock::now() - start;
+        return actions;
     }
 
     Options m_options;
+    std::chrono::nanoseconds m_spent{0};
     std::mt19937_64 m_random;
     Instant m_now;
     std::vector<Node> m_nodes;
--- /dev/null
+++ b/tools/fescueslopes/src/membershipslopes.cpp
@@ -0,0 +1,136 @@
+#include "slopes.h"
+
+#include "support/membernetwork.h"
+
+#include <chrono>
+
+namespace fescuespring {
+
+using namespace std::chrono_literals;
+using test::MemberNetwork;
+
+namespace {
+
+constexpr double loss = 0.2;
+constexpr std::chrono::seconds settleTime{10};
+constexpr std::chrono::seconds steadyTime{30};
+constexpr std::chrono::seconds lossTime{60};
+constexpr std::chrono::seconds freezeTime{5};
+constexpr std::chrono::seconds crashLimit{20};
+
+// Bytes of the headers of Ethernet, IP and UDP, which the counters of Membership leave out.
+constexpr double headerBytes = 14 + 20 + 8;
+
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+// The sum of a counter over all members.
+double total(const MemberNetwork &network, const std::string &name)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < network.size(); ++i) {
+        network.counters(i).visit([&](const std::string &counter, std::uint64_t value) {
+            if (counter == name)
+                sum += static_cast<double>(value);
+        });
+    }
+    return sum;
+}
+
+// What one member sends and uses while nothing happens.
+struct Steady
+{
+    double datagrams = 0;
+    double bytes = 0;
+    double cpuShare = 0;
+};
+
+Steady measureSteady(std::size_t count, std::uint64_t seed)
+{
+    MemberNetwork network({.count = count, .seed = seed});
+    network.run(settleTime);
+    const double datagrams = total(network, "fescuespring_membership_datagrams_sent_total");
+    const double bytes = total(network, "fescuespring_membership_bytes_sent_total");
+    const std::chrono::duration<double> spent = network.spent();
+    network.run(steadyTime);
+    const double seconds = static_cast<double>(steadyTime.count()) * static_cast<double>(count);
+    const double sent = total(network, "fescuespring_membership_datagrams_sent_total") - datagrams;
+    const double sentBytes = total(network, "fescuespring_membership_bytes_sent_total") - bytes;
+    const std::chrono::duration<double> used = network.spent() - spent;
+    return {sent / seconds, (sentBytes + sent * headerBytes) / seconds, used.count() / seconds};
+}
+
+// Milliseconds until each of several crashes was known to all, one after the other.
+std::vector<double> measureCrashes(std::size_t count, const SlopeOptions &options, double lossRate)
+{
+    std::vector<double> times;
+    for (int i = 0; i < options.crashes; ++i) {
+        MemberNetwork network({.count = count,
+                               .loss = lossRate,
+                               .seed = options.seed + static_cast<std::uint64_t>(i)});
+        // At any moment of a period.
+        network.run(settleTime + Duration(std::chrono::milliseconds(37 * i)));
+        network.crash(static_cast<std::size_t>(i) % count);
+        const Duration took =
+                network.runUntil([&] { return network.allCount(count - 1); }, crashLimit);
+        times.push_back(milliseconds(took));
+    }
+    return times;
+}
+
+double falseDeathsUnderLoss(std::size_t count, std::uint64_t seed)
+{
+    MemberNetwork network({.count = count, .loss = loss, .seed = seed});
+    network.run(lossTime);
+    return static_cast<double>(network.deaths([](const auto &) { return true; }));
+}
+
+double falseDeathsByFreeze(std::size_t count, std::uint64_t seed)
+{
+    MemberNetwork network({.count = count, .seed = seed});
+    network.run(settleTime);
+    network.freeze(count / 2);
+    network.run(freezeTime);
+    network.thaw(count / 2);
+    network.run(settleTime);
+    return static_cast<double>(
+            network.deaths([&](const auto &change) { return change.member != count / 2; }));
+}
+
+} // namespace
+
+SlopeTable measureMembership(const SlopeOptions &options)
+{
+    Series datagrams{"datagrams sent per VM", "1/s", {}};
+    Series bytes{"bytes sent per VM, with headers", "B/s", {}};
+    Series cpu{"processor share per VM, without the kernel", "%", {}};
+    Series crash{"crash known to all, median", "ms", {}};
+    Series crashWorst{"crash known to all, worst", "ms", {}};
+    Series lossyCrash{"the same under 20 % loss, median", "ms", {}};
+    Series lossyCrashWorst{"the same under 20 % loss, worst", "ms", {}};
+    Series lossDeaths{"false deaths under 20 % loss in 60 s", "deaths", {}};
+    Series freezeDeaths{"deaths of others by a 5 s freeze of one", "deaths", {}};
+    SlopeTable table{"Membership", "members", {}, {}};
+    for (const std::size_t count : options.sizes) {
+        table.sizes.push_back(static_cast<double>(count));
+        const Steady steady = measureSteady(count, options.seed);
+        datagrams.values.push_back(steady.datagrams);
+        bytes.values.push_back(steady.bytes);
+        cpu.values.push_back(steady.cpuShare * 100);
+        const std::vector<double> clean = measureCrashes(count, options, 0);
+        crash.values.push_back(median(clean));
+        crashWorst.values.push_back(worst(clean));
+        const std::vector<double> lossy = measureCrashes(count, options, loss);
+        lossyCrash.values.push_back(median(lossy));
+        lossyCrashWorst.values.push_back(worst(lossy));
+        lossDeaths.values.push_back(falseDeathsUnderLoss(count, options.seed));
+        freezeDeaths.values.push_back(falseDeathsByFreeze(count, options.seed));
+    }
+    table.series = {datagrams,  bytes,           cpu,        crash,       crashWorst,
+                    lossyCrash, lossyCrashWorst, lossDeaths, freezeDeaths};
+    return table;
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/tools/fescueslopes/src/slopes.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fescuespring {
+
+// A figure measured at several sizes.
+struct Series
+{
+    std::string name;
+    std::string unit;
+    std::vector<double> values;
+};
+
+// Series over the same sizes, all of one kind of part.
+struct SlopeTable
+{
+    std::string title;
+    std::string sizeName;
+    std::vector<double> sizes;
+    std::vector<Series> series;
+};
+
+// value = base + slope * size, by least squares.
+struct LinearFit
+{
+    double base = 0;
+    double slope = 0;
+};
+
+LinearFit fitLine(const std::vector<double> &sizes, const std::vector<double> &values);
+
+// Prints a table with a column per size and the fit of each row.
+void print(const SlopeTable &table);
+
+double median(std::vector<double> values);
+double worst(const std::vector<double> &values);
+
+// Options of all measurements.
+struct SlopeOptions
+{
+    std::vector<std::size_t> sizes;
+    std::uint64_t seed = 1;
+    int crashes = 20;
+    int edits = 50;
+};
+
+// Bytes, datagrams, processor time, crashes and false deaths of a data centre of so many members.
+SlopeTable measureMembership(const SlopeOptions &options);
+
+// From an edit until it is in force everywhere, and the store calls that takes.
+SlopeTable measureDistribution(const SlopeOptions &options);
+
+// Parsing, taking in and holding lists of so many customers.
+SlopeTable measureLists();
+
+// Processor time of one datagram, sent and received through libs/net over loopback.
+SlopeTable measureDatagrams();
+
+} // namespace fescuespring
