--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -32,6 +32,7 @@
             .endpoints = {.heartbeat = settings.membershipEndpoint,
                           .callers = settings.callerEndpoint,
                           .peers = settings.peerEndpoint},
+            .seeds = settings.seeds,
             .randomSeed = seed};
 }
 
@@ -144,7 +145,7 @@
     }
     const Instant now = EventLoop::now();
     if (!actions.changes.empty()) {
-        logChanges(actions);
+        noteChanges(actions);
         m_distribution.setMembers(m_membership.members(), now);
         publishDirectory();
     }
@@ -156,10 +157,15 @@
         m_hooks.toldToLeave();
 }
 
-void ControlThread::logChanges(const MembershipActions &actions)
+void ControlThread::noteChanges(const MembershipActions &actions)
 {
-    for (const MemberChange &change : actions.changes)
+    for (const MemberChange &change : actions.changes) {
         m_log.info("member", {{"vm", change.vm}, {"state", toString(change.state)}});
+        if (change.state == MemberState::Dead)
+            m_goneVms.insert(change.vm);
+        else
+            m_goneVms.erase(change.vm);
+    }
 }
 
 void ControlThread::takeVms(const std::vector<PlatformVm> &vms)
@@ -227,6 +233,7 @@
         if (vm.isEntry && !vm.leaving && vm.dataCentre != m_settings.dataCentre)
             directory.vms[vm.dataCentre].push_back({vm.vm, vm.endpoint});
     }
+    directory.goneVms = m_goneVms;
     directory.mayAct = m_membership.mayAct(EventLoop::now());
     if (directory == m_published)
         return;
--- a/libs/proxy/src/controlthread.h
+++ b/libs/proxy/src/controlthread.h
@@ -84,7 +84,7 @@
     void tickStore();
     void pollVms();
     void take(const MembershipActions &actions);
-    void logChanges(const MembershipActions &actions);
+    void noteChanges(const MembershipActions &actions);
     void takeVms(const std::vector<PlatformVm> &vms);
     void publishDirectory();
     void publishStatus();
@@ -112,6 +112,7 @@
     std::unique_ptr<UdpSocket> m_socket;
     std::map<Endpoint, std::unique_ptr<HttpClient>> m_peers;
     std::vector<PlatformVm> m_vms;
+    std::set<VmId> m_goneVms;
     Directory m_published;
     std::size_t m_nextVantage = 0;
     bool m_leaving = false;
--- a/libs/proxy/src/trafficthread.cpp
+++ b/libs/proxy/src/trafficthread.cpp
@@ -406,8 +406,10 @@
 {
     m_loop.post([this, callback = std::move(callback)] {
         std::vector<GroupStatus> groups;
-        for (const auto &[group, slice] : m_slices)
-            groups.push_back(slice.owner->status());
+        for (const auto &[group, slice] : m_slices) {
+            if (slice.isOurs)
+                groups.push_back(slice.owner->status());
+        }
         callback(groups, m_callers->connectionCount());
     });
 }
--- a/libs/settings/include/settings/daemonsettings.h
+++ b/libs/settings/include/settings/daemonsettings.h
@@ -109,6 +109,9 @@
     // The platform's object store and list of VMs.
     Endpoint platformEndpoint;
 
+    // Peer endpoints to ask for members where the platform's list cannot be had.
+    std::vector<Endpoint> seeds;
+
     std::uint32_t trafficThreads = 2;
     LimitSettings limits;
 
--- a/libs/settings/src/daemonsettings.cpp
+++ b/libs/settings/src/daemonsettings.cpp
@@ -205,6 +205,12 @@
     readEndpointOf(section, "membershipEndpoint", settings.membershipEndpoint,
                    EndpointUse::ListenAnnounced, Presence::Optional);
     readEndpointOf(section, "platformEndpoint", settings.platformEndpoint, EndpointUse::Connect);
+    section.list(
+            "seeds",
+            [&](Section &inner) {
+                readEndpoint(inner, settings.seeds.emplace_back(), EndpointUse::Connect);
+            },
+            Presence::Optional);
     section.number("trafficThreads", settings.trafficThreads, {1, 64});
     section.section("limits", Presence::Optional,
                     [&](Section &inner) { readLimits(inner, settings.limits); });
--- a/libs/settings/src/section.cpp
+++ b/libs/settings/src/section.cpp
@@ -88,9 +88,10 @@
         readItem(found->value, pathOf(field), read);
 }
 
-void Section::list(std::string_view field, const std::function<void(Section &)> &read)
+void Section::list(std::string_view field, const std::function<void(Section &)> &read,
+                   Presence presence)
 {
-    const Entry *found = find(field, Presence::Required);
+    const Entry *found = find(field, presence);
     if (!found)
         return;
     if (!found->value.IsSequence() || found->value.size() == 0) {
--- a/libs/settings/src/section.h
+++ b/libs/settings/src/section.h
@@ -61,7 +61,8 @@
                  const std::function<void(Section &)> &read);
 
     // List of at least one mapping, read by read in order.
-    void list(std::string_view field, const std::function<void(Section &)> &read);
+    void list(std::string_view field, const std::function<void(Section &)> &read,
+              Presence presence = Presence::Required);
 
     template <typename Enum>
     void choice(std::string_view field, Enum &target,
--- a/libs/settings/tests/daemonsettingstest.cpp
+++ b/libs/settings/tests/daemonsettingstest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST_SUITE(DaemonSettingsTest);
     CPPUNIT_TEST(smallestFileTakesDefaults);
     CPPUNIT_TEST(documentedExampleIsRead);
+    CPPUNIT_TEST(seedsAreReadAndChecked);
     CPPUNIT_TEST(everyErrorIsNamedWithItsLine);
     CPPUNIT_TEST(missingFieldsAreNamed);
     CPPUNIT_TEST(unknownFieldsGetASuggestion);
@@ -105,6 +106,21 @@
         CPPUNIT_ASSERT(settings.timings.platformWatch == TimingSettings().platformWatch);
     }
 
+    void seedsAreReadAndChecked()
+    {
+        const std::string text = documentedExample();
+        const std::string good = "seeds:\n  - {ip: 10.1.0.12, port: 8401}\ntrafficThreads:";
+        const SettingsResult settings =
+                parseDaemonSettings(replaced(text, "trafficThreads:", good));
+        CPPUNIT_ASSERT(settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8401}, settings.value().seeds.at(0).port);
+
+        const std::string bad = "seeds:\n  - {ip: 10.1.0.12, port: 0}\ntrafficThreads:";
+        const SettingsResult refused = parseDaemonSettings(replaced(text, "trafficThreads:", bad));
+        CPPUNIT_ASSERT(refused.has_error());
+        CPPUNIT_ASSERT_EQUAL(std::string("seeds[0].port"), refused.error().at(0).field);
+    }
+
     void everyErrorIsNamedWithItsLine()
     {
         std::string yaml = replaced(smallest, "vm: vm-1", "vm: 'vm 1'");
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -516,10 +516,40 @@
 {
     const Instant now = EventLoop::now();
     advanceConfirmations(now);
+    abandonStalled();
     withdrawMisrouted();
     wakeParked(now, true);
 }
 
+// A call that is open at a database which does not answer probes any more, or under a term that is
+// over, would stay open until its deadline: its connection is given up, and what may be repeated is
+// routed again.
+void RequestRunner::abandonStalled()
+{
+    std::vector<RunId> stalled;
+    for (const auto &[id, run] : m_runs) {
+        if (run->lease && isStalled(*run))
+            stalled.push_back(id);
+    }
+    std::sort(stalled.begin(), stalled.end());
+    for (const RunId id : stalled) {
+        const auto found = m_runs.find(id);
+        if (found == m_runs.end())
+            continue;
+        RequestRun &run = *found->second;
+        m_view.lost(run.database);
+        take(run, run.life->connectionLost());
+    }
+}
+
+bool RequestRunner::isStalled(const RequestRun &run) const
+{
+    if (!run.isRead())
+        return m_view.isOvertaken(run.term);
+    const DatabaseView *database = m_view.find(run.database);
+    return database == nullptr || !database->reachable;
+}
+
 // Work that waits at a database which has been replaced or cannot be reached would wait there until
 // its deadline: it is routed again.
 void RequestRunner::withdrawMisrouted()
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -90,6 +90,8 @@
     RouteAnswer explainRead(const RouteQuestion &question) const;
     RouteAnswer explainWrite() const;
     std::string explainDatabase(const DatabaseView &database, LogPoint point) const;
+    void abandonStalled();
+    bool isStalled(const RequestRun &run) const;
     void withdrawMisrouted();
     bool isMisrouted(const RequestRun &run) const;
     void wakeParked(Instant now, bool statusArrived);
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -13,7 +13,7 @@
 failures=0
 token=""
 answer=""
-vmArguments=""
+seeds=""
 
 stopAll() {
     for pid in "${pids[@]}"; do kill -CONT "$pid" 2> /dev/null; kill "$pid" 2> /dev/null; done
@@ -125,6 +125,7 @@
 platformEndpoint: {ip: $ip, port: $platform}
 tokenKeys:
   - {id: 1, secret: for-tests-only-not-for-production}
+$seeds
 timings:
   databaseProbeIntervalMs: 200
 groups:
