--- /dev/null
+++ b/libs/scheduling/src/flow.cpp
@@ -0,0 +1,154 @@
+#include "flow.h"
+
+#include <algorithm>
+
+namespace fescuespring::detail {
+
+void Flow::push(WorkStore &store, std::uint32_t index)
+{
+    WorkItem &item = store[index];
+    item.flow = this;
+    std::uint32_t queue = store.findQueue(*this, item.customer);
+    if (queue == noIndex) {
+        queue = store.addQueue(*this, item.customer);
+        addToRing(store, queue);
+    }
+    store.append(queue, index);
+    ++m_size;
+    m_backlog += item.cost;
+}
+
+std::uint32_t Flow::front(WorkStore &store) const
+{
+    return store.queue(m_turn).head;
+}
+
+void Flow::remove(WorkStore &store, std::uint32_t index)
+{
+    const std::uint32_t queue = store[index].queue;
+    const bool wasFront = queue == m_turn && store.queue(queue).head == index;
+    store.unlink(index);
+    --m_size;
+    m_backlog -= store[index].cost;
+    if (wasFront)
+        m_turn = store.queue(queue).next;
+    if (store.queue(queue).size > 0)
+        return;
+    removeFromRing(store, queue);
+    store.removeQueue(queue);
+}
+
+double Flow::aheadOf(std::uint32_t ownQueued) const
+{
+    if (m_size == 0)
+        return 0.0;
+    const double all = static_cast<double>(m_backlog.count());
+    const double before = (ownQueued + 1.0) * m_customers;
+    return std::min(all, before / m_size * all);
+}
+
+// In front of the turn, which is last.
+void Flow::addToRing(WorkStore &store, std::uint32_t queue)
+{
+    ++m_customers;
+    CustomerQueue &added = store.queue(queue);
+    if (m_turn == noIndex) {
+        added.previous = queue;
+        added.next = queue;
+        m_turn = queue;
+        return;
+    }
+    CustomerQueue &turn = store.queue(m_turn);
+    added.next = m_turn;
+    added.previous = turn.previous;
+    store.queue(turn.previous).next = queue;
+    turn.previous = queue;
+}
+
+void Flow::removeFromRing(WorkStore &store, std::uint32_t queue)
+{
+    --m_customers;
+    const CustomerQueue &removed = store.queue(queue);
+    store.queue(removed.previous).next = removed.next;
+    store.queue(removed.next).previous = removed.previous;
+    if (m_turn != queue)
+        return;
+    m_turn = m_customers == 0 ? noIndex : removed.next;
+}
+
+bool PlanState::mayRun(FlowKind kind) const
+{
+    if (flow(kind).isEmpty() || running >= plan.connections)
+        return false;
+    return kind == FlowKind::Short || runningLong < plan.longStatements;
+}
+
+double PlanState::flowWeight(FlowKind kind) const
+{
+    const FlowKind other = kind == FlowKind::Short ? FlowKind::Long : FlowKind::Short;
+    const double weight = plan.weight;
+    return flow(other).isEmpty() ? weight : weight / 2;
+}
+
+void FlowHeap::push(Flow &flow)
+{
+    m_flows.push_back(&flow);
+    place(m_flows.size() - 1, &flow);
+    siftUp(m_flows.size() - 1);
+}
+
+void FlowHeap::remove(Flow &flow)
+{
+    const std::size_t position = flow.heapPosition;
+    Flow *last = m_flows.back();
+    m_flows.pop_back();
+    flow.heapPosition = noIndex;
+    if (last == &flow)
+        return;
+    place(position, last);
+    update(*last);
+}
+
+void FlowHeap::update(Flow &flow)
+{
+    siftUp(flow.heapPosition);
+    siftDown(flow.heapPosition);
+}
+
+void FlowHeap::place(std::size_t position, Flow *flow)
+{
+    m_flows[position] = flow;
+    flow->heapPosition = static_cast<std::uint32_t>(position);
+}
+
+void FlowHeap::siftUp(std::size_t position)
+{
+    Flow *flow = m_flows[position];
+    while (position > 0) {
+        const std::size_t parent = (position - 1) / 2;
+        if (m_flows[parent]->tag <= flow->tag)
+            break;
+        place(position, m_flows[parent]);
+        position = parent;
+    }
+    place(position, flow);
+}
+
+void FlowHeap::siftDown(std::size_t position)
+{
+    Flow *flow = m_flows[position];
+    for (;;) {
+        std::size_t child = 2 * position + 1;
+        if (child >= m_flows.size())
+            break;
+        if (child + 1 < m_flows.size() && m_flows[child + 1]->tag < m_flows[child]->tag)
+            ++child;
+        if (m_flows[child]->tag >= flow->tag)
+            break;
+        place(position, m_flows[child]);
+        position = child;
+    }
+    place(position, flow);
+}
+
+} // namespace fescuespring::detail
