--- a/libs/promotion/src/promoter.cpp
+++ b/libs/promotion/src/promoter.cpp
@@ -57,8 +57,11 @@
         return {};
     m_request = request;
     m_members.clear();
-    for (const DatabaseView &database : databases)
-        m_members.push_back({.database = database.site.database, .leaving = database.site.leaving});
+    for (const DatabaseView &database : databases) {
+        const DatabaseSite &site = database.site;
+        m_members.push_back({.database = site.database,
+                             .leaving = site.leaving || site.database == request.leaving});
+    }
     m_highest = std::max(view.highestTerm(), lastTerm(view.history()));
     m_term = Term();
     m_attempt = 0;
--- /dev/null
+++ b/libs/promotion/tests/promotiontest.cpp
@@ -0,0 +1,304 @@
+#include "promotion/lossdetector.h"
+#include "promotion/promoter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace fescuespring;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Instant start = Instant() + std::chrono::seconds(100);
+
+DatabaseStatus statusOf(const std::string &name, Role role, Term term, LogPosition position)
+{
+    DatabaseStatus status;
+    status.database = DatabaseId(name);
+    status.role = role;
+    status.term = term;
+    status.received = {Term(1), position};
+    status.applied = status.received;
+    status.age = milliseconds(5);
+    status.history = {{Term(1), LogPosition(1)}};
+    return status;
+}
+
+GroupView viewAt(Instant now)
+{
+    GroupView view(GroupId("herd"));
+    view.setSites({{.database = DatabaseId("d1")},
+                   {.database = DatabaseId("d2")},
+                   {.database = DatabaseId("d3")}});
+    view.heard(statusOf("d1", Role::Primary, Term(1), LogPosition(10)), now, now);
+    view.heard(statusOf("d2", Role::Replica, Term(1), LogPosition(9)), now, now);
+    view.heard(statusOf("d3", Role::Replica, Term(1), LogPosition(8)), now, now);
+    return view;
+}
+
+std::size_t countOf(const PromotionActions &actions, PromotionActionKind kind)
+{
+    return static_cast<std::size_t>(
+            std::count_if(actions.begin(), actions.end(),
+                          [&](const PromotionAction &action) { return action.kind == kind; }));
+}
+
+Promoter newPromoter()
+{
+    return Promoter({.vm = VmId("vm1"), .random = [] {
+                         return std::uint64_t{5};
+                     }});
+}
+
+} // namespace
+
+class PromotionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromotionTest);
+    CPPUNIT_TEST(agreementOfVantagePointsSuffices);
+    CPPUNIT_TEST(oneVantagePointAgainstOthersDoesNot);
+    CPPUNIT_TEST(aloneTakesLonger);
+    CPPUNIT_TEST(replicaThatHearsThePrimaryContests);
+    CPPUNIT_TEST(pausedVmStartsCountingAgain);
+    CPPUNIT_TEST(cutOffVmNeverPromotes);
+    CPPUNIT_TEST(headlessGroupIsTakenOver);
+    CPPUNIT_TEST(changeAccountsItsTime);
+    CPPUNIT_TEST(storeDownTakesADistantTerm);
+    CPPUNIT_TEST(lostAnswerOfTheStoreIsReadBack);
+    CPPUNIT_TEST(yieldsOnceToAnotherPromoter);
+    CPPUNIT_TEST(plannedChangeHoldsWritesUntilLevel);
+    CPPUNIT_TEST(plannedChangeGivesUpWhereNoReplicaComesLevel);
+    CPPUNIT_TEST(recordSurvivesTheWay);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void agreementOfVantagePointsSuffices()
+    {
+        assertVerdictAfter(milliseconds(500), LossVerdict::Alive, true);
+        assertVerdictAfter(milliseconds(700), LossVerdict::Lost, true);
+    }
+
+    void oneVantagePointAgainstOthersDoesNot()
+    {
+        LossDetector detector;
+        GroupView view = viewAt(start);
+        const Instant now = passSilence(detector, view, milliseconds(5000), [&](Instant at) {
+            detector.report({VmId("vm2"), Term(1), true, at});
+        });
+        CPPUNIT_ASSERT(detector.examine(view, now) == LossVerdict::Suspected);
+    }
+
+    void aloneTakesLonger()
+    {
+        assertVerdictAfter(milliseconds(1400), LossVerdict::Suspected, false);
+        assertVerdictAfter(milliseconds(1600), LossVerdict::Lost, false);
+    }
+
+    void replicaThatHearsThePrimaryContests()
+    {
+        m_replicaAge = milliseconds(5);
+        assertVerdictAfter(milliseconds(2400), LossVerdict::Suspected, true);
+        assertVerdictAfter(milliseconds(2600), LossVerdict::Lost, true);
+    }
+
+    void pausedVmStartsCountingAgain()
+    {
+        LossDetector detector;
+        GroupView view = viewAt(start);
+        detector.examine(view, start);
+        const Instant thawed = start + std::chrono::seconds(30);
+        CPPUNIT_ASSERT(detector.examine(view, thawed) == LossVerdict::Alive);
+    }
+
+    void cutOffVmNeverPromotes()
+    {
+        LossDetector detector;
+        const GroupView view = viewAt(start);
+        Instant now = start;
+        for (int i = 0; i < 100; ++i) {
+            now += milliseconds(100);
+            CPPUNIT_ASSERT(detector.examine(view, now) != LossVerdict::Lost);
+        }
+    }
+
+    void headlessGroupIsTakenOver()
+    {
+        LossDetector detector;
+        GroupView view = viewAt(start);
+        Instant now = start;
+        LossVerdict verdict = LossVerdict::Alive;
+        for (int i = 0; i < 7; ++i) {
+            now += milliseconds(100);
+            for (const char *name : {"d2", "d3"})
+                view.heard(statusOf(name, Role::Replica, Term(2), LogPosition(9)), now, now);
+            verdict = detector.examine(view, now);
+        }
+        CPPUNIT_ASSERT(verdict == LossVerdict::Lost);
+    }
+
+    void changeAccountsItsTime()
+    {
+        Promoter promoter = newPromoter();
+        promoter.start({.silentSince = start, .foundAt = start + milliseconds(600)}, viewAt(start),
+                       start + milliseconds(610));
+        const Instant claimed = start + milliseconds(614);
+        promoter.recordRead(1, std::nullopt, claimed);
+        const PromotionActions fences = promoter.recordWritten(2, ObjectVersion(1), claimed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), countOf(fences, PromotionActionKind::Fence));
+        const Instant fenced = start + milliseconds(616);
+        hear(promoter, statusOf("d2", Role::Replica, Term(2), LogPosition(9)), fenced);
+        hear(promoter, statusOf("d3", Role::Replica, Term(2), LogPosition(8)), fenced);
+        const PromotionActions promote = promoter.tick(fenced + milliseconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::string("d2"), promote.at(0).database.value());
+        const PromotionActions after = hear(promoter, newPrimary("d2"), fenced + milliseconds(11));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), countOf(after, PromotionActionKind::Follow));
+        const PromotionReport report = promoter.takeReport().value();
+        CPPUNIT_ASSERT(report.end == PromotionEnd::Promoted && report.term == Term(2));
+        CPPUNIT_ASSERT(report.detect == milliseconds(600) && report.decide == milliseconds(10));
+        CPPUNIT_ASSERT(report.store == milliseconds(4) && report.fence == milliseconds(12));
+        CPPUNIT_ASSERT(report.promote == milliseconds(1));
+    }
+
+    void storeDownTakesADistantTerm()
+    {
+        Promoter promoter = newPromoter();
+        promoter.start({}, viewAt(start), start);
+        const PromotionActions fences = promoter.tick(start + milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), countOf(fences, PromotionActionKind::Fence));
+        CPPUNIT_ASSERT(promoter.term() >= Term(1024));
+
+        Promoter planned = newPromoter();
+        planned.start({.kind = PromotionKind::Planned}, viewAt(start), start);
+        CPPUNIT_ASSERT(planned.tick(start + milliseconds(400)).empty());
+        CPPUNIT_ASSERT(planned.takeReport()->end == PromotionEnd::TimedOut);
+    }
+
+    void lostAnswerOfTheStoreIsReadBack()
+    {
+        Promoter promoter = newPromoter();
+        promoter.start({}, viewAt(start), start);
+        const GroupRecord ours = promoter.recordRead(1, std::nullopt, start).at(0).record;
+        promoter.storeFailed(2, start);
+        promoter.tick(start + milliseconds(50));
+        const PromotionActions fences = promoter.recordRead(3, StoredRecord{ours, ObjectVersion(1)},
+                                                            start + milliseconds(51));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), countOf(fences, PromotionActionKind::Fence));
+        CPPUNIT_ASSERT(promoter.term() == Term(2));
+    }
+
+    void yieldsOnceToAnotherPromoter()
+    {
+        const StoredRecord theirs{{.term = Term(2), .promoter = VmId("vm2")}, ObjectVersion(1)};
+        Promoter promoter = newPromoter();
+        promoter.start({}, viewAt(start), start);
+        promoter.recordRead(1, theirs, start);
+        CPPUNIT_ASSERT(promoter.takeReport()->end == PromotionEnd::Outbid);
+        const Instant later = start + milliseconds(500);
+        promoter.start({}, viewAt(start), later);
+        const PromotionActions claim = promoter.recordRead(2, theirs, later);
+        CPPUNIT_ASSERT(claim.at(0).record.term == Term(3));
+    }
+
+    void plannedChangeHoldsWritesUntilLevel()
+    {
+        Promoter promoter = newPromoter();
+        startPlanned(promoter);
+        const PromotionActions probes = promoter.drained(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), countOf(probes, PromotionActionKind::Probe));
+        hear(promoter, statusOf("d1", Role::Primary, Term(1), LogPosition(10)), start);
+        const PromotionActions behind =
+                hear(promoter, statusOf("d2", Role::Replica, Term(1), LogPosition(9)), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(behind, PromotionActionKind::Fence));
+        const PromotionActions level =
+                hear(promoter, statusOf("d2", Role::Replica, Term(1), LogPosition(10)), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), countOf(level, PromotionActionKind::Fence));
+        for (const char *name : {"d2", "d3"})
+            hear(promoter, statusOf(name, Role::Replica, Term(2), LogPosition(10)), start);
+        CPPUNIT_ASSERT(promoter.step() == PromotionStep::Fencing);
+        const PromotionActions promote =
+                hear(promoter, statusOf("d1", Role::Replica, Term(2), LogPosition(10)), start);
+        CPPUNIT_ASSERT_EQUAL(std::string("d2"), promote.at(0).database.value());
+        const PromotionActions after = hear(promoter, newPrimary("d2"), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), countOf(after, PromotionActionKind::ReleaseWrites));
+    }
+
+    void plannedChangeGivesUpWhereNoReplicaComesLevel()
+    {
+        Promoter promoter = newPromoter();
+        startPlanned(promoter);
+        promoter.drained(start);
+        const PromotionActions actions = promoter.tick(start + milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), countOf(actions, PromotionActionKind::ReleaseWrites));
+        CPPUNIT_ASSERT(promoter.takeReport()->end == PromotionEnd::TimedOut);
+    }
+
+    void recordSurvivesTheWay()
+    {
+        const GroupRecord record{.term = Term(7),
+                                 .promoter = VmId("vm1"),
+                                 .attempt = 99,
+                                 .phase = RecordPhase::Stable,
+                                 .primary = DatabaseId("d2"),
+                                 .history = {{Term(1), LogPosition(1)}, {Term(7), LogPosition(9)}}};
+        CPPUNIT_ASSERT(decodeRecord(encodeRecord(record)).value() == record);
+        CPPUNIT_ASSERT(decodeRecord(encodeRecord(record) + "later 1\n").value() == record);
+        CPPUNIT_ASSERT(decodeRecord("term x\n").has_error());
+        CPPUNIT_ASSERT(decodeRecord("").has_error());
+    }
+
+private:
+    template <typename Event>
+    Instant passSilence(LossDetector &detector, GroupView &view, Duration time, const Event &event)
+    {
+        Instant now = start;
+        while (now < start + time) {
+            detector.examine(view, now);
+            now += milliseconds(100);
+            for (const char *name : {"d2", "d3"}) {
+                DatabaseStatus status = statusOf(name, Role::Replica, Term(1), LogPosition(9));
+                status.age = m_replicaAge;
+                view.heard(status, now, now);
+            }
+            event(now);
+        }
+        return now;
+    }
+
+    void assertVerdictAfter(Duration silence, LossVerdict expected, bool othersAgree)
+    {
+        LossDetector detector;
+        GroupView view = viewAt(start);
+        const Instant now = passSilence(detector, view, silence, [&](Instant at) {
+            if (othersAgree)
+                detector.report({VmId("vm2"), Term(1), false, at});
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(toString(expected)),
+                             std::string(toString(detector.examine(view, now))));
+    }
+
+    static PromotionActions hear(Promoter &promoter, const DatabaseStatus &status, Instant now)
+    {
+        return promoter.statusHeard(status, now, now);
+    }
+
+    static DatabaseStatus newPrimary(const std::string &name)
+    {
+        DatabaseStatus status = statusOf(name, Role::Primary, Term(2), LogPosition(11));
+        status.history.push_back({Term(2), LogPosition(11)});
+        return status;
+    }
+
+    static void startPlanned(Promoter &promoter)
+    {
+        promoter.start({.kind = PromotionKind::Planned, .leaving = DatabaseId("d1")}, viewAt(start),
+                       start);
+        promoter.recordRead(1, std::nullopt, start);
+        const PromotionActions hold = promoter.recordWritten(2, ObjectVersion(1), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), countOf(hold, PromotionActionKind::HoldWrites));
+    }
+
+    std::chrono::milliseconds m_replicaAge{2000};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromotionTest);
