Pass over a primary that answers but reaches no other database

Cause: the lead saw in a process test that durable writes end unknown (not-durable-in-time) until a cut heals, where the owner reaches the primary and the replicas do not.

Change: LossDetector says Isolated where a majority has received nothing for 2.5 s, its data is as old, the primary has newer entries, and a write has just lacked its copy (writeLackedCopy). PromotionRequest::avoid then keeps the primary from being chosen again while a majority of the others is fenced; without that, its log is the furthest and it would be promoted over and over. Nothing acknowledged under Durability::Replicated is lost: the choice is made among a majority. What the primary alone holds is dropped, which Durability::Primary allows. The callers have two things to do: writeLackedCopy at NotDurableInTime, avoid at Isolated.

Ruled out: silence of the replicas alone as evidence; without a write that lacks a copy nothing is gained, and a plan of Durability::Primary would lose writes. Replicas that lag and still receive do not count (laggingReplicasDoNotIsolate).

--- a/libs/checker/tests/history.cpp
+++ b/libs/checker/tests/history.cpp
@@ -179,6 +179,14 @@
         at(from, [this, vm] { killVm(vm); });
         break;
     case 1:
+        // Cut from the other databases only.
+        at(from, [this, target, hitPrimary] {
+            hitPrimary();
+            line(nameOf(*target).value() + " hears no database");
+            m_isolated[*target] = true;
+        });
+        at(until, [this, target] { setCut(*target, false, vmCount); });
+        break;
     case 2:
         // Cut from the other databases and from one VM; the other VM still reaches it.
         at(from, [this, vm, target, hitPrimary] {
@@ -463,6 +471,8 @@
     for (const ConfirmationResult &result : vm.confirmer->advance(*vm.view, m_now)) {
         const RequestPointer request = vm.confirming[result.id];
         vm.confirming.erase(result.id);
+        if (result.outcome == ConfirmationOutcome::NotDurableInTime)
+            vm.detector->writeLackedCopy(m_now);
         obey(request, request->life->confirmed(result.outcome));
     }
     if (vm.confirmer->takeRound(m_now))
@@ -481,6 +491,7 @@
                           ? session.repeated
                           : RequestId(session.id.value() + "-" + std::to_string(session.next++));
     session.hasRepeat = false;
+    request->begunAt = m_now;
     request->token = session.token;
     request->vm = draw(vmCount);
     request->incarnation = m_vms[request->vm].incarnation;
@@ -728,6 +739,7 @@
             finished.answeredFor = RequestId(request->results.back());
         session.token.advance(group, request->point);
         ++m_result.done;
+        (isRead ? m_result.readTime : m_result.writeTime) += m_now - request->begunAt;
         m_result.reads += isRead ? 1 : 0;
         m_result.readsByReplicas += isRead && request->byReplica ? 1 : 0;
     }
--- a/libs/checker/tests/history.h
+++ b/libs/checker/tests/history.h
@@ -63,6 +63,10 @@
     std::size_t reads = 0;
     std::size_t readsByReplicas = 0;
     std::size_t promotions = 0;
+
+    // Time from sending to answer, of all writes and of all reads that are done.
+    Duration writeTime{0};
+    Duration readTime{0};
     std::vector<Violation> violations;
 
     // What happened, one line each, where it was asked for.
@@ -90,6 +94,7 @@
         std::size_t session = 0;
         Access access = Access::Read;
         SessionToken token;
+        Instant begunAt;
         Instant receivedAt;
         std::size_t vm = 0;
         unsigned incarnation = 0;
--- a/libs/explorer/include/explorer/promotionworld.h
+++ b/libs/explorer/include/explorer/promotionworld.h
@@ -72,6 +72,9 @@
     Durability durability = Durability::Replicated;
     PromotionKind kind = PromotionKind::Unplanned;
 
+    // Whether an unplanned change passes over the primary, as one that reaches no other database.
+    bool avoidsPrimary = false;
+
     // What each of the two VMs may do.
     std::array<unsigned, 2> starts{1, 1};
     std::array<unsigned, 2> writes{1, 0};
--- a/libs/explorer/src/promotionworld.cpp
+++ b/libs/explorer/src/promotionworld.cpp
@@ -266,8 +266,11 @@
     --vm.starts;
     vm.now += eventTime;
     const auto primary = vm.view.primary();
+    const DatabaseId old = primary ? primary->database : DatabaseId();
+    const bool isPlanned = m_options.kind == PromotionKind::Planned;
     const PromotionRequest request{.kind = m_options.kind,
-                                   .leaving = primary ? primary->database : DatabaseId()};
+                                   .leaving = isPlanned ? old : DatabaseId(),
+                                   .avoid = m_options.avoidsPrimary ? old : DatabaseId()};
     perform(index, vm.promoter.start(request, vm.view, vm.now));
 }
 
--- a/libs/explorer/tests/promotionworldtest.cpp
+++ b/libs/explorer/tests/promotionworldtest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(writeDuringChangeByAnotherVm);
     CPPUNIT_TEST(writeAcknowledgedByThePrimaryAlone);
     CPPUNIT_TEST(plannedChangeLosesNothing);
+    CPPUNIT_TEST(primaryIsPassedOver);
     CPPUNIT_TEST(twoPromoters);
     CPPUNIT_TEST(twoPromotersAndAWrite);
     CPPUNIT_TEST(twoPromotersWithoutTheStore);
@@ -78,6 +79,12 @@
                        unlimited);
     }
 
+    void primaryIsPassedOver()
+    {
+        assertAllHolds("passed over", {.avoidsPrimary = true, .starts = {1, 0}, .writes = {0, 1}},
+                       unlimited);
+    }
+
     void twoPromoters()
     {
         assertAllHolds("two promoters", {.starts = {1, 1}, .writes = {0, 0}}, unlimited);
--- a/libs/promotion/include/promotion/lossdetector.h
+++ b/libs/promotion/include/promotion/lossdetector.h
@@ -25,6 +25,10 @@
 
     // A change of primary is due.
     Lost,
+
+    // It answers, but a majority hears nothing of it any more and writes that need a copy fail: a
+    // change that passes it over is due (PromotionRequest::avoid).
+    Isolated,
 };
 
 const char *toString(LossVerdict verdict);
@@ -47,6 +51,10 @@
     // fencing, before another takes over.
     Duration headlessAfter = std::chrono::milliseconds(500);
 
+    // Time for which a majority must have received nothing from a primary that answers and has
+    // newer entries, before the primary counts as isolated.
+    Duration isolatedAfter = std::chrono::milliseconds(2500);
+
     // Reports of peers older than this are not counted.
     Duration reportLifetime = std::chrono::milliseconds(600);
 
@@ -68,6 +76,10 @@
 
     void report(PeerReport report);
 
+    // A write that needs a second copy ended without one (NotDurableInTime). Without such a write
+    // nothing is gained by passing over a primary that answers.
+    void writeLackedCopy(Instant now);
+
     // To be called at least every pauseAfter, also while nothing happens.
     LossVerdict examine(const GroupView &view, Instant now);
 
@@ -84,7 +96,17 @@
         std::size_t alive = 0;
     };
 
+    // How far a replica had come when it last received something.
+    struct Progress
+    {
+        DatabaseId database;
+        LogPoint received;
+        Instant since;
+    };
+
     LossVerdict examineHeadless(Instant now);
+    bool isIsolated(const GroupView &view, const PrimaryView &primary, Instant now) const;
+    void noteProgress(const GroupView &view, Instant now);
     LossVerdict examineSilent(const GroupView &view, const PrimaryView &primary, Instant now) const;
     Votes votes(Term term, Instant now) const;
     bool isHeardByReplica(const GroupView &view, const PrimaryView &primary, Instant now) const;
@@ -92,6 +114,8 @@
 
     LossOptions m_options;
     std::vector<PeerReport> m_reports;
+    std::vector<Progress> m_progress;
+    std::optional<Instant> m_lackedCopyAt;
     std::optional<Instant> m_lastExamined;
     Instant m_resumedAt;
     std::optional<Instant> m_headlessSince;
--- a/libs/promotion/include/promotion/promoter.h
+++ b/libs/promotion/include/promotion/promoter.h
@@ -150,6 +150,10 @@
     // With Planned: the primary that is leaving.
     DatabaseId leaving = {};
 
+    // With Unplanned: a primary that answers but reaches no other database. It is chosen again only
+    // if the others that were fenced are no majority; writes that it alone holds are dropped.
+    DatabaseId avoid = {};
+
     // When the primary last gave a sign of life and when it was found lost, for the report.
     Instant silentSince = {};
     Instant foundAt = {};
@@ -244,6 +248,7 @@
     bool isFencingDone(Instant now) const;
     std::size_t fencedCount() const;
     const Member *furthestFenced() const;
+    bool mayAvoid() const;
     bool isCaughtUp() const;
     bool isCallingDatabases() const;
     void enter(PromotionStep step, Duration timeout, Instant now);
--- a/libs/promotion/src/lossdetector.cpp
+++ b/libs/promotion/src/lossdetector.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array verdictNames{"alive", "suspected", "lost"};
+constexpr std::array verdictNames{"alive", "suspected", "lost", "isolated"};
 
 } // namespace
 
@@ -35,8 +35,10 @@
     if (!m_lastExamined || now - *m_lastExamined > m_options.pauseAfter) {
         m_resumedAt = now;
         m_headlessSince.reset();
+        m_progress.clear();
     }
     m_lastExamined = now;
+    noteProgress(view, now);
     std::erase_if(m_reports, [&](const PeerReport &report) {
         return now - report.heardAt > m_options.reportLifetime;
     });
@@ -49,10 +51,49 @@
     m_headlessSince.reset();
     m_silentSince = std::max(view.find(primary->database)->heardAt, m_resumedAt);
     if (now - m_silentSince < m_options.suspectAfter)
-        return LossVerdict::Alive;
+        return isIsolated(view, *primary, now) ? LossVerdict::Isolated : LossVerdict::Alive;
     return canPromote ? examineSilent(view, *primary, now) : LossVerdict::Suspected;
 }
 
+void LossDetector::writeLackedCopy(Instant now)
+{
+    m_lackedCopyAt = now;
+}
+
+void LossDetector::noteProgress(const GroupView &view, Instant now)
+{
+    for (const DatabaseView &database : view.databases()) {
+        if (!database.status)
+            continue;
+        const LogPoint received = database.status->received;
+        const auto known =
+                std::find_if(m_progress.begin(), m_progress.end(), [&](const Progress &progress) {
+                    return progress.database == database.site.database;
+                });
+        if (known == m_progress.end())
+            m_progress.push_back({database.site.database, received, now});
+        else if (known->received != received)
+            *known = {database.site.database, received, now};
+    }
+}
+
+bool LossDetector::isIsolated(const GroupView &view, const PrimaryView &primary, Instant now) const
+{
+    if (!m_lackedCopyAt || now - *m_lackedCopyAt > m_options.isolatedAfter)
+        return false;
+    const LogPoint reached = view.find(primary.database)->status->received;
+    const auto isDeaf = [&](const Progress &progress) {
+        const DatabaseView *database = view.find(progress.database);
+        const bool isFresh = database && database->status && database->status->term == primary.term
+                             && now - database->heardAt < m_options.suspectAfter;
+        return isFresh && progress.database != primary.database && progress.received < reached
+               && now - progress.since >= m_options.isolatedAfter
+               && database->status->age >= m_options.isolatedAfter;
+    };
+    const auto deaf = std::count_if(m_progress.begin(), m_progress.end(), isDeaf);
+    return static_cast<std::size_t>(deaf) >= view.majority();
+}
+
 LossVerdict LossDetector::examineHeadless(Instant now)
 {
     if (!m_headlessSince) {
--- a/libs/promotion/src/promoter.cpp
+++ b/libs/promotion/src/promoter.cpp
@@ -273,14 +273,28 @@
                 });
         return isOldFenced || now >= m_stepEnds;
     }
+    if (!m_request.avoid.isEmpty() && !mayAvoid())
+        return now >= m_stepEnds;
     return now >= *m_majorityAt + m_options.fenceGrace;
 }
 
+// Whether the choice is safe without the database to be avoided: a majority of the others is
+// fenced.
+bool Promoter::mayAvoid() const
+{
+    const auto others =
+            std::count_if(m_members.begin(), m_members.end(), [&](const Member &member) {
+                return member.fenced && member.database != m_request.avoid;
+            });
+    return static_cast<std::size_t>(others) >= m_members.size() / 2 + 1;
+}
+
 const Promoter::Member *Promoter::furthestFenced() const
 {
+    const bool isAvoiding = mayAvoid();
     const Member *best = nullptr;
     for (const Member &member : m_members) {
-        if (!member.fenced)
+        if (!member.fenced || (isAvoiding && member.database == m_request.avoid))
             continue;
         const bool isBetter = !best || member.fenced->received > best->fenced->received
                               || (member.fenced->received == best->fenced->received && best->leaving
--- a/libs/promotion/tests/promotiontest.cpp
+++ b/libs/promotion/tests/promotiontest.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(pausedVmStartsCountingAgain);
     CPPUNIT_TEST(cutOffVmNeverPromotes);
     CPPUNIT_TEST(headlessGroupIsTakenOver);
+    CPPUNIT_TEST(isolatedPrimaryIsPassedOver);
+    CPPUNIT_TEST(laggingReplicasDoNotIsolate);
     CPPUNIT_TEST(changeAccountsItsTime);
     CPPUNIT_TEST(storeDownTakesADistantTerm);
     CPPUNIT_TEST(lostAnswerOfTheStoreIsReadBack);
@@ -137,6 +139,27 @@
         CPPUNIT_ASSERT(verdict == LossVerdict::Lost);
     }
 
+    void isolatedPrimaryIsPassedOver()
+    {
+        CPPUNIT_ASSERT(verdictOfSilentReplicas(false, true) == LossVerdict::Isolated);
+        CPPUNIT_ASSERT(verdictOfSilentReplicas(false, false) == LossVerdict::Alive);
+
+        Promoter promoter = newPromoter();
+        promoter.start({.avoid = DatabaseId("d1")}, viewAt(start), start);
+        promoter.recordRead(1, std::nullopt, start);
+        promoter.recordWritten(2, ObjectVersion(1), start);
+        hear(promoter, statusOf("d1", Role::Replica, Term(2), LogPosition(10)), start);
+        hear(promoter, statusOf("d2", Role::Replica, Term(2), LogPosition(9)), start);
+        const PromotionActions promote =
+                hear(promoter, statusOf("d3", Role::Replica, Term(2), LogPosition(8)), start);
+        CPPUNIT_ASSERT_EQUAL(std::string("d2"), promote.at(0).database.value());
+    }
+
+    void laggingReplicasDoNotIsolate()
+    {
+        CPPUNIT_ASSERT(verdictOfSilentReplicas(true, true) == LossVerdict::Alive);
+    }
+
     void changeAccountsItsTime()
     {
         Promoter promoter = newPromoter();
@@ -265,6 +288,28 @@
         return now;
     }
 
+    // The primary answers and writes; replicas are old, and stand still unless they advance.
+    static LossVerdict verdictOfSilentReplicas(bool advance, bool writesLackCopies)
+    {
+        LossDetector detector;
+        GroupView view = viewAt(start);
+        LossVerdict verdict = LossVerdict::Alive;
+        for (std::uint64_t i = 1; i <= 40; ++i) {
+            const Instant now = start + milliseconds(100 * i);
+            view.heard(statusOf("d1", Role::Primary, Term(1), LogPosition(100 + i)), now, now);
+            for (const char *name : {"d2", "d3"}) {
+                const LogPosition position(advance ? 9 + i : 9);
+                DatabaseStatus status = statusOf(name, Role::Replica, Term(1), position);
+                status.age = milliseconds(100 * i);
+                view.heard(status, now, now);
+            }
+            if (writesLackCopies)
+                detector.writeLackedCopy(now);
+            verdict = detector.examine(view, now);
+        }
+        return verdict;
+    }
+
     void assertVerdictAfter(Duration silence, LossVerdict expected, bool othersAgree)
     {
         LossDetector detector;
