Take in bursts; two spare statements instead of one

Change: a queue that was empty 250 ms ago may grow to 320 ms of wait, and what it took in waits to its deadline. SchedulerOptions::spare is 2, PoolOptions::minimum 5.

--- a/libs/pool/include/pool/connectionpool.h
+++ b/libs/pool/include/pool/connectionpool.h
@@ -42,7 +42,7 @@
     std::uint32_t limit = 20;
 
     // Connections kept open while the slice is owned, whatever the demand.
-    std::uint32_t minimum = 4;
+    std::uint32_t minimum = 5;
 
     // Connections kept beyond the recent peak, so that a rise in demand finds one open.
     std::uint32_t headroom = 1;
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -81,7 +81,7 @@
 
     // Statements beyond the slots that may be under way, so that a slot is not idle for the round
     // trip between an answer and the next statement.
-    std::uint32_t spare = 1;
+    std::uint32_t spare = 2;
 
     // Slots that long work may hold together; at most one less than the slots where there are two
     // or more.
@@ -94,6 +94,11 @@
     // the same. What keeps the slots busy waits less; a longer queue only makes all late.
     Duration maximumWait = std::chrono::milliseconds(80);
 
+    // A queue that was empty burstTime ago or later is a burst and no overload: it may grow until
+    // burstWait, and what it has taken in waits until its deadline.
+    Duration burstTime = std::chrono::milliseconds(250);
+    Duration burstWait = std::chrono::milliseconds(320);
+
     // Estimate for a statement that was never seen.
     Duration firstEstimate = std::chrono::milliseconds(5);
 
--- a/libs/scheduling/src/flow.h
+++ b/libs/scheduling/src/flow.h
@@ -62,6 +62,9 @@
     // Tells the flows of a scheduler apart.
     std::uint64_t number = 0;
 
+    // Since when work has been waiting without a break.
+    Instant occupiedSince;
+
     // Start tag of the next dispatch, in microseconds of slot time by weight.
     double tag = 0.0;
 
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -73,7 +73,8 @@
 
     std::optional<Refusal> refuse(const Work &work, const PlanState &plan,
                                   const Expectation &expectation, Instant now);
-    void push(std::uint32_t index, PlanState &plan);
+    bool isBurst(const Flow &flow, Instant now) const;
+    void push(std::uint32_t index, PlanState &plan, Instant now);
     void take(std::uint32_t index);
     void drop(std::uint32_t index, const Refusal &refusal);
     std::optional<Refusal> objection(const WorkItem &item, Duration cost, Instant now) const;
@@ -171,15 +172,24 @@
         return Refusal{Reason::QueueFull, retryAfter(wait)};
     if (wait + expectation.cost > left)
         return Refusal{Reason::DeadlineTooShort, retryAfter(wait + expectation.cost - left)};
-    if (!expectation.isLong && wait > options.maximumWait)
+    const Duration bound = isBurst(flow, now) ? options.burstWait : options.maximumWait;
+    if (!expectation.isLong && wait > bound)
         return Refusal{Reason::QueueFull, retryAfter(wait)};
     return std::nullopt;
 }
 
-void Scheduler::Data::push(std::uint32_t index, PlanState &plan)
+bool Scheduler::Data::isBurst(const Flow &flow, Instant now) const
+{
+    return flow.isEmpty() || now - flow.occupiedSince <= options.burstTime;
+}
+
+void Scheduler::Data::push(std::uint32_t index, PlanState &plan, Instant now)
 {
     WorkItem &item = store[index];
     Flow &flow = plan.flow(kindOf(item.isLong));
+    if (flow.isEmpty())
+        flow.occupiedSince = now;
+    item.isOfBurst = isBurst(flow, now);
     priorities.willPush(flow, item.cost);
     flow.push(store, index);
     item.state = WorkState::Queued;
@@ -215,6 +225,8 @@
         return std::nullopt;
     if (slots == 0)
         return Refusal{Reason::UpstreamUnreachable, unreachableRetryAfter};
+    if (item.isOfBurst)
+        return std::nullopt;
     return Refusal{Reason::QueueFull, retryAfter(expectedWait(*item.flow))};
 }
 
@@ -239,7 +251,7 @@
     take(index);
     item.isLong = true;
     item.cost = expectation.cost;
-    push(index, plan);
+    push(index, plan, now);
     return std::nullopt;
 }
 
@@ -417,7 +429,7 @@
     item.cost = expectation.cost;
     item.isLong = expectation.isLong;
     item.customer = std::hash<CustomerId>()(work.customer);
-    m_data->push(index, *plan);
+    m_data->push(index, *plan, now);
     return m_data->store.ticket(index);
 }
 
--- a/libs/scheduling/src/workstore.h
+++ b/libs/scheduling/src/workstore.h
@@ -44,6 +44,9 @@
     std::uint32_t gaveWay = 0;
     WorkState state = WorkState::Free;
     bool isLong = false;
+
+    // Whether it came in a burst, and may wait until its deadline.
+    bool isOfBurst = false;
 };
 
 // What waits of one customer in one flow, oldest first; previous and next link the ring in which
