Split the membership's source by what brings it about

Change: time (probing.cpp), datagrams (receiving.cpp), what is sent (telling.cpp); no logic changed.

--- /dev/null
+++ b/libs/membership/src/membershipdata.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "memberlist.h"
+#include "membership/membership.h"
+#include "newsqueue.h"
+#include "probes.h"
+#include "wire.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace fescuespring {
+
+namespace detail {
+
+struct MembershipCounters
+{
+    explicit MembershipCounters(Counters &counters)
+        : sent(counters.counter("fescuespring_membership_datagrams_sent_total"))
+        , sentBytes(counters.counter("fescuespring_membership_bytes_sent_total"))
+        , received(counters.counter("fescuespring_membership_datagrams_received_total"))
+        , malformed(counters.counter("fescuespring_membership_datagrams_malformed_total"))
+        , foreign(counters.counter("fescuespring_membership_datagrams_foreign_total"))
+        , suspicions(counters.counter("fescuespring_membership_suspicions_total"))
+        , cleared(counters.counter("fescuespring_membership_suspicions_cleared_total"))
+        , deaths(counters.counter("fescuespring_membership_deaths_declared_total"))
+        , refutations(counters.counter("fescuespring_membership_refutations_total"))
+        , pauses(counters.counter("fescuespring_membership_pauses_total"))
+        , syncs(counters.counter("fescuespring_membership_syncs_total"))
+    {}
+
+    Counter &sent;
+    Counter &sentBytes;
+    Counter &received;
+    Counter &malformed;
+    Counter &foreign;
+    Counter &suspicions;
+    Counter &cleared;
+    Counter &deaths;
+    Counter &refutations;
+    Counter &pauses;
+    Counter &syncs;
+};
+
+// A ping made for another member.
+struct Relay
+{
+    std::uint32_t sequence = 0;
+    VmId target;
+    Endpoint origin;
+    std::uint32_t originSequence = 0;
+    Instant expires;
+};
+
+} // namespace detail
+
+// What a Membership does. The parts are in probing.cpp (what time brings), receiving.cpp (what
+// datagrams bring) and telling.cpp (what is sent, and the orders of this VM's owner).
+class Membership::Data
+{
+public:
+    Data(MembershipOptions options, Counters &counters)
+        : m_options(std::move(options))
+        , m_counters(counters)
+        , m_random(m_options.randomSeed)
+        , m_list(m_options.self)
+        , m_probes(m_options)
+    {}
+
+    void tick(Instant now);
+    void receive(const Endpoint &from, std::span<const std::uint8_t> bytes, Instant now);
+    void platformList(const std::vector<ListedVm> &vms, Instant now);
+    void announceLeaving(Instant now);
+    void leave(Instant now);
+    void setLists(const ListsMark &lists, Instant now);
+    bool mayAct(Instant now) const;
+
+    MembershipActions take()
+    {
+        return std::exchange(m_actions, {});
+    }
+    Member self() const;
+    const detail::MemberList &list() const
+    {
+        return m_list;
+    }
+    bool isSuspected(const VmId &vm) const
+    {
+        return m_probes.isSuspected(vm);
+    }
+
+private:
+    void notice(Instant now);
+    void join(Instant now);
+    void stepProbes(Instant now);
+    void startProbes(Instant now);
+    void probe(const Member *member, Instant now);
+    void askHelpers(const detail::ProbeSend &send);
+    void declareDead(const VmId &vm, Instant now);
+    void expireRelays(Instant now);
+    void reconnect(Instant now);
+    void verify();
+    void tellNews();
+
+    void takeUpdate(const detail::MemberUpdate &update, Instant now);
+    void takeUpdateOfSelf(const detail::MemberUpdate &update);
+    void takeSender(const detail::Message &message, const Endpoint &from, Instant now);
+    void takeView(const detail::Message &message, const Endpoint &from, Instant now);
+    void takeAck(const detail::Message &message);
+    void takePingRequest(const detail::Message &message, const Endpoint &from, Instant now);
+    void adopt(const detail::MemberUpdate &update, Instant now);
+    void startLeaving();
+
+    std::uint64_t view() const;
+    detail::Message head(detail::MessageKind kind) const;
+    std::optional<detail::MemberUpdate> newsOf(const VmId &vm) const;
+    void send(const Endpoint &to, const detail::Message &message);
+    void requestSync(const Endpoint &to);
+    void answerSync(const Endpoint &to);
+    void post(const Endpoint &to, std::vector<std::uint8_t> bytes);
+    void toRandomMembers(int count);
+
+    MembershipOptions m_options;
+    detail::MembershipCounters m_counters;
+    detail::Random m_random;
+    detail::MemberList m_list;
+    detail::Probes m_probes;
+    detail::NewsQueue m_news;
+    MembershipActions m_actions;
+
+    MemberState m_state = MemberState::Alive;
+    Incarnation m_incarnation;
+    ListsMark m_lists;
+    std::vector<ListedVm> m_listed;
+    std::vector<detail::Relay> m_relays;
+    std::vector<VmId> m_toVerify;
+    std::vector<VmId> m_heard;
+    std::uint32_t m_sequence = 0;
+
+    Instant m_now;
+    Instant m_lastHeard;
+    Instant m_nextPeriod;
+    Instant m_nextReconnect;
+    Instant m_lastViewMatch;
+    Instant m_lastSync;
+    bool m_isStarted = false;
+    bool m_isUrgent = false;
+
+    // Answers to probes from this one on prove that this VM is a member.
+    std::uint32_t m_provingSequence = 0;
+    bool m_isProven = false;
+    Instant m_provingSince;
+};
+
+} // namespace fescuespring
