Answer a repeated transaction with the result of each statement

Cause: process test owner-killed, red since it was written: the second repeat of a transaction's id was answered "no transaction is open". Before: not-run; after: done with the results of the first run, and n is 2.

--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -28,6 +28,19 @@
     return ConfirmationId(id);
 }
 
+// The results of a transaction that is answered from the record stand in one text, a line each.
+std::vector<std::string> linesOf(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        const std::size_t end = std::min(text.find('\n', start), text.size());
+        lines.push_back(text.substr(start, end - start));
+        start = end + 1;
+    }
+    return lines;
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(EventLoop &loop, Counters &counters, const SliceOwnerOptions &options,
@@ -361,7 +374,10 @@
     run.last = answer.value();
     const RequestVerdict verdict = run.life->answered(run.last);
     const bool hasResult = kind == CallKind::Run || kind == CallKind::Statement;
-    if (hasResult && run.last.outcome == CallOutcome::Done)
+    const bool isTransaction = run.request().statements.size() > 1;
+    if (run.last.outcome == CallOutcome::Done && run.last.repeated && isTransaction)
+        run.results = linesOf(run.last.result);
+    else if (run.last.outcome == CallOutcome::Done && hasResult)
         run.results.push_back(run.last.result);
     if (verdict.step != RequestStep::SendNext)
         m_view.answered(run.database, EventLoop::now() - run.sentAt);
--- a/tests/process/owner-killed.test.sh
+++ b/tests/process/owner-killed.test.sh
@@ -23,7 +23,8 @@
 expect "the successor served within 2 s ($tookMs ms)" '^1$' "$((tookMs <= 2000))"
 for try in 1 2; do
     request "$other" write '"add n 1","add n 1"' ',"id":"t-1"'
-    expect "the same request id, sent again ($try), is done" '"outcome":"done"' "$answer"
+    expect "the same request id, sent again ($try), is done" \
+        '"outcome":"done".*"results":\["1","2"\]' "$answer"
 done
 request "$other" read '"get n"'
 expect "and ran once" '"results":\["2"\]' "$answer"
