--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -14,6 +14,8 @@
 token=""
 answer=""
 seeds=""
+# Data centres of the VMs and databases, by number; those not named are in andong.
+declare -A placeOfVm=() placeOfDatabase=()
 
 stopAll() {
     for pid in "${pids[@]}"; do kill -CONT "$pid" 2> /dev/null; kill "$pid" 2> /dev/null; done
@@ -104,10 +106,10 @@
 listVms() {
     local i entries=""
     for i in "$@"; do
-        entries+="{\"vm\":\"vm-$i\",\"dataCentre\":\"andong\",\"kind\":\"entry\",\"state\":\"live\",\"ip\":\"$(vmIp "$i")\",\"port\":$(peerPort "$i")},"
+        entries+="{\"vm\":\"vm-$i\",\"dataCentre\":\"${placeOfVm[$i]:-andong}\",\"kind\":\"entry\",\"state\":\"live\",\"ip\":\"$(vmIp "$i")\",\"port\":$(peerPort "$i")},"
     done
     for i in 1 2 3; do
-        entries+="{\"vm\":\"db-$i\",\"dataCentre\":\"andong\",\"kind\":\"upstream\",\"state\":\"${stateOfDatabase[$i]:-live}\",\"ip\":\"$ip\",\"port\":$(databasePort "$i"),\"group\":\"herd\",\"database\":\"herd-$i\"},"
+        entries+="{\"vm\":\"db-$i\",\"dataCentre\":\"${placeOfDatabase[$i]:-andong}\",\"kind\":\"upstream\",\"state\":\"${stateOfDatabase[$i]:-live}\",\"ip\":\"$ip\",\"port\":$(databasePort "$i"),\"group\":\"herd\",\"database\":\"herd-$i\"},"
     done
     curl -s --max-time 2 -d "{\"vms\":[${entries%,}]}" "http://$ip:$platformControl/control/vms" \
         > /dev/null
@@ -119,7 +121,7 @@
     {
         cat << YAML
 vm: vm-$i
-dataCentre: andong
+dataCentre: ${placeOfVm[$i]:-andong}
 callerEndpoint: {ip: $(vmIp "$i"), port: $(callerPort "$i")}
 peerEndpoint: {ip: $(vmIp "$i"), port: $(peerPort "$i")}
 platformEndpoint: {ip: $ip, port: $platform}
@@ -133,7 +135,7 @@
     databases:
 YAML
         for j in 1 2 3; do
-            echo "      - {database: herd-$j, dataCentre: andong, endpoint: {ip: $ip, port: $(databasePort "$j")}}"
+            echo "      - {database: herd-$j, dataCentre: ${placeOfDatabase[$j]:-andong}, endpoint: {ip: $ip, port: $(databasePort "$j")}}"
         done
     } > "$work/vm-$i.yaml"
 }
@@ -154,7 +156,8 @@
     for i in 1 2 3; do startVm "$i"; done
     for i in 1 2 3; do
         waitFor 10 serving "$i" || expect "vm-$i serves" '"serving":true' "$(vmStatus "$i")"
-        waitFor 10 hasMembers "$i" 3 || expect "vm-$i has 3 members" '.{99999}' "$(vmStatus "$i")"
+        waitFor 10 hasMembers "$i" "${members:-3}" ||
+            expect "vm-$i has ${members:-3} members" '.{99999}' "$(vmStatus "$i")"
     done
 }
 # ownerOf: number of the VM that owns the slice of group herd.
