Probe at once for reads that wait; wake them when they are due

Ruled out: forwarding (p50 0.48 ms) and the scheduler (nothing queued). Change: Wait probes every database that has no probe under way; the owner's timer knows the earliest parked request.

--- a/libs/sliceowner/src/groupprober.cpp
+++ b/libs/sliceowner/src/groupprober.cpp
@@ -32,14 +32,31 @@
 
 void GroupProber::probeAll()
 {
-    for (auto &[database, target] : m_targets)
-        target.port->status(m_timeout, callback(database));
+    for (const auto &[database, target] : m_targets)
+        probe(database);
+}
+
+void GroupProber::probeIdle()
+{
+    for (const auto &[database, target] : m_targets) {
+        if (target.underWay == 0)
+            probe(database);
+    }
 }
 
 void GroupProber::probe(const DatabaseId &database)
 {
-    if (const auto target = port(database))
-        target->status(m_timeout, callback(database));
+    const auto found = m_targets.find(database);
+    if (found == m_targets.end())
+        return;
+    ++found->second.underWay;
+    found->second.port->status(m_timeout, [this, database, done = callback(database)](
+                                                  const Result<DatabaseStatus> &status) {
+        const auto target = m_targets.find(database);
+        if (target != m_targets.end() && target->second.underWay > 0)
+            --target->second.underWay;
+        done(status);
+    });
 }
 
 void GroupProber::fence(const DatabaseId &database, Term term)
--- a/libs/sliceowner/src/groupprober.h
+++ b/libs/sliceowner/src/groupprober.h
@@ -34,6 +34,9 @@
     std::shared_ptr<DatabasePort> port(const DatabaseId &database) const;
 
     void probeAll();
+
+    // Probes every database unless a probe of it is under way.
+    void probeIdle();
     void probe(const DatabaseId &database);
     void fence(const DatabaseId &database, Term term);
     void promote(const DatabaseId &database, Term term);
@@ -44,6 +47,7 @@
     {
         Endpoint endpoint;
         std::shared_ptr<DatabasePort> port;
+        unsigned underWay = 0;
     };
 
     StatusCallback callback(const DatabaseId &database);
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -195,6 +195,7 @@
         return;
     case ReadAction::Wait:
         park(run, decision.until, Reason::DeadlinePassed);
+        m_prober.probeIdle();
         return;
     case ReadAction::Refuse:
         if (decision.reason == Reason::NoPrimary)
@@ -311,6 +312,7 @@
         return;
     }
     run.parkedUntil = std::min(until, run.deadline);
+    m_nextParked = std::min(m_nextParked, *run.parkedUntil);
     run.parkedFor = reason;
     ++m_parked;
 }
@@ -621,12 +623,17 @@
 
 void RequestRunner::wakeParked(Instant now, bool statusArrived)
 {
-    if (m_parked == 0)
+    if (m_parked == 0 || (!statusArrived && now < m_nextParked))
         return;
     std::vector<RunId> due;
+    m_nextParked = Instant::max();
     for (const auto &[id, run] : m_runs) {
-        if (run->parkedUntil && (statusArrived || *run->parkedUntil <= now))
+        if (!run->parkedUntil)
+            continue;
+        if (statusArrived || *run->parkedUntil <= now)
             due.push_back(id);
+        else
+            m_nextParked = std::min(m_nextParked, *run->parkedUntil);
     }
     std::sort(due.begin(), due.end());
     for (const RunId id : due)
@@ -635,7 +642,10 @@
 
 std::optional<Instant> RequestRunner::nextEvent() const
 {
-    return m_confirmer.nextEvent();
+    const std::optional<Instant> next = m_confirmer.nextEvent();
+    if (m_parked == 0)
+        return next;
+    return next ? std::min(*next, m_nextParked) : m_nextParked;
 }
 
 void RequestRunner::holdWrites(bool hold)
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -114,6 +114,9 @@
     std::unordered_map<RunId, std::unique_ptr<RequestRun>> m_runs;
     RunId m_lastRun = 0;
     std::size_t m_parked = 0;
+
+    // No parked request is due before this.
+    Instant m_nextParked = Instant::max();
     std::size_t m_writesInFlight = 0;
     bool m_holdWrites = false;
     bool m_draining = false;
