--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -28,6 +28,19 @@
     return ConfirmationId(id);
 }
 
+// The results of a transaction that is answered from the record stand in one text, a line each.
+std::vector<std::string> linesOf(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        const std::size_t end = std::min(text.find('\n', start), text.size());
+        lines.push_back(text.substr(start, end - start));
+        start = end + 1;
+    }
+    return lines;
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(EventLoop &loop, Counters &counters, const SliceOwnerOptions &options,
@@ -182,6 +195,7 @@
         return;
     case ReadAction::Wait:
         park(run, decision.until, Reason::DeadlinePassed);
+        m_prober.probeIdle();
         return;
     case ReadAction::Refuse:
         if (decision.reason == Reason::NoPrimary)
@@ -298,6 +312,7 @@
         return;
     }
     run.parkedUntil = std::min(until, run.deadline);
+    m_nextParked = std::min(m_nextParked, *run.parkedUntil);
     run.parkedFor = reason;
     ++m_parked;
 }
@@ -361,7 +376,10 @@
     run.last = answer.value();
     const RequestVerdict verdict = run.life->answered(run.last);
     const bool hasResult = kind == CallKind::Run || kind == CallKind::Statement;
-    if (hasResult && run.last.outcome == CallOutcome::Done)
+    const bool isTransaction = run.request().statements.size() > 1;
+    if (run.last.outcome == CallOutcome::Done && run.last.repeated && isTransaction)
+        run.results = linesOf(run.last.result);
+    else if (run.last.outcome == CallOutcome::Done && hasResult)
         run.results.push_back(run.last.result);
     if (verdict.step != RequestStep::SendNext)
         m_view.answered(run.database, EventLoop::now() - run.sentAt);
@@ -605,12 +623,17 @@
 
 void RequestRunner::wakeParked(Instant now, bool statusArrived)
 {
-    if (m_parked == 0)
+    if (m_parked == 0 || (!statusArrived && now < m_nextParked))
         return;
     std::vector<RunId> due;
+    m_nextParked = Instant::max();
     for (const auto &[id, run] : m_runs) {
-        if (run->parkedUntil && (statusArrived || *run->parkedUntil <= now))
+        if (!run->parkedUntil)
+            continue;
+        if (statusArrived || *run->parkedUntil <= now)
             due.push_back(id);
+        else
+            m_nextParked = std::min(m_nextParked, *run->parkedUntil);
     }
     std::sort(due.begin(), due.end());
     for (const RunId id : due)
@@ -619,7 +642,10 @@
 
 std::optional<Instant> RequestRunner::nextEvent() const
 {
-    return m_confirmer.nextEvent();
+    const std::optional<Instant> next = m_confirmer.nextEvent();
+    if (m_parked == 0)
+        return next;
+    return next ? std::min(*next, m_nextParked) : m_nextParked;
 }
 
 void RequestRunner::holdWrites(bool hold)
