--- a/libs/promotion/include/promotion/promoter.h
+++ b/libs/promotion/include/promotion/promoter.h
@@ -205,6 +205,13 @@
     // Promoting; the record is written afterwards.
     std::optional<PromotionReport> takeReport();
 
+    // Whether a change is under way. Bringing a trailing record up to date is none: while the store
+    // is away that may take as long as the outage, and another change may start.
+    bool isChanging() const
+    {
+        return m_step != PromotionStep::Idle && m_step != PromotionStep::Recording;
+    }
+
     PromotionStep step() const
     {
         return m_step;
--- a/libs/promotion/src/promoter.cpp
+++ b/libs/promotion/src/promoter.cpp
@@ -47,7 +47,7 @@
 PromotionActions Promoter::start(const PromotionRequest &request, const GroupView &view,
                                  Instant now)
 {
-    if (m_step != PromotionStep::Idle && m_step != PromotionStep::Recording)
+    if (isChanging())
         return {};
     const auto &databases = view.databases();
     const bool knowsAny =
--- a/libs/promotion/tests/promotiontest.cpp
+++ b/libs/promotion/tests/promotiontest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(laggingReplicasDoNotIsolate);
     CPPUNIT_TEST(changeAccountsItsTime);
     CPPUNIT_TEST(storeDownTakesADistantTerm);
+    CPPUNIT_TEST(nextChangeDoesNotWaitForTheRecord);
     CPPUNIT_TEST(lostAnswerOfTheStoreIsReadBack);
     CPPUNIT_TEST(yieldsOnceToAnotherPromoter);
     CPPUNIT_TEST(plannedChangeHoldsWritesUntilLevel);
@@ -197,6 +198,23 @@
         CPPUNIT_ASSERT(planned.takeReport()->end == PromotionEnd::TimedOut);
     }
 
+    void nextChangeDoesNotWaitForTheRecord()
+    {
+        Promoter promoter = newPromoter();
+        promoter.start({}, viewAt(start), start);
+        const Instant now = start + milliseconds(400);
+        promoter.tick(now);
+        const Term term = promoter.term();
+        for (const char *name : {"d1", "d2", "d3"})
+            hear(promoter, statusOf(name, Role::Replica, term, LogPosition(9)), now);
+        DatabaseStatus primary = statusOf("d1", Role::Primary, term, LogPosition(11));
+        primary.history.push_back({term, LogPosition(11)});
+        hear(promoter, primary, now);
+        CPPUNIT_ASSERT(promoter.step() == PromotionStep::Recording);
+        CPPUNIT_ASSERT(!promoter.isChanging());
+        CPPUNIT_ASSERT(!promoter.start({}, viewAt(start), now).empty());
+    }
+
     void lostAnswerOfTheStoreIsReadBack()
     {
         Promoter promoter = newPromoter();
