Act on an isolated primary in the differential; tell sessions of discarded history at writes too

Cause: the VMs of the differential did not act on Isolated, so exercised passing over a primary only in the exploration and in promotion_tests; its body reads as if it had. A test for it was red (0 changes of primary in 12 s).

Ruled out: refusing unconfirmed reads with a token at the primary; a replica's tail may be discarded as well, and a data centre that is cut off would serve less.

--- a/libs/checker/tests/differentialtest.cpp
+++ b/libs/checker/tests/differentialtest.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST_SUITE(DifferentialTest);
     CPPUNIT_TEST(productKeepsItsPromises);
     CPPUNIT_TEST(naiveProxyIsSeenToFail);
+    CPPUNIT_TEST(isolatedPrimaryIsPassedOver);
+    CPPUNIT_TEST(writeDoesNotHideDiscardedHistory);
     CPPUNIT_TEST(findsSkippedEvidence);
     CPPUNIT_TEST(findsIgnoredTokens);
     CPPUNIT_TEST(findsGuessedOutcome);
@@ -96,6 +98,22 @@
         CPPUNIT_ASSERT(count(ViolatedPromise::ReplacedPrimary) > 0);
     }
 
+    void isolatedPrimaryIsPassedOver()
+    {
+        const HistoryResult result =
+                History({.seed = firstSeed, .faults = 0, .isolatesPrimary = true}).run();
+        CPPUNIT_ASSERT(result.violations.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), result.promotions);
+    }
+
+    // Was red: a session read a tail that was then discarded, and its next write raised the token
+    // past it, so that a later read went back unannounced.
+    void writeDoesNotHideDiscardedHistory()
+    {
+        constexpr std::uint64_t seedThatFailed = 1712;
+        CPPUNIT_ASSERT(History({.seed = seedThatFailed}).run().violations.empty());
+    }
+
     void findsSkippedEvidence()
     {
         assertFound(ProductBreak::SkipEvidence, ViolatedPromise::LostWrite);
--- a/libs/checker/tests/history.cpp
+++ b/libs/checker/tests/history.cpp
@@ -66,6 +66,10 @@
     const Instant end = m_now + m_options.length;
     const Instant settled = end + std::chrono::seconds(6);
     drawFaults();
+    if (m_options.isolatesPrimary) {
+        at(m_now + std::chrono::seconds(2), [this] { m_isolated[0] = true; });
+        at(end, [this] { m_isolated[0] = false; });
+    }
     for (std::size_t i = 0; i < m_sessions.size(); ++i)
         at(m_now + milliseconds(300 + 7 * i), [this, i] { nextRequest(i); });
     at(end, [this] { m_options.sessions = 0; });
@@ -384,10 +388,14 @@
         atVm(other, m_now + hop, [this, other, report] { m_vms[other].detector->report(report); });
     }
     const LossVerdict verdict = vm.detector->examine(*vm.view, m_now);
-    if (verdict == LossVerdict::Lost)
-        perform(index,
-                vm.promoter->start({.silentSince = vm.detector->silentSince(), .foundAt = m_now},
-                                   *vm.view, m_now));
+    const bool isIsolated = verdict == LossVerdict::Isolated;
+    if (verdict == LossVerdict::Lost || isIsolated) {
+        const PromotionRequest change{.avoid = isIsolated ? vm.view->primary()->database
+                                                          : DatabaseId(),
+                                      .silentSince = vm.detector->silentSince(),
+                                      .foundAt = m_now};
+        perform(index, vm.promoter->start(change, *vm.view, m_now));
+    }
     perform(index, vm.promoter->tick(m_now));
     if (vm.promoter->step() == PromotionStep::Draining && vm.writesInFlight == 0)
         perform(index, vm.promoter->drained(m_now));
@@ -528,11 +536,12 @@
             obey(request, request->life->notSent(Reason::NoPrimary));
         return;
     }
-    const WriteDecision decision = routeWrite(*vm.view, milliseconds(200));
+    const WriteDecision decision =
+            routeWrite(*vm.view, milliseconds(200), request->token.point(group));
     if (decision.action == WriteAction::Serve && !vm.isHolding)
         serve(request, decision.database, decision.term, true);
     else
-        obey(request, request->life->notSent(Reason::NoPrimary));
+        obey(request, request->life->notSent(vm.isHolding ? Reason::NoPrimary : decision.reason));
 }
 
 void History::routeReadOf(const RequestPointer &request)
--- a/libs/checker/tests/history.h
+++ b/libs/checker/tests/history.h
@@ -53,6 +53,9 @@
     std::size_t sessions = 20;
     Duration length = std::chrono::seconds(12);
     std::size_t faults = 8;
+
+    // Cuts the first primary from the other databases, but not from the VMs, until the end.
+    bool isolatesPrimary = false;
     bool keepsLines = false;
 };
 
--- a/libs/routing/include/routing/readrouter.h
+++ b/libs/routing/include/routing/readrouter.h
@@ -12,7 +12,7 @@
     // Point of the session's token; position 0 without one.
     LogPoint point = {};
 
-    // Set where data up to this age will do; point is then of no account.
+    // Set where data up to this age will do; of point it then only counts whether it is discarded.
     std::optional<std::chrono::milliseconds> maximumAge = {};
 
     // When the request came in, and when it must be answered.
--- a/libs/routing/include/routing/writerouter.h
+++ b/libs/routing/include/routing/writerouter.h
@@ -24,7 +24,10 @@
 
 // Decides which database takes a write: the primary of the highest term known, while it can be
 // reached. Writes are held back by the caller while a planned change of primary asks for it; a
-// write that waits is routed again afterwards.
-WriteDecision routeWrite(const GroupView &view, std::chrono::milliseconds retryAfter);
+// write that waits is routed again afterwards. Seen is the point of the session's token: where the
+// group has discarded it the write is refused, HistoryDiscarded, as its answer would raise the
+// token past that point and the session would never be told.
+WriteDecision routeWrite(const GroupView &view, std::chrono::milliseconds retryAfter,
+                         LogPoint seen = {});
 
 } // namespace fescuespring
--- a/libs/routing/src/readrouter.cpp
+++ b/libs/routing/src/readrouter.cpp
@@ -43,6 +43,8 @@
 {
     if (now >= need.deadline)
         return refuse(Reason::DeadlinePassed);
+    if (isDiscarded(view.history(), need.point))
+        return refuse(Reason::HistoryDiscarded);
     if (need.maximumAge)
         return routeByAge(view, need, now);
     if (need.point.position == emptyLog)
@@ -93,8 +95,6 @@
 ReadDecision ReadRouter::routeByPoint(const GroupView &view, const ReadNeed &need,
                                       Instant now) const
 {
-    if (isDiscarded(view.history(), need.point))
-        return refuse(Reason::HistoryDiscarded);
     if (need.point.term > lastTerm(view.history()))
         return {.action = ReadAction::Learn, .until = now + m_options.recheck};
 
--- a/libs/routing/src/writerouter.cpp
+++ b/libs/routing/src/writerouter.cpp
@@ -2,10 +2,13 @@
 
 namespace fescuespring {
 
-WriteDecision routeWrite(const GroupView &view, std::chrono::milliseconds retryAfter)
+WriteDecision routeWrite(const GroupView &view, std::chrono::milliseconds retryAfter, LogPoint seen)
 {
+    if (isDiscarded(view.history(), seen))
+        return {.reason = Reason::HistoryDiscarded};
     const auto primary = view.primary();
-    if (!primary || !view.find(primary->database)->reachable)
+    const bool isServing = primary && view.find(primary->database)->reachable;
+    if (!isServing || seen.term > primary->term)
         return {.reason = Reason::NoPrimary, .retryAfter = retryAfter};
     return {.action = WriteAction::Serve, .database = primary->database, .term = primary->term};
 }
--- a/libs/routing/tests/routingtest.cpp
+++ b/libs/routing/tests/routingtest.cpp
@@ -113,6 +113,12 @@
     void refusesDiscardedHistory()
     {
         assertRefused(Reason::HistoryDiscarded, route(sampleView(), needPoint(at(1, 50))));
+        ReadNeed aged = needAge(milliseconds(100));
+        aged.point = at(1, 50);
+        assertRefused(Reason::HistoryDiscarded, route(sampleView(), aged));
+        CPPUNIT_ASSERT(routeWrite(sampleView(), {}, at(1, 50)).reason == Reason::HistoryDiscarded);
+        CPPUNIT_ASSERT(routeWrite(sampleView(), {}, at(3, 1)).reason == Reason::NoPrimary);
+        CPPUNIT_ASSERT(routeWrite(sampleView(), {}, at(1, 49)).action == WriteAction::Serve);
     }
 
     void learnsOfANewerTerm()
