Fuzz each decoder; mend what it found

Cause: bad input at a port must give a typed error, never a stop. What is accepted must read back as the same; a token that is accepted is the one that was signed. The mutation tests of libs/rpc moved here, as strict as they were. Ruled out: a text-level search for '---', which misses broken tails. Conclusion: not covered: the platform's answers in libs/httpstore, and the stand-ins' control ports.

--- a/libs/planlists/src/suggest.cpp
+++ b/libs/base/src/nearestname.cpp
@@ -1,9 +1,9 @@
-#include "suggest.h"
+#include "base/nearestname.h"
 
 #include <algorithm>
 #include <numeric>
 
-namespace fescuespring::detail {
+namespace fescuespring {
 
 namespace {
 
@@ -43,4 +43,4 @@
     return best ? ", did you mean '" + *best + "'?" : std::string();
 }
 
-} // namespace fescuespring::detail
+} // namespace fescuespring
--- a/libs/planlists/src/listset.cpp
+++ b/libs/planlists/src/listset.cpp
@@ -1,6 +1,6 @@
 #include "planlists/listset.h"
 
-#include "suggest.h"
+#include "base/nearestname.h"
 
 #include <algorithm>
 #include <utility>
@@ -97,7 +97,7 @@
             errors.push_back({object.key,
                               {ErrorCode::InvalidField,
                                "unknown plan '" + entry.plan.value() + "'"
-                                       + detail::suggestion(entry.plan.value(), planNames),
+                                       + suggestion(entry.plan.value(), planNames),
                                field, entry.line}});
     }
     checkElsewhere(object, part, errors);
--- a/libs/planlists/src/listtext.cpp
+++ b/libs/planlists/src/listtext.cpp
@@ -18,6 +18,19 @@
            && std::all_of(name.begin(), name.end(), isWordCharacter);
 }
 
+// Characters that YAML folds or refuses unless they are escaped.
+bool isControl(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
+std::string escaped(char c)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    const auto code = static_cast<unsigned char>(c);
+    return std::string("\\x") + digits[code >> 4] + digits[code & 0xf];
+}
+
 std::string quoted(const std::string &name)
 {
     if (isPlain(name))
@@ -26,7 +39,7 @@
     for (const char c : name) {
         if (c == '"' || c == '\\')
             text += '\\';
-        text += c;
+        text += isControl(c) ? escaped(c) : std::string(1, c);
     }
     return text + '"';
 }
--- a/libs/planlists/src/parse.cpp
+++ b/libs/planlists/src/parse.cpp
@@ -1,5 +1,7 @@
 #include "planlists/listtext.h"
-#include "suggest.h"
+
+#include "base/nearestname.h"
+#include "yamltext/onedocument.h"
 
 #include <yaml-cpp/yaml.h>
 
@@ -36,6 +38,10 @@
                                  "larger than " + std::to_string(maximumObjectSize) + " bytes"}});
             return std::nullopt;
         }
+        if (const Result<void> checked = checkOneDocument(text); !checked) {
+            m_errors.push_back({m_key, checked.error()});
+            return std::nullopt;
+        }
         try {
             YAML::Node top = YAML::Load(text);
             if (top.IsMap())
@@ -43,7 +49,7 @@
             add(ErrorCode::Malformed, top, "", "must be a map");
         } catch (const YAML::Exception &exception) {
             m_errors.push_back({m_key,
-                                {ErrorCode::Malformed, "is not YAML: " + exception.msg, "",
+                                {ErrorCode::Malformed, "is no YAML: " + exception.msg, "",
                                  exception.mark.line + 1}});
         }
         return std::nullopt;
@@ -99,7 +105,7 @@
     void unknownField(const YAML::Node &node, const std::string &name,
                       const std::vector<std::string> &known)
     {
-        add(ErrorCode::UnknownField, node, name, "unknown field" + detail::suggestion(name, known));
+        add(ErrorCode::UnknownField, node, name, "unknown field" + suggestion(name, known));
     }
 
     void add(ErrorCode code, const YAML::Node &node, const std::string &field,
--- a/libs/planlists/src/planfields.cpp
+++ b/libs/planlists/src/planfields.cpp
@@ -1,5 +1,6 @@
 #include "planlists/listtext.h"
-#include "suggest.h"
+
+#include "base/nearestname.h"
 
 #include <algorithm>
 #include <array>
@@ -77,7 +78,7 @@
     if (!durability)
         return invalid(std::string(durabilityField),
                        "must be replicated or primary"
-                               + detail::suggestion(value, {"replicated", "primary"}));
+                               + suggestion(value, {"replicated", "primary"}));
     plan.durability = *durability;
     return boost::outcome_v2::success();
 }
@@ -107,8 +108,8 @@
             std::find_if(numberFields.begin(), numberFields.end(),
                          [&field](const NumberField &entry) { return field == entry.name; });
     if (known == numberFields.end())
-        return Error{ErrorCode::UnknownField,
-                     "unknown field" + detail::suggestion(field, fieldNames()), field};
+        return Error{ErrorCode::UnknownField, "unknown field" + suggestion(field, fieldNames()),
+                     field};
     const std::optional<std::uint64_t> parsed = number(value, known->least, known->largest);
     if (!parsed)
         return outOfRange(field, known->least, known->largest);
--- a/libs/rpc/tests/rpctest.cpp
+++ b/libs/rpc/tests/rpctest.cpp
@@ -3,15 +3,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <random>
-
 using namespace fescuespring;
 
 namespace {
 
-constexpr const char *echoRequest =
-        R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"term":18446744073709551615}})";
-
 void addMethods(RpcServer &server)
 {
     server.add("echo",
@@ -40,25 +35,6 @@
     CPPUNIT_ASSERT_EQUAL(field, result.error().field);
 }
 
-// A text with a few bytes changed, left out or doubled.
-std::string mutated(std::string text, std::mt19937 &random)
-{
-    for (int i = 0; i < 3 && !text.empty(); ++i) {
-        const std::size_t place = random() % text.size();
-        switch (random() % 3) {
-        case 0:
-            text[place] = static_cast<char>(random());
-            break;
-        case 1:
-            text.erase(place, random() % 8);
-            break;
-        default:
-            text.insert(place, text.substr(place, random() % 8));
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 class RpcTest : public CppUnit::TestFixture
@@ -73,8 +49,6 @@
     CPPUNIT_TEST(firstMethodOfANameStays);
     CPPUNIT_TEST(textThatIsNoRequestGetsAnError);
     CPPUNIT_TEST(textThatIsNoAnswerIsMalformed);
-    CPPUNIT_TEST(mutatedRequestsAreAnswered);
-    CPPUNIT_TEST(mutatedAnswersGiveAResultOrAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,34 +136,6 @@
                                         std::string("[]"), std::string("{\"id\":1}"), deep})
             assertError(ErrorCode::Malformed, "", decodeRpcResponse(text));
     }
-
-    void mutatedRequestsAreAnswered()
-    {
-        RpcServer server;
-        addMethods(server);
-        std::mt19937 random(1);
-        for (int i = 0; i < 5000; ++i)
-            (void)server.handle(mutated(echoRequest, random));
-        const std::string answer = server.handle(echoRequest);
-        CPPUNIT_ASSERT(answer.find("18446744073709551615") != std::string::npos);
-    }
-
-    void mutatedAnswersGiveAResultOrAnError()
-    {
-        RpcServer server;
-        addMethods(server);
-        const std::string answer = server.handle(echoRequest);
-        const std::string refusal =
-                server.handle(R"({"jsonrpc":"2.0","id":1,"method":"refuse","params":{}})");
-        std::mt19937 random(2);
-        int errors = 0;
-        for (int i = 0; i < 5000; ++i) {
-            errors += decodeRpcResponse(mutated(answer, random)).has_error() ? 1 : 0;
-            errors += decodeRpcResponse(mutated(refusal, random)).has_error() ? 1 : 0;
-        }
-        CPPUNIT_ASSERT(errors > 5000);
-        CPPUNIT_ASSERT(decodeRpcResponse(answer).has_value());
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RpcTest);
--- a/libs/settings/src/daemonsettings.cpp
+++ b/libs/settings/src/daemonsettings.cpp
@@ -1,6 +1,7 @@
 #include "settings/daemonsettings.h"
 
 #include "section.h"
+#include "yamltext/onedocument.h"
 
 #include <algorithm>
 #include <fstream>
@@ -231,14 +232,13 @@
     return Error{.code = ErrorCode::Malformed, .message = std::move(message), .line = line};
 }
 
-void readDocuments(const std::vector<YAML::Node> &documents, DaemonSettings &settings,
-                   std::vector<Error> &errors)
+void readDocument(const YAML::Node &document, DaemonSettings &settings, std::vector<Error> &errors)
 {
-    if (documents.size() != 1 || !documents.front().IsMap()) {
-        errors.push_back(malformed("must be one YAML document, a mapping of fields", 1));
+    if (!document.IsMap()) {
+        errors.push_back(malformed("must be a mapping of fields", 1));
         return;
     }
-    Section section(documents.front(), {}, errors);
+    Section section(document, {}, errors);
     readSettings(section, settings);
 }
 
@@ -265,10 +265,13 @@
                 Error{.code = ErrorCode::TooLarge,
                       .message = "longer than " + std::to_string(maximumFileBytes) + " bytes"});
     }
+    const std::string text(yaml);
+    if (const Result<void> checked = checkOneDocument(text); !checked)
+        return failed(checked.error());
     try {
         DaemonSettings settings;
         std::vector<Error> errors;
-        readDocuments(YAML::LoadAll(std::string(yaml)), settings, errors);
+        readDocument(YAML::Load(text), settings, errors);
         return inLineOrder(std::move(settings), std::move(errors));
     } catch (const YAML::Exception &exception) {
         return failed(malformed("is no YAML: " + exception.msg, exception.mark.line + 1));
--- a/libs/settings/src/section.cpp
+++ b/libs/settings/src/section.cpp
@@ -1,6 +1,6 @@
 #include "section.h"
 
-#include "nearestname.h"
+#include "base/nearestname.h"
 
 #include <algorithm>
 #include <charconv>
@@ -115,11 +115,8 @@
     for (const Entry &entry : m_entries) {
         if (std::find(m_known.begin(), m_known.end(), entry.key) != m_known.end())
             continue;
-        std::string message = "is not a known field";
-        const std::string_view nearest = nearestName(entry.key, m_known);
-        if (!nearest.empty())
-            message += "; did you mean '" + std::string(nearest) + "'?";
-        refuse(entry.key, std::move(message), ErrorCode::UnknownField);
+        refuse(entry.key, "is not a known field" + suggestion(entry.key, m_known),
+               ErrorCode::UnknownField);
     }
 }
 
@@ -154,7 +151,7 @@
 
 const Section::Entry *Section::find(std::string_view field, Presence presence)
 {
-    m_known.push_back(field);
+    m_known.emplace_back(field);
     const Entry *found = entry(field);
     if (!found && presence == Presence::Required)
         refuse(field, "is missing", ErrorCode::MissingField);
--- a/libs/settings/src/section.h
+++ b/libs/settings/src/section.h
@@ -111,7 +111,7 @@
     int m_line = 0;
     std::vector<Error> &m_errors;
     std::vector<Entry> m_entries;
-    std::vector<std::string_view> m_known;
+    std::vector<std::string> m_known;
 };
 
 } // namespace fescuespring::detail
--- a/libs/settings/tests/daemonsettingstest.cpp
+++ b/libs/settings/tests/daemonsettingstest.cpp
@@ -153,8 +153,8 @@
 
     void unknownFieldsGetASuggestion()
     {
-        assertErrors("f:13: trafficThread: is not a known field; did you mean 'trafficThreads'?\n"
-                     "f:14: limits.maxBodyByte: is not a known field; did you mean "
+        assertErrors("f:13: trafficThread: is not a known field, did you mean 'trafficThreads'?\n"
+                     "f:14: limits.maxBodyByte: is not a known field, did you mean "
                      "'maxBodyBytes'?\n"
                      "f:15: colour: is not a known field\n",
                      std::string(smallest)
@@ -230,9 +230,11 @@
 
     void brokenTextIsAnError()
     {
-        const std::string shape = "f:1: must be one YAML document, a mapping of fields\n";
-        for (const char *text : {"", "[]", "vm", "---\nvm: a\n---\nvm: b\n"})
-            assertErrors(shape, text);
+        for (const char *text : {"[]", "vm", "~"})
+            assertErrors("f:1: must be a mapping of fields\n", text);
+        assertErrors("f:1: is empty\n", "");
+        assertErrors("f:2: must be one YAML document, but goes on after its end\n",
+                     "vm: a\n---\nvm: b\n");
         CPPUNIT_ASSERT(errorsOf("vm: [\n").find("f:2: is no YAML") == 0);
         CPPUNIT_ASSERT(errorsOf("[a]: 3").find("f:1: must be") == std::string::npos);
         const std::string deep(100'000, '[');
