--- a/libs/operatortool/src/draincommand.cpp
+++ b/libs/operatortool/src/draincommand.cpp
@@ -1,6 +1,5 @@
 #include "commands.h"
 
-#include "codec/statuscodec.h"
 #include "vmcall.h"
 
 #include <ostream>
@@ -62,15 +61,10 @@
             askVm(vm.value(), {.method = "POST", .target = "/v1/drain", .body = "{}"}, streams);
     if (answer.outcome != ToolOutcome::Done)
         return answer.outcome;
-    const Result<VmStatus> status = decodeVmStatus(answer.body);
-    if (!status) {
-        unreadable(vm.value(), status.error(), streams);
-        return ToolOutcome::Unknown;
-    }
     if (arguments.has("json"))
         streams.out << answer.body << '\n';
     else
-        streams.out << status.value().vm.value() << " is leaving\n";
+        streams.out << toString(vm.value().endpoint) << " is leaving\n";
     return arguments.has("wait") ? waitUntilStopped(vm.value(), patience.value(), streams)
                                  : ToolOutcome::Done;
 }
