Run fescuebench on a whole data centre; names that clash with libs/experiment go

Cause: libs/experiment (virtual time) defines Workload, herdviewWorkload, Target in the same namespace; a program that links both would break the one-definition rule. And measuring the product needs platform, databases, VMs and lists started together. Ruled out: a second namespace (the project has one); starting VMs from the tool (the shell functions of the process tests do it). A gcc 12 false warning in Boost.Histogram under sanitizers is switched off at that include.

--- a/libs/loadtest/include/loadtest/loadrecorder.h
+++ b/libs/loadtest/include/loadtest/loadrecorder.h
@@ -55,7 +55,7 @@
 class LoadRecorder
 {
 public:
-    LoadRecorder(const Workload &workload, Duration slice);
+    LoadRecorder(const LoadWorkload &workload, Duration slice);
 
     // Leaves arrivals planned outside [from, to) out of the classes' figures; the series and the
     // times of writes hold all.
@@ -75,7 +75,7 @@
     SeriesPoint &at(Duration time);
     Duration workOf(const Arrival &arrival) const;
 
-    const Workload &m_workload;
+    const LoadWorkload &m_workload;
     Duration m_slice;
     Duration m_from{0};
     Duration m_to = Duration::max();
--- a/libs/loadtest/include/loadtest/report.h
+++ b/libs/loadtest/include/loadtest/report.h
@@ -10,7 +10,7 @@
 namespace fescuespring {
 
 // A bound that a figure has to keep to.
-struct Target
+struct ReportTarget
 {
     std::string name;
     double bound = 0;
@@ -78,11 +78,11 @@
     std::vector<ClassFigures> classes;
     std::vector<Series> series;
     std::vector<Figure> figures;
-    std::vector<Target> targets;
+    std::vector<ReportTarget> targets;
 };
 
 // Takes the figures of a recorded run, named run, into the report.
-void addRun(Report &report, const Workload &workload, const LoadRecorder &recorder,
+void addRun(Report &report, const LoadWorkload &workload, const LoadRecorder &recorder,
             const std::string &run, const std::string &policy);
 
 // Whether every target of the product is met.
--- a/libs/loadtest/src/latencyhistogram.cpp
+++ b/libs/loadtest/src/latencyhistogram.cpp
@@ -1,6 +1,10 @@
 #include "loadtest/latencyhistogram.h"
 
+// Under sanitizers gcc 12 takes an array of the library for uninitialised.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wuninitialized"
 #include <boost/histogram.hpp>
+#pragma GCC diagnostic pop
 
 #include <algorithm>
 #include <cmath>
--- a/libs/loadtest/src/loadrecorder.cpp
+++ b/libs/loadtest/src/loadrecorder.cpp
@@ -4,7 +4,7 @@
 
 namespace fescuespring {
 
-LoadRecorder::LoadRecorder(const Workload &workload, Duration slice)
+LoadRecorder::LoadRecorder(const LoadWorkload &workload, Duration slice)
     : m_workload(workload)
     , m_slice(slice)
     , m_classes(workload.classes.size())
--- a/libs/loadtest/src/report.cpp
+++ b/libs/loadtest/src/report.cpp
@@ -70,7 +70,7 @@
     return {{"run", series.run}, {"policy", series.policy}, {"points", std::move(points)}};
 }
 
-json::object targetValue(const Target &target)
+json::object targetValue(const ReportTarget &target)
 {
     return {{"name", target.name},    {"bound", target.bound}, {"value", target.value},
             {"unit", target.unit},    {"met", target.isMet()}, {"policy", target.policy},
@@ -180,12 +180,12 @@
 
 } // namespace
 
-bool Target::isMet() const
+bool ReportTarget::isMet() const
 {
     return atMost ? value <= bound : value >= bound;
 }
 
-void addRun(Report &report, const Workload &workload, const LoadRecorder &recorder,
+void addRun(Report &report, const LoadWorkload &workload, const LoadRecorder &recorder,
             const std::string &run, const std::string &policy)
 {
     for (std::size_t i = 0; i < workload.classes.size(); ++i) {
@@ -220,9 +220,10 @@
 
 bool meetsProductTargets(const Report &report)
 {
-    return std::all_of(report.targets.begin(), report.targets.end(), [](const Target &target) {
-        return target.policy != productPolicy || target.isMet();
-    });
+    return std::all_of(report.targets.begin(), report.targets.end(),
+                       [](const ReportTarget &target) {
+                           return target.policy != productPolicy || target.isMet();
+                       });
 }
 
 std::string reportJson(const Report &report)
@@ -250,7 +251,7 @@
     for (const Figure &figure : report.figures)
         out << figure.name << " (" << figure.policy << "): " << figure.value << ' ' << figure.unit
             << '\n';
-    for (const Target &target : report.targets)
+    for (const ReportTarget &target : report.targets)
         out << (target.isMet() ? "met     " : "MISSED  ") << target.name << " (" << target.policy
             << "): " << target.value << ' ' << target.unit << ", bound "
             << (target.atMost ? "at most " : "at least ") << target.bound << '\n';
--- a/libs/loadtest/tests/loadtesttest.cpp
+++ b/libs/loadtest/tests/loadtesttest.cpp
@@ -92,7 +92,7 @@
         return arrival;
     }
 
-    const Workload m_workload = herdviewWorkload();
+    const LoadWorkload m_workload = herdviewLoad();
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadTestTest);
--- a/libs/workload/include/workload/arrivals.h
+++ b/libs/workload/include/workload/arrivals.h
@@ -56,7 +56,7 @@
 // The arrivals of a Poisson process whose rate follows the steps. The same seed gives the same
 // plan, on every machine.
 //
-//     const auto plan = planArrivals(herdviewWorkload(), {.seed = 7, .steps = {{0s, 500}}});
-std::vector<Arrival> planArrivals(const Workload &workload, const ArrivalOptions &options);
+//     const auto plan = planArrivals(herdviewLoad(), {.seed = 7, .steps = {{0s, 500}}});
+std::vector<Arrival> planArrivals(const LoadWorkload &workload, const ArrivalOptions &options);
 
 } // namespace fescuespring
--- a/libs/workload/include/workload/workload.h
+++ b/libs/workload/include/workload/workload.h
@@ -45,7 +45,7 @@
 };
 
 // What one operator's callers do, and on what: places, groups and mix of requests.
-struct Workload
+struct LoadWorkload
 {
     std::string name;
     std::vector<DataCentreId> places;
@@ -65,20 +65,20 @@
 };
 
 // Milking robots: stall views, milking records, billing, herd history, season yield reports.
-Workload herdviewWorkload();
+LoadWorkload herdviewLoad();
 
 // Shelf labels: head office price changes, scanners, markdowns, planning queries, recalculations.
-Workload dvorakWorkload();
+LoadWorkload dvorakLoad();
 
 // "herdview" or "dvorak".
-std::optional<Workload> workloadByName(std::string_view name);
+std::optional<LoadWorkload> loadWorkloadByName(std::string_view name);
 
 // Requests a second that the slots can carry with this mix: writes need slots of the primaries,
 // reads those of any database.
-double slotCapacity(const Workload &workload);
+double slotCapacity(const LoadWorkload &workload);
 
 // The same workload without the classes for which drop holds.
-Workload without(Workload workload, bool (*drop)(const RequestClass &));
+LoadWorkload without(LoadWorkload workload, bool (*drop)(const RequestClass &));
 
 // Whether a request is one of the few jobs that run many times longer than the rest.
 bool isLongWork(const RequestClass &requestClass);
--- a/libs/workload/src/arrivals.cpp
+++ b/libs/workload/src/arrivals.cpp
@@ -46,7 +46,7 @@
 class Planner
 {
 public:
-    Planner(const Workload &workload, const ArrivalOptions &options)
+    Planner(const LoadWorkload &workload, const ArrivalOptions &options)
         : m_workload(workload)
         , m_options(options)
         , m_random(options.seed)
@@ -159,7 +159,7 @@
         return arrival.request.id.value();
     }
 
-    const Workload &m_workload;
+    const LoadWorkload &m_workload;
     const ArrivalOptions &m_options;
     Random m_random;
     double m_shares = 0;
@@ -170,7 +170,7 @@
 
 } // namespace
 
-std::vector<Arrival> planArrivals(const Workload &workload, const ArrivalOptions &options)
+std::vector<Arrival> planArrivals(const LoadWorkload &workload, const ArrivalOptions &options)
 {
     if (workload.classes.empty() || options.sessions == 0 || options.entries == 0)
         return {};
--- a/libs/workload/src/workload.cpp
+++ b/libs/workload/src/workload.cpp
@@ -72,7 +72,7 @@
 
 } // namespace
 
-Workload herdviewWorkload()
+LoadWorkload herdviewLoad()
 {
     std::vector<RequestClass> classes{
             readClass("stall-view", "coop-1", "parlour", 45, 2ms),
@@ -86,7 +86,7 @@
             {PlanId("billing"), {.weight = 2, .priority = 1, .connections = 20}},
             {PlanId("history"), {.weight = 2, .connections = 20}},
             {PlanId("reports"), {.weight = 1, .connections = 20}}};
-    Workload workload{
+    LoadWorkload workload{
             .name = "herdview",
             .places = {DataCentreId("andong"), DataCentreId("yeongju"), DataCentreId("sangju")},
             .placeDelay = 1ms,
@@ -99,7 +99,7 @@
     return workload;
 }
 
-Workload dvorakWorkload()
+LoadWorkload dvorakLoad()
 {
     std::vector<RequestClass> classes{
             writeClass("price-change", "head-office", "head-office", 8, 3ms),
@@ -111,29 +111,29 @@
             {PlanId("head-office"), {.weight = 4, .priority = 2, .connections = 40}},
             {PlanId("scanners"), {.weight = 6, .priority = 1, .connections = 40}},
             {PlanId("planning"), {.weight = 1, .connections = 40}}};
-    Workload workload{.name = "dvorak",
-                      .places = {DataCentreId("brno-sever"), DataCentreId("brno-jih"),
-                                 DataCentreId("olomouc")},
-                      .placeDelay = 1500us,
-                      .callerDelay = 3ms,
-                      .groups = threeGroups("price"),
-                      .connections = 40,
-                      .lists = listsOf(std::move(plans), classes),
-                      .classes = {}};
+    LoadWorkload workload{.name = "dvorak",
+                          .places = {DataCentreId("brno-sever"), DataCentreId("brno-jih"),
+                                     DataCentreId("olomouc")},
+                          .placeDelay = 1500us,
+                          .callerDelay = 3ms,
+                          .groups = threeGroups("price"),
+                          .connections = 40,
+                          .lists = listsOf(std::move(plans), classes),
+                          .classes = {}};
     workload.classes = std::move(classes);
     return workload;
 }
 
-std::optional<Workload> workloadByName(std::string_view name)
+std::optional<LoadWorkload> loadWorkloadByName(std::string_view name)
 {
     if (name == "herdview")
-        return herdviewWorkload();
+        return herdviewLoad();
     if (name == "dvorak")
-        return dvorakWorkload();
+        return dvorakLoad();
     return std::nullopt;
 }
 
-double slotCapacity(const Workload &workload)
+double slotCapacity(const LoadWorkload &workload)
 {
     double shares = 0;
     double work = 0;
@@ -153,7 +153,7 @@
     return capacity;
 }
 
-Workload without(Workload workload, bool (*drop)(const RequestClass &))
+LoadWorkload without(LoadWorkload workload, bool (*drop)(const RequestClass &))
 {
     std::erase_if(workload.classes, drop);
     return workload;
--- a/libs/workload/tests/arrivalstest.cpp
+++ b/libs/workload/tests/arrivalstest.cpp
@@ -36,7 +36,7 @@
     void rateFollowsTheSteps()
     {
         const auto plan = planArrivals(
-                dvorakWorkload(),
+                dvorakLoad(),
                 {.seed = 3, .length = 30s, .steps = {{0s, 100}, {10s, 1000}, {20s, 0}}});
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1000, countBetween(plan, 0s, 10s), 100);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(10000, countBetween(plan, 10s, 20s), 400);
@@ -49,7 +49,7 @@
 
     void mixFollowsTheShares()
     {
-        const Workload workload = herdviewWorkload();
+        const LoadWorkload workload = herdviewLoad();
         const auto plan = planOf(5);
         double shares = 0;
         for (const RequestClass &requestClass : workload.classes)
@@ -67,14 +67,14 @@
     void sessionsStayOrRoam()
     {
         ArrivalOptions options{.length = 5s, .steps = {{0s, 1000}}, .entries = 3, .roaming = 0};
-        CPPUNIT_ASSERT_EQUAL(0, movesOf(planArrivals(herdviewWorkload(), options)));
+        CPPUNIT_ASSERT_EQUAL(0, movesOf(planArrivals(herdviewLoad(), options)));
         options.roaming = 1;
-        CPPUNIT_ASSERT(movesOf(planArrivals(herdviewWorkload(), options)) > 1000);
+        CPPUNIT_ASSERT(movesOf(planArrivals(herdviewLoad(), options)) > 1000);
     }
 
     void ownKeysAreNumbered()
     {
-        Workload workload = herdviewWorkload();
+        LoadWorkload workload = herdviewLoad();
         for (RequestClass &requestClass : workload.classes)
             requestClass.ownKey = true;
         std::vector<std::uint64_t> written(1000);
@@ -88,7 +88,7 @@
 
     void everyCustomerHoldsAKnownPlan()
     {
-        for (const Workload &workload : {herdviewWorkload(), dvorakWorkload()}) {
+        for (const LoadWorkload &workload : {herdviewLoad(), dvorakLoad()}) {
             CPPUNIT_ASSERT_EQUAL(workload.classes.size(), workload.lists.customers.size());
             for (const auto &[customer, plan] : workload.lists.customers)
                 CPPUNIT_ASSERT(workload.lists.plans.contains(plan));
@@ -97,7 +97,7 @@
 
     void capacityIsBoundByPrimariesOrAll()
     {
-        Workload workload = herdviewWorkload();
+        LoadWorkload workload = herdviewLoad();
         workload.classes.resize(1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(13500, slotCapacity(workload), 1);
         workload.classes[0].access = Access::Write;
@@ -107,7 +107,7 @@
 private:
     static std::vector<Arrival> planOf(std::uint64_t seed)
     {
-        return planArrivals(herdviewWorkload(),
+        return planArrivals(herdviewLoad(),
                             {.seed = seed, .length = 10s, .steps = {{0s, 1000}}, .entries = 3});
     }
 
--- a/tools/fescuebench/include/fescuebench/benchoptions.h
+++ b/tools/fescuebench/include/fescuebench/benchoptions.h
@@ -29,7 +29,7 @@
 struct BenchOptions
 {
     std::string experiment;
-    Workload workload;
+    LoadWorkload workload;
     std::uint64_t seed = 1;
 
     // Length of the main part of a run.
--- a/tools/fescuebench/include/fescuebench/loadrunner.h
+++ b/tools/fescuebench/include/fescuebench/loadrunner.h
@@ -47,7 +47,7 @@
 public:
     // Loop, workload, sender and recorders must outlive the run. Prefix makes request ids new in
     // each run.
-    LoadRunner(EventLoop &loop, const Workload &workload, std::vector<Arrival> plan,
+    LoadRunner(EventLoop &loop, const LoadWorkload &workload, std::vector<Arrival> plan,
                RequestSender &sender, std::vector<LoadRecorder *> recorders, std::string prefix);
 
     LoadRunner(const LoadRunner &) = delete;
@@ -75,7 +75,7 @@
     void check(const Arrival &arrival, Session &session, const CallerResult &result);
 
     EventLoop &m_loop;
-    const Workload &m_workload;
+    const LoadWorkload &m_workload;
     std::vector<Arrival> m_plan;
     RequestSender &m_sender;
     std::vector<LoadRecorder *> m_recorders;
--- a/tools/fescuebench/program/main.cpp
+++ b/tools/fescuebench/program/main.cpp
@@ -1,5 +1,6 @@
 #include "fescuebench/benchoptions.h"
 #include "fescuebench/experiments.h"
+#include "planlists/listtext.h"
 
 #include <boost/program_options.hpp>
 
@@ -35,6 +36,7 @@
     double scale = 0;
     std::string json;
     std::string html;
+    std::string listsFolder;
 };
 
 po::options_description describeFlags(Flags &flags)
@@ -57,6 +59,8 @@
     add("scale", po::value(&flags.scale)->default_value(1), "factor on the load offered");
     add("json", po::value(&flags.json), "file for all figures");
     add("html", po::value(&flags.html), "file for a page with plots");
+    add("write-lists", po::value(&flags.listsFolder),
+        "write the workload's plans.yaml and customers.yaml to this folder, and nothing else");
     add("enforce", "exit with 3 where a target of the product is missed");
     return all;
 }
@@ -145,7 +149,7 @@
 
 Result<BenchOptions> optionsOf(const Flags &flags)
 {
-    auto workload = workloadByName(flags.workload);
+    auto workload = loadWorkloadByName(flags.workload);
     if (!workload)
         return Error{ErrorCode::InvalidField, "must be herdview or dvorak", "workload"};
     if (flags.groups == 0 || flags.groups > workload->groups.size())
@@ -191,6 +195,26 @@
     return static_cast<bool>(file.flush());
 }
 
+CustomersPart customersPartOf(const PlanLists &lists)
+{
+    CustomersPart part;
+    for (const auto &[customer, plan] : lists.customers)
+        part.customers[customer] = CustomerEntry{.plan = plan};
+    return part;
+}
+
+int writeLists(const Flags &flags)
+{
+    const auto workload = loadWorkloadByName(flags.workload);
+    if (!workload)
+        return fail(exitUsage, "--workload must be herdview or dvorak");
+    const PlansPart plans{.plans = workload->lists.plans};
+    const CustomersPart customers = customersPartOf(workload->lists);
+    const bool written = writeFile(flags.listsFolder + "/plans.yaml", toText(plans))
+                         && writeFile(flags.listsFolder + "/customers.yaml", toText(customers));
+    return written ? EXIT_SUCCESS : fail(exitFailed, "a list cannot be written");
+}
+
 int runBench(const Flags &flags, bool enforce)
 {
     const auto &all = experiments();
@@ -244,5 +268,7 @@
         printHelp(all);
         return EXIT_SUCCESS;
     }
+    if (!flags.listsFolder.empty())
+        return writeLists(flags);
     return runBench(flags, given.contains("enforce"));
 }
--- a/tools/fescuebench/src/loadrunner.cpp
+++ b/tools/fescuebench/src/loadrunner.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-LoadRunner::LoadRunner(EventLoop &loop, const Workload &workload, std::vector<Arrival> plan,
+LoadRunner::LoadRunner(EventLoop &loop, const LoadWorkload &workload, std::vector<Arrival> plan,
                        RequestSender &sender, std::vector<LoadRecorder *> recorders,
                        std::string prefix)
     : m_loop(loop)
--- a/tools/fescuebench/src/openexperiments.cpp
+++ b/tools/fescuebench/src/openexperiments.cpp
@@ -45,14 +45,14 @@
 }
 
 // Slot time that all databases of the workload's groups have in a second.
-double slotSeconds(const Workload &workload)
+double slotSeconds(const LoadWorkload &workload)
 {
     return static_cast<double>(workload.groups.size()) * workload.databasesPerGroup
            * workload.slots;
 }
 
 // Slot time a second that this mix can use at most.
-double usableSlotSeconds(const Workload &workload)
+double usableSlotSeconds(const LoadWorkload &workload)
 {
     double shares = 0;
     double work = 0;
@@ -160,7 +160,7 @@
 
 constexpr ClassBound crestBounds[] = {{"price-change", 0.999, 50ms}, {"label-check", 0.99, 0ms}};
 
-void addClassTargets(Report &report, const Workload &workload, const LoadRecorder &base,
+void addClassTargets(Report &report, const LoadWorkload &workload, const LoadRecorder &base,
                      const LoadRecorder &crest, const std::string &policy)
 {
     for (const ClassBound &bound : crestBounds) {
@@ -188,7 +188,7 @@
 
 void crestOf(Report &report, const BenchOptions &options, const BenchSide &side)
 {
-    const Workload &workload = options.workload;
+    const LoadWorkload &workload = options.workload;
     const double capacity = slotCapacity(workload) * options.scale;
     const Duration crestEnd = baseLength + options.length;
     const Duration end = crestEnd + afterLength;
@@ -237,7 +237,7 @@
 constexpr double longOverload = 1.5;
 
 // Slot time a second that long work of the workload could use: slots of primaries for writes.
-double longSlotSeconds(const Workload &workload)
+double longSlotSeconds(const LoadWorkload &workload)
 {
     const auto writes = std::any_of(workload.classes.begin(), workload.classes.end(),
                                     [](const RequestClass &each) {
@@ -247,7 +247,7 @@
 }
 
 // Requests a second of long work that overload the slots they may use.
-double longRate(const Workload &workload)
+double longRate(const LoadWorkload &workload)
 {
     for (const RequestClass &each : workload.classes) {
         if (isLongWork(each))
@@ -257,7 +257,7 @@
 }
 
 // The share that the plan of the long work holds against all plans.
-double longPlanShare(const Workload &workload)
+double longPlanShare(const LoadWorkload &workload)
 {
     double all = 0;
     double own = 0;
@@ -273,7 +273,7 @@
 }
 
 // The workload with so many long requests a second beside shortRate short ones.
-Workload withLongRate(Workload workload, double shortRate, double wantedLong)
+LoadWorkload withLongRate(LoadWorkload workload, double shortRate, double wantedLong)
 {
     double shares = 0;
     for (const RequestClass &each : workload.classes)
@@ -286,7 +286,7 @@
 }
 
 LoadEnd runSteady(EventLoop &loop, const BenchOptions &options, const BenchSide &side,
-                  const Workload &workload, double perSecond, RequestSender &sender,
+                  const LoadWorkload &workload, double perSecond, RequestSender &sender,
                   LoadRecorder &recorder, const std::string &run)
 {
     ArrivalOptions arrivals = arrivalOptions(options, side, options.length);
@@ -298,7 +298,8 @@
 }
 
 // Worst ratio of 99th percentiles of a short class, of classes with enough requests to tell.
-double worstRatio(const Workload &workload, const LoadRecorder &alone, const LoadRecorder &mixed)
+double worstRatio(const LoadWorkload &workload, const LoadRecorder &alone,
+                  const LoadRecorder &mixed)
 {
     constexpr std::uint64_t enough = 500;
     double worst = 0;
@@ -317,8 +318,8 @@
     const double shortRate =
             shortLoad * options.scale * slotCapacity(without(options.workload, isLongWork));
     const double longs = longRate(options.workload);
-    const Workload alone = withLongRate(options.workload, shortRate, 0);
-    const Workload mixed = withLongRate(options.workload, shortRate, longs);
+    const LoadWorkload alone = withLongRate(options.workload, shortRate, 0);
+    const LoadWorkload mixed = withLongRate(options.workload, shortRate, longs);
     EventLoop loop;
     const auto sender = senderOf(loop, options, side);
     LoadRecorder before(alone, slice);
@@ -348,9 +349,9 @@
 }
 
 // A workload of sessions that write and read keys of their own.
-Workload ownKeyWorkload(const Workload &workload, double writeShare, Duration work)
+LoadWorkload ownKeyWorkload(const LoadWorkload &workload, double writeShare, Duration work)
 {
-    Workload own = workload;
+    LoadWorkload own = workload;
     const RequestClass first = workload.classes.front();
     RequestClass read;
     read.name = "own-read";
@@ -384,7 +385,7 @@
 void replicaReadsOf(Report &report, const BenchOptions &options, const BenchSide &side,
                     EventLoop &loop)
 {
-    const Workload workload = ownKeyWorkload(options.workload, writesOfReplicaReads, 2ms);
+    const LoadWorkload workload = ownKeyWorkload(options.workload, writesOfReplicaReads, 2ms);
     ArrivalOptions arrivals = arrivalOptions(options, side, options.length);
     arrivals.sessions = checkedSessions;
     arrivals.roaming = 0.5;
@@ -421,7 +422,7 @@
 Result<FailoverRun> failoverOnce(Report &report, const BenchOptions &options, const BenchSide &side,
                                  EventLoop &loop, const std::string &run)
 {
-    const Workload workload = ownKeyWorkload(options.workload, 0.5, 2ms);
+    const LoadWorkload workload = ownKeyWorkload(options.workload, 0.5, 2ms);
     const GroupId group = workload.groups.front();
     BOOST_OUTCOME_TRY(const BenchPrimary primary, primaryOf(loop, options, group));
     const Duration length = cutAt + thawAfter + 2s;
--- a/tools/fescuebench/tests/loadrunnertest.cpp
+++ b/tools/fescuebench/tests/loadrunnertest.cpp
@@ -102,9 +102,9 @@
     }
 
 private:
-    static Workload makeWorkload()
+    static LoadWorkload makeWorkload()
     {
-        Workload workload = herdviewWorkload();
+        LoadWorkload workload = herdviewLoad();
         workload.classes.resize(1);
         workload.classes[0].ownKey = true;
         return workload;
@@ -135,7 +135,7 @@
     }
 
     EventLoop m_loop;
-    const Workload m_workload = makeWorkload();
+    const LoadWorkload m_workload = makeWorkload();
     LoadRecorder m_recorder{m_workload, 100ms};
 };
 
