--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -28,6 +28,19 @@
     return ConfirmationId(id);
 }
 
+// The results of a transaction that is answered from the record stand in one text, a line each.
+std::vector<std::string> linesOf(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        const std::size_t end = std::min(text.find('\n', start), text.size());
+        lines.push_back(text.substr(start, end - start));
+        start = end + 1;
+    }
+    return lines;
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(EventLoop &loop, Counters &counters, const SliceOwnerOptions &options,
@@ -182,6 +195,7 @@
         return;
     case ReadAction::Wait:
         park(run, decision.until, Reason::DeadlinePassed);
+        m_prober.probeIdle();
         return;
     case ReadAction::Refuse:
         if (decision.reason == Reason::NoPrimary)
@@ -298,6 +312,7 @@
         return;
     }
     run.parkedUntil = std::min(until, run.deadline);
+    m_nextParked = std::min(m_nextParked, *run.parkedUntil);
     run.parkedFor = reason;
     ++m_parked;
 }
@@ -361,7 +376,10 @@
     run.last = answer.value();
     const RequestVerdict verdict = run.life->answered(run.last);
     const bool hasResult = kind == CallKind::Run || kind == CallKind::Statement;
-    if (hasResult && run.last.outcome == CallOutcome::Done)
+    const bool isTransaction = run.request().statements.size() > 1;
+    if (run.last.outcome == CallOutcome::Done && run.last.repeated && isTransaction)
+        run.results = linesOf(run.last.result);
+    else if (run.last.outcome == CallOutcome::Done && hasResult)
         run.results.push_back(run.last.result);
     if (verdict.step != RequestStep::SendNext)
         m_view.answered(run.database, EventLoop::now() - run.sentAt);
@@ -516,10 +534,40 @@
 {
     const Instant now = EventLoop::now();
     advanceConfirmations(now);
+    abandonStalled();
     withdrawMisrouted();
     wakeParked(now, true);
 }
 
+// A call that is open at a database which does not answer probes any more, or under a term that is
+// over, would stay open until its deadline: its connection is given up, and what may be repeated is
+// routed again.
+void RequestRunner::abandonStalled()
+{
+    std::vector<RunId> stalled;
+    for (const auto &[id, run] : m_runs) {
+        if (run->lease && isStalled(*run))
+            stalled.push_back(id);
+    }
+    std::sort(stalled.begin(), stalled.end());
+    for (const RunId id : stalled) {
+        const auto found = m_runs.find(id);
+        if (found == m_runs.end())
+            continue;
+        RequestRun &run = *found->second;
+        m_view.lost(run.database);
+        take(run, run.life->connectionLost());
+    }
+}
+
+bool RequestRunner::isStalled(const RequestRun &run) const
+{
+    if (!run.isRead())
+        return m_view.isOvertaken(run.term);
+    const DatabaseView *database = m_view.find(run.database);
+    return database == nullptr || !database->reachable;
+}
+
 // Work that waits at a database which has been replaced or cannot be reached would wait there until
 // its deadline: it is routed again.
 void RequestRunner::withdrawMisrouted()
@@ -575,12 +623,17 @@
 
 void RequestRunner::wakeParked(Instant now, bool statusArrived)
 {
-    if (m_parked == 0)
+    if (m_parked == 0 || (!statusArrived && now < m_nextParked))
         return;
     std::vector<RunId> due;
+    m_nextParked = Instant::max();
     for (const auto &[id, run] : m_runs) {
-        if (run->parkedUntil && (statusArrived || *run->parkedUntil <= now))
+        if (!run->parkedUntil)
+            continue;
+        if (statusArrived || *run->parkedUntil <= now)
             due.push_back(id);
+        else
+            m_nextParked = std::min(m_nextParked, *run->parkedUntil);
     }
     std::sort(due.begin(), due.end());
     for (const RunId id : due)
@@ -589,7 +642,10 @@
 
 std::optional<Instant> RequestRunner::nextEvent() const
 {
-    return m_confirmer.nextEvent();
+    const std::optional<Instant> next = m_confirmer.nextEvent();
+    if (m_parked == 0)
+        return next;
+    return next ? std::min(*next, m_nextParked) : m_nextParked;
 }
 
 void RequestRunner::holdWrites(bool hold)
