--- a/libs/loadtest/include/loadtest/loadrecorder.h
+++ b/libs/loadtest/include/loadtest/loadrecorder.h
@@ -22,6 +22,9 @@
     std::string reason;
     bool byReplica = false;
     Duration endedAt{0};
+
+    // From sending to a refusal; a request may be sent late because its session was busy.
+    Duration answeredAfter{0};
 };
 
 // What became of the requests of one class.
--- a/libs/loadtest/src/loadrecorder.cpp
+++ b/libs/loadtest/src/loadrecorder.cpp
@@ -78,7 +78,7 @@
         break;
     case Outcome::NotRun:
         ++record.notRun[result.reason];
-        record.refusalLatency.add(latency);
+        record.refusalLatency.add(result.answeredAfter);
         break;
     case Outcome::Unknown:
         ++record.unknown[result.reason];
--- a/libs/workload/include/workload/arrivals.h
+++ b/libs/workload/include/workload/arrivals.h
@@ -25,7 +25,7 @@
     // In order of time; nothing arrives before the first.
     std::vector<RateStep> steps;
 
-    // Sessions that the arrivals are spread over.
+    // Sessions of each customer that its arrivals are spread over; none is shared by customers.
     std::uint32_t sessions = 1000;
 
     // Entries that callers can reach; a session sends each request to any of them with this
--- a/libs/workload/src/arrivals.cpp
+++ b/libs/workload/src/arrivals.cpp
@@ -1,6 +1,7 @@
 #include "workload/arrivals.h"
 
 #include <cmath>
+#include <map>
 #include <random>
 #include <string>
 
@@ -50,13 +51,18 @@
         : m_workload(workload)
         , m_options(options)
         , m_random(options.seed)
-        , m_lastEntry(options.sessions)
-        , m_ownWrites(options.sessions)
     {
+        std::map<CustomerId, std::uint32_t> firstSessions;
+        for (const RequestClass &requestClass : workload.classes) {
+            const auto next = static_cast<std::uint32_t>(firstSessions.size()) * options.sessions;
+            m_firstSession.push_back(
+                    firstSessions.try_emplace(requestClass.customer, next).first->second);
+            m_shares += requestClass.share;
+        }
+        m_lastEntry.resize(firstSessions.size() * options.sessions);
+        m_ownWrites.resize(m_lastEntry.size());
         for (std::uint32_t &entry : m_lastEntry)
             entry = m_random.below(options.entries);
-        for (const RequestClass &requestClass : workload.classes)
-            m_shares += requestClass.share;
     }
 
     std::vector<Arrival> plan()
@@ -83,7 +89,7 @@
         Arrival arrival;
         arrival.at = at;
         arrival.requestClass = drawClass();
-        arrival.session = m_random.below(m_options.sessions);
+        arrival.session = m_firstSession[arrival.requestClass] + m_random.below(m_options.sessions);
         arrival.entry = drawEntry(arrival.session);
         fillRequest(arrival, m_workload.classes[arrival.requestClass]);
         return arrival;
@@ -163,6 +169,9 @@
     const ArrivalOptions &m_options;
     Random m_random;
     double m_shares = 0;
+
+    // By class: the first session of its customer.
+    std::vector<std::uint32_t> m_firstSession;
     std::vector<std::uint32_t> m_lastEntry;
     std::vector<std::uint64_t> m_ownWrites;
     std::vector<Arrival> m_plan;
--- a/tools/fescuebench/include/fescuebench/loadrunner.h
+++ b/tools/fescuebench/include/fescuebench/loadrunner.h
@@ -62,6 +62,7 @@
     {
         std::string token;
         bool busy = false;
+        Duration sentAt{0};
         std::deque<std::size_t> waiting;
         std::uint64_t acknowledged = 0;
         std::uint64_t seen = 0;
--- a/tools/fescuebench/src/loadrunner.cpp
+++ b/tools/fescuebench/src/loadrunner.cpp
@@ -77,6 +77,7 @@
     const Arrival &arrival = m_plan[place];
     Session &session = m_sessions[arrival.session];
     session.busy = true;
+    session.sentAt = EventLoop::now() - m_start;
     CallerRequest request = arrival.request;
     request.token = session.token;
     m_sender.send(arrival.entry, request,
@@ -113,6 +114,7 @@
                     .reason = result.reason,
                     .byReplica = result.answer.byReplica,
                     .endedAt = EventLoop::now() - m_start};
+    load.answeredAfter = load.endedAt - m_sessions[arrival.session].sentAt;
     const bool late = load.endedAt > arrival.at + arrival.request.deadline;
     if (load.outcome == Outcome::Done && late) {
         load.outcome = Outcome::Unknown;
