--- a/tools/fescueslopes/src/membershipslopes.cpp
+++ b/tools/fescueslopes/src/membershipslopes.cpp
@@ -122,7 +122,7 @@
     Series datagrams{"datagrams sent per VM", "1/s", {}};
     Series bytes{"bytes sent per VM, with headers", "B/s", {}};
     Series cpu{"processor share per VM, without the kernel", "%", {}};
-    Series cold{"the same in the first 10 s after all started at once", "B/s", {}};
+    Series cold{"bytes sent per VM in the first 10 s after all started at once", "B/s", {}};
     Series memory{"memory per VM", "B", {}};
     Series crash{"crash known to all, median", "ms", {}};
     Series crashWorst{"crash known to all, worst", "ms", {}};
