--- a/libs/loadtest/src/loadrecorder.cpp
+++ b/libs/loadtest/src/loadrecorder.cpp
@@ -4,7 +4,7 @@
 
 namespace fescuespring {
 
-LoadRecorder::LoadRecorder(const Workload &workload, Duration slice)
+LoadRecorder::LoadRecorder(const LoadWorkload &workload, Duration slice)
     : m_workload(workload)
     , m_slice(slice)
     , m_classes(workload.classes.size())
@@ -78,7 +78,7 @@
         break;
     case Outcome::NotRun:
         ++record.notRun[result.reason];
-        record.refusalLatency.add(latency);
+        record.refusalLatency.add(result.answeredAfter);
         break;
     case Outcome::Unknown:
         ++record.unknown[result.reason];
--- a/libs/workload/include/workload/arrivals.h
+++ b/libs/workload/include/workload/arrivals.h
@@ -25,7 +25,7 @@
     // In order of time; nothing arrives before the first.
     std::vector<RateStep> steps;
 
-    // Sessions that the arrivals are spread over.
+    // Sessions of each customer that its arrivals are spread over; none is shared by customers.
     std::uint32_t sessions = 1000;
 
     // Entries that callers can reach; a session sends each request to any of them with this
@@ -56,7 +56,7 @@
 // The arrivals of a Poisson process whose rate follows the steps. The same seed gives the same
 // plan, on every machine.
 //
-//     const auto plan = planArrivals(herdviewWorkload(), {.seed = 7, .steps = {{0s, 500}}});
-std::vector<Arrival> planArrivals(const Workload &workload, const ArrivalOptions &options);
+//     const auto plan = planArrivals(herdviewLoad(), {.seed = 7, .steps = {{0s, 500}}});
+std::vector<Arrival> planArrivals(const LoadWorkload &workload, const ArrivalOptions &options);
 
 } // namespace fescuespring
--- a/libs/workload/tests/arrivalstest.cpp
+++ b/libs/workload/tests/arrivalstest.cpp
@@ -3,10 +3,18 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace fescuespring;
 using namespace std::chrono_literals;
 
+namespace {
+
+// Five customers of 1000 sessions each.
+constexpr std::size_t sessionsOfAll = 5000;
+
+} // namespace
+
 class ArrivalsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ArrivalsTest);
@@ -14,6 +22,7 @@
     CPPUNIT_TEST(rateFollowsTheSteps);
     CPPUNIT_TEST(mixFollowsTheShares);
     CPPUNIT_TEST(sessionsStayOrRoam);
+    CPPUNIT_TEST(noSessionIsSharedByCustomers);
     CPPUNIT_TEST(ownKeysAreNumbered);
     CPPUNIT_TEST(everyCustomerHoldsAKnownPlan);
     CPPUNIT_TEST(capacityIsBoundByPrimariesOrAll);
@@ -36,7 +45,7 @@
     void rateFollowsTheSteps()
     {
         const auto plan = planArrivals(
-                dvorakWorkload(),
+                dvorakLoad(),
                 {.seed = 3, .length = 30s, .steps = {{0s, 100}, {10s, 1000}, {20s, 0}}});
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1000, countBetween(plan, 0s, 10s), 100);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(10000, countBetween(plan, 10s, 20s), 400);
@@ -49,7 +58,7 @@
 
     void mixFollowsTheShares()
     {
-        const Workload workload = herdviewWorkload();
+        const LoadWorkload workload = herdviewLoad();
         const auto plan = planOf(5);
         double shares = 0;
         for (const RequestClass &requestClass : workload.classes)
@@ -67,17 +76,27 @@
     void sessionsStayOrRoam()
     {
         ArrivalOptions options{.length = 5s, .steps = {{0s, 1000}}, .entries = 3, .roaming = 0};
-        CPPUNIT_ASSERT_EQUAL(0, movesOf(planArrivals(herdviewWorkload(), options)));
+        CPPUNIT_ASSERT_EQUAL(0, movesOf(planArrivals(herdviewLoad(), options)));
         options.roaming = 1;
-        CPPUNIT_ASSERT(movesOf(planArrivals(herdviewWorkload(), options)) > 1000);
+        CPPUNIT_ASSERT(movesOf(planArrivals(herdviewLoad(), options)) > 1000);
+    }
+
+    void noSessionIsSharedByCustomers()
+    {
+        std::map<std::uint32_t, CustomerId> owners;
+        for (const Arrival &arrival : planOf(4)) {
+            const auto owner = owners.try_emplace(arrival.session, arrival.request.customer).first;
+            CPPUNIT_ASSERT(owner->second == arrival.request.customer);
+        }
+        CPPUNIT_ASSERT(owners.size() > 1000);
     }
 
     void ownKeysAreNumbered()
     {
-        Workload workload = herdviewWorkload();
+        LoadWorkload workload = herdviewLoad();
         for (RequestClass &requestClass : workload.classes)
             requestClass.ownKey = true;
-        std::vector<std::uint64_t> written(1000);
+        std::vector<std::uint64_t> written(sessionsOfAll);
         for (const Arrival &arrival :
              planArrivals(workload, {.length = 5s, .steps = {{0s, 1000}}})) {
             if (arrival.request.access == Access::Write)
@@ -88,7 +107,7 @@
 
     void everyCustomerHoldsAKnownPlan()
     {
-        for (const Workload &workload : {herdviewWorkload(), dvorakWorkload()}) {
+        for (const LoadWorkload &workload : {herdviewLoad(), dvorakLoad()}) {
             CPPUNIT_ASSERT_EQUAL(workload.classes.size(), workload.lists.customers.size());
             for (const auto &[customer, plan] : workload.lists.customers)
                 CPPUNIT_ASSERT(workload.lists.plans.contains(plan));
@@ -97,7 +116,7 @@
 
     void capacityIsBoundByPrimariesOrAll()
     {
-        Workload workload = herdviewWorkload();
+        LoadWorkload workload = herdviewLoad();
         workload.classes.resize(1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(13500, slotCapacity(workload), 1);
         workload.classes[0].access = Access::Write;
@@ -107,7 +126,7 @@
 private:
     static std::vector<Arrival> planOf(std::uint64_t seed)
     {
-        return planArrivals(herdviewWorkload(),
+        return planArrivals(herdviewLoad(),
                             {.seed = seed, .length = 10s, .steps = {{0s, 1000}}, .entries = 3});
     }
 
@@ -122,7 +141,7 @@
 
     static int movesOf(const std::vector<Arrival> &plan)
     {
-        std::vector<std::optional<std::uint32_t>> last(1000);
+        std::vector<std::optional<std::uint32_t>> last(sessionsOfAll);
         int moves = 0;
         for (const Arrival &arrival : plan) {
             auto &entry = last[arrival.session];
