Pass over an isolated primary; requests sent for a local database stay there

Cause: process-data-centres was red since reads wait for replicas (not-run no-owner): the primary's owner sent a forwarded read back to a replica in the data centre it came from. Change: ReadNeed::localOnly for requests at their last hop; PrimaryKeeper acts on Isolated and starts the next change while a record trails; a session is told of discarded history at writes too; long work no longer teaches the router how soon a database answers; in data centres of more than 20 members only the watchers read the VM list every second.

--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -13,6 +13,10 @@
 
 constexpr Duration storeTickInterval = std::chrono::milliseconds(10);
 constexpr Duration vmsInterval = std::chrono::seconds(1);
+constexpr Duration seldomVmsInterval = std::chrono::seconds(10);
+
+// Up to so many members of a data centre each reads the list of VMs every second.
+constexpr std::size_t smallFleet = 20;
 constexpr Duration recordDeadline = std::chrono::seconds(2);
 constexpr std::size_t connectionsPerPeer = 4;
 constexpr std::size_t askedPeers = 2;
@@ -132,7 +136,10 @@
         if (vms)
             takeVms(vms.value());
     });
-    m_loop.after(vmsInterval, [this] { pollVms(); });
+    // The watchers of the data centre read the list often, so that a leaving upstream is known to
+    // most owners soon; all others seldom, as the store's reads are few for the whole fleet.
+    const bool isFrequent = m_distribution.status().isWatcher || m_membership.size() <= smallFleet;
+    m_loop.after(isFrequent ? vmsInterval : seldomVmsInterval, [this] { pollVms(); });
 }
 
 void ControlThread::take(const MembershipActions &actions)
--- a/libs/routing/include/routing/readrouter.h
+++ b/libs/routing/include/routing/readrouter.h
@@ -15,6 +15,10 @@
     // Set where data up to this age will do; of point it then only counts whether it is discarded.
     std::optional<std::chrono::milliseconds> maximumAge = {};
 
+    // True for a request that another data centre sent here for a database of this one: it must not
+    // be sent back.
+    bool localOnly = false;
+
     // When the request came in, and when it must be answered.
     Instant receivedAt = {};
     Instant deadline = {};
@@ -73,6 +77,10 @@
     // Added to the cost of the primary, as it alone takes the writes.
     Duration primaryPenalty = std::chrono::milliseconds(2);
 
+    // A read that only the primary could serve now rather waits for a replica if that is expected
+    // to take less than this.
+    Duration catchUpPatience{0};
+
     // Time of a statement and of a round trip before the first was measured.
     Duration assumedServiceTime = std::chrono::milliseconds(2);
     Duration assumedRoundTrip = std::chrono::milliseconds(2);
@@ -99,6 +107,7 @@
     ReadDecision routeByAge(const GroupView &view, const ReadNeed &need, Instant now) const;
     ReadDecision routeByPoint(const GroupView &view, const ReadNeed &need, Instant now) const;
     ReadDecision routeToPrimary(const GroupView &view, Instant now) const;
+    bool isTooFar(const DatabaseView &database, const ReadNeed &need) const;
     Duration cost(const DatabaseView &database, bool isPrimary) const;
     Duration catchUpTime(const DatabaseView &database, LogPoint point) const;
     ReadDecision refuse(Reason reason) const;
--- a/libs/routing/src/readrouter.cpp
+++ b/libs/routing/src/readrouter.cpp
@@ -70,7 +70,7 @@
     const DatabaseView *best = nullptr;
     Duration bestCost = Duration::max();
     for (const DatabaseView &database : view.databases()) {
-        if (!isUsable(view, database) || isDeposed(primary, database))
+        if (!isUsable(view, database) || isDeposed(primary, database) || isTooFar(database, need))
             continue;
         const bool isPrimary = primary && primary->database == database.site.database;
         const Duration expected = cost(database, isPrimary);
@@ -105,7 +105,7 @@
     for (const DatabaseView &database : view.databases()) {
         const bool isPrimary = primary && primary->database == database.site.database;
         const bool isAllowed = isUsable(view, database) || (isPrimary && database.reachable);
-        if (!isAllowed || isDeposed(primary, database))
+        if (!isAllowed || isDeposed(primary, database) || isTooFar(database, need))
             continue;
         const Duration expected = cost(database, isPrimary);
         switch (holdingOf(database, isPrimary, need.point)) {
@@ -128,7 +128,9 @@
         return canWait ? wait : refuse(Reason::UpstreamUnreachable);
     const bool byReplica = !primary || primary->database != ready->site.database;
     const bool isPrimaryFull = !byReplica && ready->inFlight >= m_options.divertedReads;
-    const bool waitIsBetter = waitCost < readyCost && now + waitCost < need.deadline;
+    const Duration patience =
+            byReplica ? readyCost : std::max(readyCost, m_options.catchUpPatience);
+    const bool waitIsBetter = waitCost < patience && now + waitCost < need.deadline;
     if (canWait && (waitIsBetter || isPrimaryFull))
         return wait;
     return {.action = ReadAction::Serve,
@@ -138,6 +140,11 @@
             .until = now};
 }
 
+bool ReadRouter::isTooFar(const DatabaseView &database, const ReadNeed &need) const
+{
+    return need.localOnly && database.site.dataCentre != m_options.dataCentre;
+}
+
 Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary) const
 {
     const Duration roundTrip = database.roundTrip == Duration::zero() ? m_options.assumedRoundTrip
@@ -145,8 +152,9 @@
     const Duration service = database.serviceTime == Duration::zero() ? m_options.assumedServiceTime
                                                                       : database.serviceTime;
     const bool isRemote = database.site.dataCentre != m_options.dataCentre;
-    const unsigned turns = database.inFlight / m_options.slots + 1;
-    return roundTrip + service * turns + (isRemote ? m_options.assumedRoundTrip : Duration::zero())
+    // In parts of a turn, so that idle databases share the reads.
+    const Duration queued = service * (database.inFlight + m_options.slots) / m_options.slots;
+    return roundTrip + queued + (isRemote ? m_options.assumedRoundTrip : Duration::zero())
            + (isPrimary ? m_options.primaryPenalty : Duration::zero());
 }
 
--- a/libs/sliceowner/src/databaseexecutor.cpp
+++ b/libs/sliceowner/src/databaseexecutor.cpp
@@ -16,6 +16,7 @@
     , m_ticket(dispatch.ticket)
     , m_connection(connection)
     , m_since(EventLoop::now())
+    , m_isLong(dispatch.isLong)
 {}
 
 ConnectionLease::~ConnectionLease()
--- a/libs/sliceowner/src/databaseexecutor.h
+++ b/libs/sliceowner/src/databaseexecutor.h
@@ -27,6 +27,11 @@
     void call(const StatementCall &call, std::chrono::milliseconds timeout,
               StatementCallback callback);
 
+    bool isLong() const
+    {
+        return m_isLong;
+    }
+
     // Gives the connection and the slot back. completed tells that the work ran to its end, so that
     // its service time is learnt. A lease that is destroyed unreleased is released dirty.
     void release(ConnectionState state, bool completed);
@@ -36,6 +41,7 @@
     Ticket m_ticket;
     ConnectionId m_connection;
     Instant m_since;
+    bool m_isLong = false;
     bool m_released = false;
 };
 
--- a/libs/sliceowner/src/primarykeeper.cpp
+++ b/libs/sliceowner/src/primarykeeper.cpp
@@ -38,7 +38,7 @@
         perform(m_promoter.tick(now));
     finishReport();
     examine(now);
-    if (m_promoter.step() == PromotionStep::Idle) {
+    if (!m_promoter.isChanging()) {
         startPlanned(now);
         repoint(now);
     }
@@ -50,9 +50,13 @@
     if (verdict == LossVerdict::Alive || !m_mayPromote)
         return;
     askPeers(now);
-    if (verdict != LossVerdict::Lost || m_promoter.step() != PromotionStep::Idle)
+    const bool isDue = verdict == LossVerdict::Lost || verdict == LossVerdict::Isolated;
+    if (!isDue || m_promoter.isChanging())
         return;
+    const std::optional<PrimaryView> primary = m_view.primary();
+    const bool isIsolated = verdict == LossVerdict::Isolated && primary;
     perform(m_promoter.start({.kind = PromotionKind::Unplanned,
+                              .avoid = isIsolated ? primary->database : DatabaseId(),
                               .silentSince = m_detector.silentSince(),
                               .foundAt = now},
                              m_view, now));
--- a/libs/sliceowner/src/primarykeeper.h
+++ b/libs/sliceowner/src/primarykeeper.h
@@ -33,6 +33,12 @@
 
     void statusHeard(const DatabaseStatus &status, Instant askedAt, Instant now);
 
+    // A write that needs a second copy ended without one.
+    void writeLackedCopy(Instant now)
+    {
+        m_detector.writeLackedCopy(now);
+    }
+
     // To be called about every 10 ms, and at nextTimer.
     void advance(Instant now);
     std::optional<Instant> nextTimer() const
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -25,26 +25,13 @@
 
 // A read rather waits this long for a replica to catch up than take a slot of the primary, which
 // alone can take the writes.
-constexpr Duration primaryPenalty = std::chrono::milliseconds(120);
+constexpr Duration catchUpPatience = std::chrono::milliseconds(120);
 
 ConfirmationId confirmationOf(RunId id)
 {
     return ConfirmationId(id);
 }
 
-// The results of a transaction that is answered from the record stand in one text, a line each.
-std::vector<std::string> linesOf(const std::string &text)
-{
-    std::vector<std::string> lines;
-    std::size_t start = 0;
-    while (start <= text.size()) {
-        const std::size_t end = std::min(text.find('\n', start), text.size());
-        lines.push_back(text.substr(start, end - start));
-        start = end + 1;
-    }
-    return lines;
-}
-
 } // namespace
 
 RequestRunner::RequestRunner(EventLoop &loop, Counters &counters, const SliceOwnerOptions &options,
@@ -55,7 +42,7 @@
     , m_hooks(hooks)
     , m_view(view)
     , m_prober(prober)
-    , m_router({.dataCentre = options.dataCentre, .primaryPenalty = primaryPenalty})
+    , m_router({.dataCentre = options.dataCentre, .catchUpPatience = catchUpPatience})
 {
     for (int i = 0; i < reasonCount; ++i) {
         const char *reason = toString(static_cast<Reason>(i));
@@ -150,6 +137,7 @@
     run.deadline = run.owned.receivedAt + request.deadline;
     run.need = {.point = run.token.point(m_options.group),
                 .maximumAge = request.maximumAge,
+                .localOnly = run.owned.hop >= maximumHops,
                 .receivedAt = run.owned.receivedAt,
                 .deadline = run.deadline};
     // A plan's age holds only for sessions that have seen nothing of the group yet: what a session
@@ -217,7 +205,12 @@
         park(run, now + parkedRecheck, Reason::NoPrimary);
         return;
     }
-    const WriteDecision decision = fescuespring::routeWrite(m_view, primaryRetryAfter);
+    const WriteDecision decision =
+            fescuespring::routeWrite(m_view, primaryRetryAfter, run.need.point);
+    if (decision.reason == Reason::HistoryDiscarded) {
+        refuse(run, {decision.reason});
+        return;
+    }
     if (decision.action == WriteAction::Refuse) {
         // A change of primary takes a moment: the caller's deadline says how long it waits for it.
         park(run, now + parkedRecheck, decision.reason);
@@ -387,14 +380,23 @@
     const bool hasResult = kind == CallKind::Run || kind == CallKind::Statement;
     const bool isTransaction = run.request().statements.size() > 1;
     if (run.last.outcome == CallOutcome::Done && run.last.repeated && isTransaction)
-        run.results = linesOf(run.last.result);
+        run.results = splitRecordedResults(run.last.result, run.request().statements.size());
     else if (run.last.outcome == CallOutcome::Done && hasResult)
         run.results.push_back(run.last.result);
     if (verdict.step != RequestStep::SendNext)
-        m_view.answered(run.database, EventLoop::now() - run.sentAt);
+        noteAnswered(run);
     take(run, verdict);
 }
 
+// Long work says nothing of how soon a database answers short work, which is what the router asks.
+void RequestRunner::noteAnswered(const RequestRun &run)
+{
+    if (run.lease->isLong())
+        m_view.lost(run.database);
+    else
+        m_view.answered(run.database, EventLoop::now() - run.sentAt);
+}
+
 void RequestRunner::take(RequestRun &run, const RequestVerdict &verdict)
 {
     switch (verdict.step) {
@@ -445,6 +447,8 @@
     if (found == m_runs.end())
         return;
     RequestRun &run = *found->second;
+    if (result.outcome == ConfirmationOutcome::NotDurableInTime && m_writeLackedCopy)
+        m_writeLackedCopy();
     take(run, run.life->confirmed(result.outcome));
 }
 
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -38,6 +38,12 @@
     void advance(Instant now);
     std::optional<Instant> nextEvent() const;
 
+    // Called for each write that ended without the second copy it needs.
+    void onWriteLackedCopy(std::function<void()> hook)
+    {
+        m_writeLackedCopy = std::move(hook);
+    }
+
     void holdWrites(bool hold);
     bool hasWritesInFlight() const
     {
@@ -76,6 +82,7 @@
     void start(RunId id, std::unique_ptr<ConnectionLease> lease);
     void sendNext(RequestRun &run);
     void callAnswered(RunId id, const Result<StatementAnswer> &answer);
+    void noteAnswered(const RequestRun &run);
     void take(RequestRun &run, const RequestVerdict &verdict);
     void awaitConfirmation(RequestRun &run);
     void advanceConfirmations(Instant now);
@@ -118,6 +125,7 @@
     // No parked request is due before this.
     Instant m_nextParked = Instant::max();
     std::size_t m_writesInFlight = 0;
+    std::function<void()> m_writeLackedCopy;
     bool m_holdWrites = false;
     bool m_draining = false;
 };
--- a/libs/sliceowner/src/sliceowner.cpp
+++ b/libs/sliceowner/src/sliceowner.cpp
@@ -40,7 +40,9 @@
                           [this] {
                               return runner.hasWritesInFlight();
                           }})
-    {}
+    {
+        runner.onWriteLackedCopy([this] { keeper.writeLackedCopy(EventLoop::now()); });
+    }
 
     ~Data()
     {
