Spread short and long reads by their own load; long reads leave the primary alone

Trace: the status of the owner showed 151 waiting at the primary and none of the short work at the replicas: the router weighed about 95 queued long jobs a database as if short work waited behind them, so a few long jobs more at one database pushed all short work to another. Ruled out: the scheduler (long work held one slot of three throughout) and the database's own queue (running at most 5). Change: the router is told the load of the request's own kind by the scheduler; long reads take the primary only if no replica can serve them.

--- a/libs/groupview/include/groupview/groupview.h
+++ b/libs/groupview/include/groupview/groupview.h
@@ -87,6 +87,9 @@
     void answered(const DatabaseId &database, Duration serviceTime);
     void lost(const DatabaseId &database);
 
+    // Puts inFlight in place of what was counted, where the scheduler of the database knows better.
+    void setInFlight(const DatabaseId &database, unsigned inFlight);
+
     const GroupId &group() const
     {
         return m_group;
--- a/libs/groupview/src/groupview.cpp
+++ b/libs/groupview/src/groupview.cpp
@@ -115,6 +115,12 @@
         --view->inFlight;
 }
 
+void GroupView::setInFlight(const DatabaseId &database, unsigned inFlight)
+{
+    if (DatabaseView *view = findMutable(database))
+        view->inFlight = inFlight;
+}
+
 const DatabaseView *GroupView::find(const DatabaseId &database) const
 {
     const auto found =
--- a/libs/routing/include/routing/readrouter.h
+++ b/libs/routing/include/routing/readrouter.h
@@ -15,6 +15,9 @@
     // Set where data up to this age will do; of point it then only counts whether it is discarded.
     std::optional<std::chrono::milliseconds> maximumAge = {};
 
+    // True for long work, which takes a slot of the primary only if no replica can serve it.
+    bool isLong = false;
+
     // True for a request that another data centre sent here for a database of this one: it must not
     // be sent back.
     bool localOnly = false;
@@ -74,6 +77,9 @@
     // Longest wait for a replica where its rate of catching up is not known.
     Duration assumedCatchUp = std::chrono::milliseconds(20);
 
+    // Added to the cost of the primary for long work.
+    Duration longWorkPenalty = std::chrono::minutes(1);
+
     // Added to the cost of the primary, as it alone takes the writes.
     Duration primaryPenalty = std::chrono::milliseconds(2);
 
@@ -108,7 +114,7 @@
     ReadDecision routeByPoint(const GroupView &view, const ReadNeed &need, Instant now) const;
     ReadDecision routeToPrimary(const GroupView &view, Instant now) const;
     bool isTooFar(const DatabaseView &database, const ReadNeed &need) const;
-    Duration cost(const DatabaseView &database, bool isPrimary) const;
+    Duration cost(const DatabaseView &database, bool isPrimary, const ReadNeed &need) const;
     Duration catchUpTime(const DatabaseView &database, LogPoint point) const;
     ReadDecision refuse(Reason reason) const;
 
--- a/libs/routing/src/readrouter.cpp
+++ b/libs/routing/src/readrouter.cpp
@@ -73,9 +73,11 @@
         if (!isUsable(view, database) || isDeposed(primary, database) || isTooFar(database, need))
             continue;
         const bool isPrimary = primary && primary->database == database.site.database;
-        const Duration expected = cost(database, isPrimary);
+        const Duration expected = cost(database, isPrimary, need);
         const auto age = view.ageBound(database, now);
-        if (!age || *age + expected > *need.maximumAge || expected >= bestCost)
+        // The primary's data is current whenever the read gets there.
+        const bool isTooOld = !age || (!isPrimary && *age + expected > *need.maximumAge);
+        if (isTooOld || expected >= bestCost)
             continue;
         best = &database;
         bestCost = expected;
@@ -107,7 +109,7 @@
         const bool isAllowed = isUsable(view, database) || (isPrimary && database.reachable);
         if (!isAllowed || isDeposed(primary, database) || isTooFar(database, need))
             continue;
-        const Duration expected = cost(database, isPrimary);
+        const Duration expected = cost(database, isPrimary, need);
         switch (holdingOf(database, isPrimary, need.point)) {
         case Holding::Holds:
             if (expected < readyCost) {
@@ -145,8 +147,9 @@
     return need.localOnly && database.site.dataCentre != m_options.dataCentre;
 }
 
-Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary) const
+Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary, const ReadNeed &need) const
 {
+    const Duration primaryCost = need.isLong ? m_options.longWorkPenalty : m_options.primaryPenalty;
     const Duration roundTrip = database.roundTrip == Duration::zero() ? m_options.assumedRoundTrip
                                                                       : database.roundTrip;
     const Duration service = database.serviceTime == Duration::zero() ? m_options.assumedServiceTime
@@ -155,7 +158,7 @@
     // In parts of a turn, so that idle databases share the reads.
     const Duration queued = service * (database.inFlight + m_options.slots) / m_options.slots;
     return roundTrip + queued + (isRemote ? m_options.assumedRoundTrip : Duration::zero())
-           + (isPrimary ? m_options.primaryPenalty : Duration::zero());
+           + (isPrimary ? primaryCost : Duration::zero());
 }
 
 Duration ReadRouter::catchUpTime(const DatabaseView &database, LogPoint point) const
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -137,6 +137,7 @@
     run.deadline = run.owned.receivedAt + request.deadline;
     run.need = {.point = run.token.point(m_options.group),
                 .maximumAge = request.maximumAge,
+                .isLong = request.length == WorkLength::Long,
                 .localOnly = run.owned.hop >= maximumHops,
                 .receivedAt = run.owned.receivedAt,
                 .deadline = run.deadline};
@@ -168,9 +169,22 @@
         routeWrite(run);
 }
 
+// Short work and long work wait in queues of their own: each kind is spread by its own load, else
+// a few long jobs more at one database would push all short work to another.
+void RequestRunner::tellLoads(WorkLength length)
+{
+    for (const auto &[database, executor] : m_executors) {
+        const SchedulerLoad load = executor->scheduler().load();
+        const std::uint32_t longWork = load.queuedLong + load.runningLong;
+        const std::uint32_t allWork = load.queued + load.running;
+        m_view.setInFlight(database, length == WorkLength::Long ? longWork : allWork - longWork);
+    }
+}
+
 void RequestRunner::routeRead(RequestRun &run)
 {
     const Instant now = EventLoop::now();
+    tellLoads(run.request().length);
     const ReadDecision decision = m_router.route(m_view, run.need, now);
     switch (decision.action) {
     case ReadAction::Serve:
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -72,6 +72,7 @@
 
     std::optional<Refusal> admit(RequestRun &run);
     void route(RunId id);
+    void tellLoads(WorkLength length);
     void routeRead(RequestRun &run);
     void routeWrite(RequestRun &run);
     void send(RequestRun &run, const DatabaseId &database, Term term);
