--- a/libs/proxy/src/vm.cpp
+++ b/libs/proxy/src/vm.cpp
@@ -108,7 +108,9 @@
     }
     if (path == "/v1/drain" && request.method == "POST") {
         respond({.body = R"({"draining":true})"});
-        beginStop();
+        // Asked again, as after a lost answer, it must not cut short the stop under way.
+        if (!stopping)
+            beginStop();
         return;
     }
     if (path == "/v1/status") {
--- /dev/null
+++ b/libs/sliceowner/src/requestcalls.cpp
@@ -0,0 +1,184 @@
+// The calls of RequestRunner to its databases: from the slot to the confirmed answer.
+
+#include "requestlimits.h"
+#include "requestrunner.h"
+
+#include <algorithm>
+
+namespace fescuespring {
+
+namespace {
+
+// A read whose database fell back between the decision and the answer is routed again this often.
+constexpr unsigned maximumReroutes = 5;
+
+ConfirmationId confirmationOf(RunId id)
+{
+    return ConfirmationId(id);
+}
+
+} // namespace
+
+void RequestRunner::start(RunId id, std::unique_ptr<ConnectionLease> lease)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()) {
+        lease->release(ConnectionState::Clean, false);
+        return;
+    }
+    RequestRun &run = *found->second;
+    run.queued.reset();
+    const bool isHeld = m_holdWrites && !run.isRead();
+    // The primary may have changed while the request was queued.
+    const bool isStale = !run.isRead() && run.term != m_view.highestTerm();
+    if (isHeld || isStale) {
+        m_view.lost(run.database);
+        lease->release(ConnectionState::Clean, false);
+        route(id);
+        return;
+    }
+    run.lease = std::move(lease);
+    run.sentAt = EventLoop::now();
+    if (!run.isRead())
+        ++m_writesInFlight;
+    sendNext(run);
+}
+
+void RequestRunner::sendNext(RequestRun &run)
+{
+    const CallerRequest &request = run.request();
+    const CallKind kind = run.life->nextCall();
+    StatementCall call{.kind = kind,
+                       .access = request.access,
+                       .term = run.term,
+                       .id = request.id,
+                       .idempotent = request.access == Access::Read || request.idempotent};
+    if (kind == CallKind::Run || kind == CallKind::Statement)
+        call.statement = request.statements[run.life->statement()];
+    run.life->sending();
+    run.lease->call(call, timeLeft(run),
+                    [this, id = run.id](const Result<StatementAnswer> &answer) {
+                        callAnswered(id, answer);
+                    });
+}
+
+void RequestRunner::callAnswered(RunId id, const Result<StatementAnswer> &answer)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end())
+        return;
+    RequestRun &run = *found->second;
+    if (!answer) {
+        m_view.lost(run.database);
+        const bool isTimeout = answer.error().code == ErrorCode::Timeout;
+        take(run, isTimeout ? run.life->deadlinePassed() : run.life->connectionLost());
+        return;
+    }
+    const CallKind kind = run.life->nextCall();
+    run.last = answer.value();
+    const RequestVerdict verdict = run.life->answered(run.last);
+    const bool hasResult = kind == CallKind::Run || kind == CallKind::Statement;
+    const bool isTransaction = run.request().statements.size() > 1;
+    if (run.last.outcome == CallOutcome::Done && run.last.repeated && isTransaction)
+        run.results = splitRecordedResults(run.last.result, run.request().statements.size());
+    else if (run.last.outcome == CallOutcome::Done && hasResult)
+        run.results.push_back(run.last.result);
+    if (verdict.step != RequestStep::SendNext)
+        noteAnswered(run);
+    take(run, verdict);
+}
+
+// Long work says nothing of how soon a database answers short work, which is what the router asks.
+void RequestRunner::noteAnswered(const RequestRun &run)
+{
+    if (run.lease->isLong())
+        m_view.lost(run.database);
+    else
+        m_view.answered(run.database, EventLoop::now() - run.sentAt);
+}
+
+void RequestRunner::take(RequestRun &run, const RequestVerdict &verdict)
+{
+    switch (verdict.step) {
+    case RequestStep::SendNext:
+        sendNext(run);
+        return;
+    case RequestStep::Confirm:
+        releaseLease(run, verdict.closeConnection);
+        awaitConfirmation(run);
+        return;
+    case RequestStep::Retry:
+        releaseLease(run, verdict.closeConnection);
+        retry(run, verdict.reason);
+        return;
+    case RequestStep::Finish:
+        releaseLease(run, verdict.closeConnection);
+        finish(run, verdict);
+        return;
+    }
+}
+
+void RequestRunner::releaseLease(RequestRun &run, bool dirty)
+{
+    if (!run.lease)
+        return;
+    const std::unique_ptr<ConnectionLease> lease = std::move(run.lease);
+    if (!run.isRead())
+        --m_writesInFlight;
+    lease->release(dirty ? ConnectionState::Dirty : ConnectionState::Clean, !dirty);
+}
+
+void RequestRunner::awaitConfirmation(RequestRun &run)
+{
+    const Instant now = EventLoop::now();
+    Confirmation confirmation{.id = confirmationOf(run.id),
+                              .term = run.term,
+                              .since = run.isRead() ? run.owned.receivedAt : now,
+                              .deadline = run.deadline};
+    if (!run.isRead() && run.durability == Durability::Replicated)
+        confirmation.durablePoint = run.last.point;
+    m_confirmer.await(confirmation);
+    advanceConfirmations(now);
+}
+
+void RequestRunner::confirmed(const ConfirmationResult &result)
+{
+    const auto found = m_runs.find(result.id.value());
+    if (found == m_runs.end())
+        return;
+    RequestRun &run = *found->second;
+    if (result.outcome == ConfirmationOutcome::NotDurableInTime && m_writeLackedCopy)
+        m_writeLackedCopy();
+    take(run, run.life->confirmed(result.outcome));
+}
+
+void RequestRunner::retry(RequestRun &run, Reason reason)
+{
+    m_count.retried[static_cast<std::size_t>(reason)]->add();
+    if (run.isRead() && ++run.reroutes > maximumReroutes) {
+        refuse(run, {reason, primaryRetryAfter});
+        return;
+    }
+    // The cause is most often a change of primary that this view has not seen yet.
+    m_prober.probeAll();
+    park(run, EventLoop::now() + parkedRecheck, reason);
+}
+
+std::chrono::milliseconds RequestRunner::timeLeft(const RequestRun &run) const
+{
+    const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline - EventLoop::now());
+    return std::max(left, std::chrono::milliseconds(1));
+}
+
+void RequestRunner::advanceConfirmations(Instant now)
+{
+    for (const ConfirmationResult &result : m_confirmer.advance(m_view, now))
+        confirmed(result);
+    if (!m_confirmer.takeRound(now))
+        return;
+    m_count.confirmationRounds->add();
+    m_prober.probeAll();
+}
+
+} // namespace fescuespring
