Send a read elsewhere when one database's queue is full

Cause: crest, dvorak: 409 of 19,351 label checks refused as queue-full at the database that the router chose, with another one that held their token.

--- a/libs/net/src/httpclient.cpp
+++ b/libs/net/src/httpclient.cpp
@@ -355,7 +355,7 @@
 {
     const auto left =
             std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - EventLoop::now());
-    pooled->connection->send(std::move(job.request), std::max(left, std::chrono::milliseconds(1)),
+    pooled->connection->send(job.request, std::max(left, std::chrono::milliseconds(1)),
                              [weak = weak_from_this(), pooled, callback = std::move(job.callback)](
                                      const Result<HttpResponse> &result) {
                                  const auto self = weak.lock();
--- a/libs/proxy/src/operatorpages.cpp
+++ b/libs/proxy/src/operatorpages.cpp
@@ -94,7 +94,9 @@
 void OperatorPages::finishStatus(const std::shared_ptr<Gathering> &gathering)
 {
     std::vector<GroupStatus> &groups = gathering->status.groups;
-    for (const auto &[group, databases] : m_state.directory.snapshot()->groups) {
+    const auto directory = m_state.directory.snapshot();
+    for (const auto &entry : directory->groups) {
+        const GroupId &group = entry.first;
         const bool isListed =
                 std::any_of(groups.begin(), groups.end(),
                             [&group](const GroupStatus &listed) { return listed.group == group; });
--- a/libs/routing/include/routing/readrouter.h
+++ b/libs/routing/include/routing/readrouter.h
@@ -22,6 +22,9 @@
     // be sent back.
     bool localOnly = false;
 
+    // A database that has just refused it because its queue is full.
+    DatabaseId full = {};
+
     // When the request came in, and when it must be answered.
     Instant receivedAt = {};
     Instant deadline = {};
@@ -113,7 +116,7 @@
     ReadDecision routeByAge(const GroupView &view, const ReadNeed &need, Instant now) const;
     ReadDecision routeByPoint(const GroupView &view, const ReadNeed &need, Instant now) const;
     ReadDecision routeToPrimary(const GroupView &view, Instant now) const;
-    bool isTooFar(const DatabaseView &database, const ReadNeed &need) const;
+    bool isExcluded(const DatabaseView &database, const ReadNeed &need) const;
     Duration cost(const DatabaseView &database, bool isPrimary, const ReadNeed &need) const;
     Duration catchUpTime(const DatabaseView &database, LogPoint point) const;
     ReadDecision refuse(Reason reason) const;
--- a/libs/routing/src/readrouter.cpp
+++ b/libs/routing/src/readrouter.cpp
@@ -70,7 +70,7 @@
     const DatabaseView *best = nullptr;
     Duration bestCost = Duration::max();
     for (const DatabaseView &database : view.databases()) {
-        if (!isUsable(view, database) || isDeposed(primary, database) || isTooFar(database, need))
+        if (!isUsable(view, database) || isDeposed(primary, database) || isExcluded(database, need))
             continue;
         const bool isPrimary = primary && primary->database == database.site.database;
         const Duration expected = cost(database, isPrimary, need);
@@ -107,7 +107,7 @@
     for (const DatabaseView &database : view.databases()) {
         const bool isPrimary = primary && primary->database == database.site.database;
         const bool isAllowed = isUsable(view, database) || (isPrimary && database.reachable);
-        if (!isAllowed || isDeposed(primary, database) || isTooFar(database, need))
+        if (!isAllowed || isDeposed(primary, database) || isExcluded(database, need))
             continue;
         const Duration expected = cost(database, isPrimary, need);
         switch (holdingOf(database, isPrimary, need.point)) {
@@ -142,9 +142,10 @@
             .until = now};
 }
 
-bool ReadRouter::isTooFar(const DatabaseView &database, const ReadNeed &need) const
+bool ReadRouter::isExcluded(const DatabaseView &database, const ReadNeed &need) const
 {
-    return need.localOnly && database.site.dataCentre != m_options.dataCentre;
+    const bool isElsewhere = database.site.dataCentre != m_options.dataCentre;
+    return (need.localOnly && isElsewhere) || database.site.database == need.full;
 }
 
 Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary, const ReadNeed &need) const
--- a/libs/routing/tests/routingtest.cpp
+++ b/libs/routing/tests/routingtest.cpp
@@ -65,6 +65,10 @@
     CPPUNIT_TEST(noTokenGoesToThePrimaryUnderConfirmation);
     CPPUNIT_TEST(newestWritesGoToThePrimary);
     CPPUNIT_TEST(fullPrimaryMakesReadsWaitForReplicas);
+    CPPUNIT_TEST(fullDatabaseIsPassedOver);
+    CPPUNIT_TEST(lastHopStaysInTheDataCentre);
+    CPPUNIT_TEST(longReadsLeaveThePrimaryAlone);
+    CPPUNIT_TEST(patientReadsWaitForAReplica);
     CPPUNIT_TEST(refusesDiscardedHistory);
     CPPUNIT_TEST(learnsOfANewerTerm);
     CPPUNIT_TEST(ageMustBeKnownAndSmallEnough);
@@ -99,6 +103,47 @@
         assertServe("d3", route(view, needPoint(at(2, 105))));
     }
 
+    void fullDatabaseIsPassedOver()
+    {
+        ReadNeed need = needPoint(at(2, 85));
+        need.full = DatabaseId("d2");
+        assertServe("d1", route(sampleView(), need));
+    }
+
+    void lastHopStaysInTheDataCentre()
+    {
+        GroupView view = sampleView();
+        view.setSites({{.database = DatabaseId("d1"), .dataCentre = andong},
+                       {.database = DatabaseId("d2"), .dataCentre = DataCentreId("sangju")},
+                       {.database = DatabaseId("d3"), .dataCentre = DataCentreId("sangju")}});
+        ReadNeed need = needPoint(at(2, 85));
+        need.localOnly = true;
+        assertServe("d1", route(view, need));
+    }
+
+    void longReadsLeaveThePrimaryAlone()
+    {
+        GroupView view = sampleView();
+        for (int i = 0; i < 50; ++i)
+            view.sent(DatabaseId("d2"));
+        assertServe("d1", route(view, needAge(milliseconds(1000))));
+        ReadNeed need = needAge(milliseconds(1000));
+        need.isLong = true;
+        assertServe("d2", route(view, need));
+        need.maximumAge = milliseconds(1);
+        assertServe("d1", route(view, need));
+    }
+
+    void patientReadsWaitForAReplica()
+    {
+        const ReadNeed need = needPoint(at(2, 100));
+        assertServe("d1", route(sampleView(), need));
+        const ReadRouter patient(
+                {.dataCentre = andong, .catchUpPatience = std::chrono::milliseconds(120)});
+        const ReadDecision decision = patient.route(sampleView(), need, start + milliseconds(2));
+        CPPUNIT_ASSERT(decision.action == ReadAction::Wait);
+    }
+
     void fullPrimaryMakesReadsWaitForReplicas()
     {
         GroupView view = sampleView();
