--- a/tests/process/planned-stop.test.sh
+++ b/tests/process/planned-stop.test.sh
@@ -11,7 +11,8 @@
 caller() {
     local body code count=0
     while [ ! -e "$work/end" ]; do
-        body=$(send "$1" write '"add n 1"' ",\"id\":\"c$2-$1-$((count++))\",\"token\":\"\"")
+        count=$((count + 1))
+        body=$(send "$1" write '"add n 1"' ",\"id\":\"c$2-$1-$count\",\"token\":\"\"")
         code=$?
         case "$code" in
         0) [[ $body == *'"outcome":"done"'* ]] && echo done || echo "other $body" ;;
