--- a/libs/routing/include/routing/readrouter.h
+++ b/libs/routing/include/routing/readrouter.h
@@ -22,9 +22,6 @@
     // be sent back.
     bool localOnly = false;
 
-    // A database that has just refused it because its queue is full.
-    DatabaseId full = {};
-
     // When the request came in, and when it must be answered.
     Instant receivedAt = {};
     Instant deadline = {};
--- a/libs/routing/src/readrouter.cpp
+++ b/libs/routing/src/readrouter.cpp
@@ -144,8 +144,7 @@
 
 bool ReadRouter::isExcluded(const DatabaseView &database, const ReadNeed &need) const
 {
-    const bool isElsewhere = database.site.dataCentre != m_options.dataCentre;
-    return (need.localOnly && isElsewhere) || database.site.database == need.full;
+    return need.localOnly && database.site.dataCentre != m_options.dataCentre;
 }
 
 Duration ReadRouter::cost(const DatabaseView &database, bool isPrimary, const ReadNeed &need) const
--- a/libs/routing/tests/routingtest.cpp
+++ b/libs/routing/tests/routingtest.cpp
@@ -65,7 +65,6 @@
     CPPUNIT_TEST(noTokenGoesToThePrimaryUnderConfirmation);
     CPPUNIT_TEST(newestWritesGoToThePrimary);
     CPPUNIT_TEST(fullPrimaryMakesReadsWaitForReplicas);
-    CPPUNIT_TEST(fullDatabaseIsPassedOver);
     CPPUNIT_TEST(lastHopStaysInTheDataCentre);
     CPPUNIT_TEST(longReadsLeaveThePrimaryAlone);
     CPPUNIT_TEST(patientReadsWaitForAReplica);
@@ -103,13 +102,6 @@
         assertServe("d3", route(view, needPoint(at(2, 105))));
     }
 
-    void fullDatabaseIsPassedOver()
-    {
-        ReadNeed need = needPoint(at(2, 85));
-        need.full = DatabaseId("d2");
-        assertServe("d1", route(sampleView(), need));
-    }
-
     void lastHopStaysInTheDataCentre()
     {
         GroupView view = sampleView();
--- a/libs/sliceowner/src/requestrouting.cpp
+++ b/libs/sliceowner/src/requestrouting.cpp
@@ -167,8 +167,7 @@
     };
     const Submission submission = executor.submit(std::move(job));
     if (!submission) {
-        if (!sendElsewhere(run, submission.error()))
-            dropped(run, submission.error());
+        dropped(run, submission.error());
         return;
     }
     run.queued = submission.value();
@@ -176,25 +175,6 @@
     m_view.sent(run.database);
 }
 
-// A read that one database has no room for goes to another one that can serve it at once. Tried
-// once a request: where every queue is full the refusal is to be told soon.
-bool RequestRunner::sendElsewhere(RequestRun &run, const Refusal &refusal)
-{
-    if (!run.isRead() || refusal.reason != Reason::QueueFull || !run.need.full.isEmpty())
-        return false;
-    run.need.full = run.database;
-    const ReadDecision decision = m_router.route(m_view, run.need, EventLoop::now());
-    const bool isHere = m_executors.contains(decision.database);
-    if (decision.action != ReadAction::Serve || decision.database == run.need.full || !isHere)
-        return false;
-    m_count.sentElsewhere->add();
-    run.byReplica = decision.byReplica;
-    run.needsConfirmation = decision.needsConfirmation;
-    run.life.emplace(traits(run));
-    send(run, decision.database, decision.needsConfirmation ? decision.term : m_view.highestTerm());
-    return true;
-}
-
 // A queue that stands because its database cannot be reached is no overload: the request waits for
 // another database or a change of primary, as its deadline allows.
 void RequestRunner::dropped(RequestRun &run, const Refusal &refusal)
--- a/libs/sliceowner/src/requestrunner.cpp
+++ b/libs/sliceowner/src/requestrunner.cpp
@@ -32,7 +32,6 @@
     m_count.readsByReplica = &counters.counter("fescuespring_reads_total", "by", "replica");
     m_count.readsByPrimary = &counters.counter("fescuespring_reads_total", "by", "primary");
     m_count.writesDone = &counters.counter("fescuespring_writes_total");
-    m_count.sentElsewhere = &counters.counter("fescuespring_reads_sent_elsewhere_total");
     m_count.confirmationRounds = &counters.counter("fescuespring_confirmation_rounds_total");
 }
 
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -67,7 +67,6 @@
         Counter *readsByReplica = nullptr;
         Counter *readsByPrimary = nullptr;
         Counter *writesDone = nullptr;
-        Counter *sentElsewhere = nullptr;
         Counter *confirmationRounds = nullptr;
     };
 
@@ -79,7 +78,6 @@
     void send(RequestRun &run, const DatabaseId &database, Term term);
     void forward(RequestRun &run, const DataCentreId &dataCentre);
     void enqueue(RequestRun &run, DatabaseExecutor &executor);
-    bool sendElsewhere(RequestRun &run, const Refusal &refusal);
     void dropped(RequestRun &run, const Refusal &refusal);
     void park(RequestRun &run, Instant until, Reason reason);
     void start(RunId id, std::unique_ptr<ConnectionLease> lease);
