--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -61,6 +61,10 @@
     // Whether who leads is known well enough to serve.
     bool isReady() const;
 
+    // Whether this VM is cut off from the primaries of most groups while others may reach them, so
+    // that callers are better off elsewhere.
+    bool isCutOff() const;
+
 private:
     void tick();
     void poll();
@@ -70,6 +74,7 @@
     void ownRecordWritten(const Result<WriteAnswer> &answer);
     void watchDatabases();
     void probeIfDue(const DatabaseId &database);
+    bool isLostForMost(const DatabaseId &database) const;
     bool isOthersSuspect(const DatabaseId &database) const;
     void shareConnections();
     std::vector<SuccessionCandidate> candidates(const GroupId &group) const;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -13,7 +13,7 @@
 constexpr Duration tickInterval = milliseconds(100);
 
 // How often the records of leadership are read: a lease outlives two reads that fail.
-constexpr Duration pollInterval = milliseconds(400);
+constexpr Duration pollInterval = milliseconds(500);
 constexpr milliseconds pollTimeout{1000};
 constexpr std::size_t maximumPollsOut = 3;
 
@@ -64,6 +64,7 @@
 
 Coordinator::~Coordinator()
 {
+    m_upstreams.judgeLossBy([](const DatabaseId &) { return false; });
     m_upstreams.context().timers.cancel(m_tickTimer);
 }
 
@@ -74,6 +75,7 @@
 
 void Coordinator::start()
 {
+    m_upstreams.judgeLossBy([this](const DatabaseId &database) { return isLostForMost(database); });
     poll();
     writeOwnRecord();
     tick();
@@ -84,6 +86,22 @@
     return m_upstreams.leadership().askedAt().has_value();
 }
 
+bool Coordinator::isCutOff() const
+{
+    const std::vector<GroupId> known = groups();
+    const auto cutOff = std::count_if(known.begin(), known.end(), [this](const GroupId &group) {
+        return m_upstreams.isCutOff(group);
+    });
+    return static_cast<std::size_t>(cutOff) * 2 > known.size();
+}
+
+bool Coordinator::isLostForMost(const DatabaseId &database) const
+{
+    // What others said before the store was lost is no help.
+    const std::size_t vms = m_vms.living(now()).size();
+    return m_isReachable && m_vms.silentCount(database, now()) * 2 > vms;
+}
+
 void Coordinator::tick()
 {
     m_tickTimer = m_upstreams.context().timers.after(tickInterval, [this] { tick(); });
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -133,7 +133,9 @@
 
     Need need(const GroupId &group) const;
     void consider(const GroupId &group);
-    void takeDuty(Instant neededSince);
+    Duration patience(bool isAnnounced) const;
+    void noteHolder();
+    void takeDuty(Instant neededSince, bool isAnnounced);
     bool mayOrder() const;
     void demoteFormer(const GroupId &group);
     void changeEnded(const GroupId &group);
@@ -145,6 +147,10 @@
     std::map<DatabaseId, Instant> m_demotedAt;
     bool m_isTaking = false;
     ObjectVersion m_dutyVersion;
+
+    // The holder as last read, and since when.
+    ObjectVersion m_seenDutyVersion;
+    Instant m_holderSince;
     Instant m_mayOrderFrom;
 };
 
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -88,8 +88,8 @@
                                      const auto self = weak.lock();
                                      if (!self || !reply || !reply->status)
                                          return;
-                                     self->m_oldTerm = std::max(self->m_oldTerm,
-                                                                reply->status->received.term);
+                                     self->m_oldTerm
+                                             = std::max(self->m_oldTerm, reply->status->term);
                                  });
     }
     after(commandTimeout + stepRetry, &LeadershipChange::termLearnt);
@@ -236,9 +236,9 @@
 {
     for (const Answer &answer : answers) {
         const bool leadsLater = answer.status && answer.status->role == Role::Primary
-                                && answer.status->received.term > m_oldTerm;
+                                && answer.status->term > m_oldTerm;
         if (leadsLater) {
-            recordNew(answer.database, answer.status->received.term);
+            recordNew(answer.database, answer.status->term);
             return;
         }
     }
@@ -300,6 +300,9 @@
 void LeadershipChange::verify()
 {
     if (now() - m_orderedAt > promotionTime) {
+        m_owner->m_options.log.warning("promotion-not-seen", {{"group", m_group},
+                                                              {"database", m_chosen},
+                                                              {"seen", m_lastSeen}});
         after(Duration(0), &LeadershipChange::askAll);
         return;
     }
@@ -309,10 +312,12 @@
                 const auto self = weak.lock();
                 if (!self || !self->goesOn())
                     return;
+                if (reply && !reply->rows.empty())
+                    self->m_lastSeen = reply->rows.front();
                 const bool leads = reply && reply->status && reply->status->role == Role::Primary
-                                   && reply->status->received.term > self->m_oldTerm;
+                                   && reply->status->term > self->m_oldTerm;
                 if (leads)
-                    self->recordNew(self->m_chosen, reply->status->received.term);
+                    self->recordNew(self->m_chosen, reply->status->term);
                 else
                     self->after(stepRetry / 2, &LeadershipChange::verify);
             });
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -57,6 +57,9 @@
     Instant m_catchUpUntil;
     DatabaseId m_chosen;
     Instant m_orderedAt;
+
+    // What the chosen database last said of itself, for the log.
+    std::string m_lastSeen;
     std::set<DatabaseId> m_refused;
     bool m_isRunning = true;
 };
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-// How long a due change may stay undone by the holder of the duty before another VM takes it over;
-// and what each place in the order of VMs adds.
+// How long a due change may stay undone by the holder of the duty before another VM takes it over:
+// before it is announced, and from the announcement or the last change of holder on, when a whole
+// change fits in. Each place in the order of VMs adds a step.
 constexpr Duration takeoverPatience = std::chrono::milliseconds(900);
+constexpr Duration changePatience = std::chrono::milliseconds(4000);
 constexpr Duration firstPatience = std::chrono::milliseconds(30);
 constexpr Duration rankStep = std::chrono::milliseconds(120);
 constexpr std::size_t maximumRankSteps = 8;
@@ -58,6 +60,7 @@
 {
     if (!m_options.view.holdsLease(m_options.timers.now()))
         return;
+    noteHolder();
     for (const GroupId &group : m_ports.groups())
         consider(group);
 }
@@ -92,7 +95,7 @@
     }
     const Instant since = m_neededSince.try_emplace(group, m_options.timers.now()).first->second;
     if (!holdsDuty()) {
-        takeDuty(since);
+        takeDuty(since, needed == Need::Unfinished);
         return;
     }
     const auto change = std::make_shared<detail::LeadershipChange>(*this, group,
@@ -101,15 +104,35 @@
     change->start();
 }
 
-void Succession::takeDuty(Instant neededSince)
+Duration Succession::patience(bool isAnnounced) const
+{
+    const std::optional<DutyRecord> &holder = m_options.view.duty();
+    const bool isHeld = holder && !holder->holder.isEmpty();
+    if (!isHeld || holder->holder == m_options.self)
+        return firstPatience;
+    return isAnnounced ? changePatience : takeoverPatience;
+}
+
+void Succession::noteHolder()
+{
+    const std::optional<DutyRecord> &holder = m_options.view.duty();
+    const ObjectVersion version = holder ? holder->version : ObjectVersion();
+    if (version == m_seenDutyVersion)
+        return;
+    m_seenDutyVersion = version;
+    m_holderSince = m_options.timers.now();
+}
+
+void Succession::takeDuty(Instant neededSince, bool isAnnounced)
 {
     const Instant now = m_options.timers.now();
     const std::optional<DutyRecord> former = m_options.view.duty();
     const bool isHeld = former && !former->holder.isEmpty();
     const bool isMine = isHeld && former->holder == m_options.self;
-    const Duration patience = isHeld && !isMine ? takeoverPatience : firstPatience;
     const std::size_t steps = isMine ? 0 : std::min(m_ports.rank(), maximumRankSteps);
-    if (m_isTaking || now < neededSince + patience + rankStep * static_cast<int>(steps))
+    const Instant since = isHeld ? std::max(neededSince, m_holderSince) : neededSince;
+    const Duration wait = patience(isAnnounced) + rankStep * static_cast<int>(steps);
+    if (m_isTaking || now < since + wait)
         return;
     m_isTaking = true;
     const DutyRecord duty{.holder = m_options.self, .incarnation = m_options.incarnation};
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -58,22 +58,23 @@
 TermEvidence::Outcome TermEvidence::judge(const Round &round, const Request &request)
 {
     Outcome outcome{.askedAt = round.askedAt};
+    Term ownTerm;
     for (const Answer &answer : round.answers) {
-        const bool leads = answer.database == request.primary && answer.status
+        const bool isLeader = answer.database == request.primary && answer.status
                            && answer.status->role == Role::Primary;
-        if (leads)
+        if (isLeader) {
             outcome.primaryPosition = answer.status->received;
+            ownTerm = answer.status->term;
+        }
     }
-    Term term = request.term;
-    if (term == Term() && outcome.primaryPosition)
-        term = outcome.primaryPosition->term;
+    const Term term = request.term == Term() ? ownTerm : request.term;
     std::size_t others = 0;
     std::size_t quiet = 0;
     for (const Answer &answer : round.answers) {
         if (answer.database == request.primary)
             continue;
         ++others;
-        const bool knowsNoLater = answer.status && answer.status->received.term <= term
+        const bool knowsNoLater = answer.status && answer.status->term <= term
                                   && answer.status->heldTerm <= term;
         if (knowsNoLater)
             ++quiet;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -83,6 +83,13 @@
     // Whether a database is expected to answer: not leaving and not silent for long.
     bool isResponsive(const DatabaseId &database) const;
 
+    // Whether this VM hears nothing from the group's primary while others may: what needs it cannot
+    // be served here.
+    bool isCutOff(const GroupId &group) const;
+
+    // How the others' word on a database is asked for; false until set.
+    void judgeLossBy(std::function<bool(const DatabaseId &)> isLostForMost);
+
     // Asks for the point that covers all acknowledged commits; refreshed is called when the answer
     // is there or will not come.
     void refreshFloor(const GroupId &group, Refreshed refreshed);
@@ -125,6 +132,9 @@
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
     std::map<GroupId, GroupLimits> m_limits;
     std::size_t m_vmCount = 1;
+    std::function<bool(const DatabaseId &)> m_isLostForMost = [](const DatabaseId &) {
+        return false;
+    };
 };
 
 } // namespace fescuespring
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -139,6 +139,10 @@
 void StatementRun::tryPrimary()
 {
     const std::optional<DatabaseId> primary = upstreams().usablePrimary(m_route.group);
+    if (upstreams().isCutOff(m_route.group)) {
+        giveUp(StatementFailure::Busy, "this VM does not reach the primary");
+        return;
+    }
     if (!primary || (m_excluded.contains(*primary) && !upstreams().isResponsive(*primary))) {
         m_lastMessage = "no primary leads the group at present";
         retryAfter(primaryPoll);
@@ -168,6 +172,10 @@
         m_lastMessage = "no database is known to be fresh enough";
         if (m_isWaiting)
             return;
+        if (upstreams().isCutOff(m_route.group)) {
+            giveUp(m_lastFailure, m_lastMessage);
+            return;
+        }
         m_isWaiting = true;
         upstreams().refreshFloor(m_route.group, [weak = weak_from_this()] {
             const auto self = weak.lock();
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -1,6 +1,7 @@
 #include "statementproxy/upstreams.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fescuespring {
@@ -12,9 +13,13 @@
 // Silence after which a read goes elsewhere if it can.
 constexpr Duration unresponsiveAfter = std::chrono::milliseconds(250);
 
+// Silence of a primary after which this VM takes itself for cut off from it, unless most VMs hear
+// nothing from it either.
+constexpr Duration cutOffAfter = std::chrono::milliseconds(450);
+
 // Share of a database's connections that the VMs keep open together; the rest is for rises of
 // demand, for questions, and for VMs that are not counted yet.
-constexpr double keptShare = 0.75;
+constexpr double keptShare = 0.8;
 
 constexpr std::uint32_t extraConnections = 4;
 
@@ -85,8 +90,8 @@
     const auto limits = m_limits.find(group);
     const std::uint32_t granted
             = limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
-    const auto kept = std::max<std::uint32_t>(
-            1, static_cast<std::uint32_t>(granted * keptShare / static_cast<double>(m_vmCount)));
+    const double share = granted * keptShare / static_cast<double>(m_vmCount);
+    const auto kept = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::round(share)));
     pool.setLimits(kept, kept + extraConnections);
 }
 
@@ -126,6 +131,16 @@
     return !silentSince || m_context.timers.now() - *silentSince < unresponsiveAfter;
 }
 
+bool Upstreams::isCutOff(const GroupId &group) const
+{
+    const auto believed = m_leadership.primary(group);
+    const auto known = believed ? pool(believed->database) : nullptr;
+    if (!known || believed->isMoving || m_isLostForMost(believed->database))
+        return false;
+    const auto &silentSince = known->observation().silentSince;
+    return silentSince && m_context.timers.now() - *silentSince > cutOffAfter;
+}
+
 double Upstreams::readCost(const UpstreamEntry &entry) const
 {
     const auto known = pool(entry.target.database);
@@ -313,6 +328,11 @@
         refreshFloor(group, [] {});
 }
 
+void Upstreams::judgeLossBy(std::function<bool(const DatabaseId &)> isLostForMost)
+{
+    m_isLostForMost = std::move(isLostForMost);
+}
+
 void Upstreams::close()
 {
     for (const auto &[database, pool] : m_pools)
--- a/libs/statements/include/statements/statement.h
+++ b/libs/statements/include/statements/statement.h
@@ -101,10 +101,12 @@
 {
     Role role = Role::Replica;
 
-    // Term of its log, and its last entry.
+    // Term that it leads or follows, and the last entry of its log; the entry may be of an earlier
+    // term.
+    Term term;
     LogPoint received;
 
-    // Highest term that it was told of; receives nothing of lower ones.
+    // Highest term that it was told to hold for; 0 if none. It receives nothing of lower ones.
     Term heldTerm;
 };
 
--- a/libs/statements/include/statements/upstreamchannel.h
+++ b/libs/statements/include/statements/upstreamchannel.h
@@ -37,7 +37,8 @@
     // The next answer, in the order of the commands.
     std::function<void(StatementReply)> onReply = {};
 
-    // The connection is gone. Called once, as the last call.
+    // The connection is gone. Called once, as the last call. Unreachable where nobody answered,
+    // Refused where the database did not take it, ConnectionLost after it was open.
     std::function<void(const Error &)> onClosed = {};
 };
 
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -18,7 +18,7 @@
     std::uint32_t maximum = 6;
 
     // Time without use after which a connection beyond kept is closed.
-    Duration idleTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::milliseconds(800);
 
     // Wait after an open that failed, doubled with each in a row.
     Duration firstBackoff = std::chrono::milliseconds(30);
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -213,12 +213,15 @@
 
 void DatabasePool::broken(DatabaseLink &link, const Error &error)
 {
-    const bool couldNotOpen = error.code == ErrorCode::Unreachable;
-    // The database stays silent until it answers something again.
+    // The database stays silent until it answers something again; a refusal is an answer.
     if (m_unanswered > 0)
         --m_unanswered;
+    if (error.code == ErrorCode::Refused) {
+        m_observation.lastHeard = m_timers.now();
+        m_observation.silentSince.reset();
+    }
     remove(link);
-    if (couldNotOpen)
+    if (error.code == ErrorCode::Unreachable || error.code == ErrorCode::Refused)
         failedToOpen();
     else
         openForDemand();
