Evidence for a read needs the word of the database that it leads

It read there; the log was of the new term by then, and nobody knew a later term, so the round of statuses confirmed it. Change: for a read the database itself must lead, under the term that this VM knows; for a commit the term of its position proves that it led. Test: formerPrimaryThatFollowsIsNoLeader, red before, green after.

--- a/cmake/FescueSpring.cmake
+++ b/cmake/FescueSpring.cmake
@@ -26,6 +26,7 @@
         return()
     endif()
     add_executable(${name}_tests ${sources} ${PROJECT_SOURCE_DIR}/tests/support/main.cpp)
+    target_include_directories(${name}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     set_target_properties(${name}_tests PROPERTIES RUNTIME_OUTPUT_DIRECTORY
                           ${CMAKE_BINARY_DIR}/tests)
     target_compile_definitions(${name}_tests PRIVATE
--- a/libs/leadership/include/leadership/termevidence.h
+++ b/libs/leadership/include/leadership/termevidence.h
@@ -27,7 +27,10 @@
 
         Instant askedAt = {};
 
-        // Where the primary was at some moment after askedAt; nothing if it did not answer.
+        // The term that the primary leads; 0 if it did not answer, or does not lead.
+        Term primaryTerm = {};
+
+        // Where the primary was at some moment after askedAt; nothing as above.
         std::optional<LogPoint> primaryPosition = {};
     };
     using Done = std::function<void(const Outcome &)>;
@@ -50,8 +53,8 @@
     explicit TermEvidence(Options options);
     ~TermEvidence();
 
-    // Whether primary, which answered under term, still led when this was called. Term 0 stands for
-    // the term that the primary itself answers with in the round.
+    // Whether primary, which committed under term, still led when this was called. Term 0: whether
+    // it leads now, by its own word and that of the others; it may have begun to since the call.
     void confirm(const DatabaseId &primary, Term term, Done done);
 
 private:
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -58,16 +58,15 @@
 TermEvidence::Outcome TermEvidence::judge(const Round &round, const Request &request)
 {
     Outcome outcome{.askedAt = round.askedAt};
-    Term ownTerm;
     for (const Answer &answer : round.answers) {
         const bool isLeader = answer.database == request.primary && answer.status
                            && answer.status->role == Role::Primary;
         if (isLeader) {
             outcome.primaryPosition = answer.status->received;
-            ownTerm = answer.status->term;
+            outcome.primaryTerm = answer.status->term;
         }
     }
-    const Term term = request.term == Term() ? ownTerm : request.term;
+    const Term term = request.term == Term() ? outcome.primaryTerm : request.term;
     std::size_t others = 0;
     std::size_t quiet = 0;
     for (const Answer &answer : round.answers) {
--- /dev/null
+++ b/libs/leadership/tests/termevidencetest.cpp
@@ -0,0 +1,142 @@
+#include "leadership/termevidence.h"
+
+#include "support/virtualtimers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const DatabaseId primary("a");
+const DatabaseId replica("b");
+const DatabaseId other("c");
+
+UpstreamStatus status(Role role, std::uint64_t term, std::uint64_t position)
+{
+    return {.role = role, .term = Term(term), .received = {Term(term), LogPosition(position)}};
+}
+
+// A group whose databases answer what stands in statuses, after 1 ms, or not at all.
+struct Group
+{
+    Group()
+        : evidence({.timers = timers,
+                    .databases = [] { return std::vector{primary, replica, other}; },
+                    .askStatus =
+                            [this](const DatabaseId &database, TermEvidence::StatusDone done) {
+                                ++questions;
+                                if (!statuses.contains(database))
+                                    return;
+                                timers.after(1ms, [answer = statuses.at(database), done] {
+                                    done(answer);
+                                });
+                            }})
+    {}
+
+    TermEvidence::Outcome confirm(Term term)
+    {
+        std::optional<TermEvidence::Outcome> outcome;
+        evidence.confirm(primary, term,
+                         [&outcome](const TermEvidence::Outcome &end) { outcome = end; });
+        timers.advance(1s);
+        CPPUNIT_ASSERT(outcome);
+        return *outcome;
+    }
+
+    VirtualTimers timers;
+    int questions = 0;
+    std::map<DatabaseId, UpstreamStatus> statuses{{primary, status(Role::Primary, 1, 9)},
+                                                  {replica, status(Role::Replica, 1, 8)},
+                                                  {other, status(Role::Replica, 1, 9)}};
+    TermEvidence evidence;
+};
+
+} // namespace
+
+class TermEvidenceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TermEvidenceTest);
+    CPPUNIT_TEST(quietReplicasConfirmACommit);
+    CPPUNIT_TEST(laterTermDeniesACommit);
+    CPPUNIT_TEST(heldTermDeniesACommit);
+    CPPUNIT_TEST(silentReplicaDeniesACommit);
+    CPPUNIT_TEST(commitNeedsNoAnswerOfThePrimary);
+    CPPUNIT_TEST(formerPrimaryThatFollowsIsNoLeader);
+    CPPUNIT_TEST(leaderShowsItsTermAndPosition);
+    CPPUNIT_TEST(oneRoundServesAllThatWait);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void quietReplicasConfirmACommit()
+    {
+        Group group;
+        CPPUNIT_ASSERT(group.confirm(Term(1)).isConfirmed);
+    }
+
+    void laterTermDeniesACommit()
+    {
+        Group group;
+        group.statuses[replica] = status(Role::Primary, 2, 8);
+        CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+    }
+
+    void heldTermDeniesACommit()
+    {
+        Group group;
+        group.statuses[replica].heldTerm = Term(2);
+        CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+    }
+
+    void silentReplicaDeniesACommit()
+    {
+        Group group;
+        group.statuses.erase(other);
+        CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+    }
+
+    void commitNeedsNoAnswerOfThePrimary()
+    {
+        Group group;
+        group.statuses[primary] = status(Role::Replica, 1, 9);
+        CPPUNIT_ASSERT(group.confirm(Term(1)).isConfirmed);
+    }
+
+    // A read at a database that was replaced, asked by a VM that the store turns away: its log is
+    // of the new term by now, and nobody knows a later one.
+    void formerPrimaryThatFollowsIsNoLeader()
+    {
+        Group group;
+        group.statuses[primary] = status(Role::Replica, 2, 86);
+        group.statuses[replica] = status(Role::Primary, 2, 87);
+        group.statuses[other] = status(Role::Replica, 2, 87);
+        CPPUNIT_ASSERT(!group.confirm(Term()).isConfirmed);
+    }
+
+    void leaderShowsItsTermAndPosition()
+    {
+        Group group;
+        const TermEvidence::Outcome outcome = group.confirm(Term());
+        CPPUNIT_ASSERT(outcome.isConfirmed);
+        CPPUNIT_ASSERT(outcome.primaryTerm == Term(1));
+        CPPUNIT_ASSERT(outcome.primaryPosition == LogPoint({Term(1), LogPosition(9)}));
+    }
+
+    void oneRoundServesAllThatWait()
+    {
+        Group group;
+        int confirmed = 0;
+        const auto count = [&confirmed](const TermEvidence::Outcome &end) {
+            confirmed += end.isConfirmed ? 1 : 0;
+        };
+        for (int i = 0; i < 10; ++i)
+            group.evidence.confirm(primary, Term(1), count);
+        group.timers.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(10, confirmed);
+        CPPUNIT_ASSERT_EQUAL(6, group.questions);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TermEvidenceTest);
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -97,10 +97,13 @@
     // Asks ahead where the newest such point is older than half of bound.
     void refreshFloorAhead(const GroupId &group, Duration bound);
 
-    // Whether database, which answered under term, still led its group when that answer came:
-    // called at once where the store's records show it, else after the other databases were asked.
-    void confirmLeading(const GroupId &group, const DatabaseId &database, Term term,
-                        Confirmed confirmed);
+    // Whether database, which committed under term, had not been replaced when it did: called at
+    // once where the store's records show it, else after the other databases were asked.
+    void confirmCommit(const GroupId &group, const DatabaseId &database, Term term,
+                       Confirmed confirmed);
+
+    // Whether database, which has answered a read, leads its group; shown in the same way.
+    void confirmLeading(const GroupId &group, const DatabaseId &database, Confirmed confirmed);
 
     // An answer of a database to something sent at sentAt; raises what is known of its group.
     void noteAnswer(const GroupId &group, const DatabaseId &database, const StatementReply &reply,
@@ -120,6 +123,9 @@
     void entryGone(const UpstreamEntry &entry);
     void applyLimits(DatabasePool &pool, const GroupId &group);
     TermEvidence &evidence(const GroupId &group);
+    void askOthers(const GroupId &group, const DatabaseId &database, Term term,
+                   Confirmed confirmed);
+    bool takeEvidence(const GroupId &group, const TermEvidence::Outcome &outcome);
     void floorAnswered(const GroupId &group);
     double readCost(const UpstreamEntry &entry) const;
 
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -469,15 +469,18 @@
 
 void StatementRun::confirm(const AttemptPtr &attempt, const StatementReply &reply)
 {
-    const Term term = reply.position ? reply.position->term : Term();
-    upstreams().confirmLeading(m_route.group, attempt->database, term,
-                               [weak = weak_from_this(), attempt, reply](bool isConfirmed) {
-                                   const auto self = weak.lock();
-                                   if (self && self->m_session)
-                                       self->confirmed(attempt, reply, isConfirmed);
-                                   else
-                                       attempt->lease.release();
-                               });
+    const auto done = [weak = weak_from_this(), attempt, reply](bool isConfirmed) {
+        const auto self = weak.lock();
+        if (self && self->m_session)
+            self->confirmed(attempt, reply, isConfirmed);
+        else
+            attempt->lease.release();
+    };
+    // A commit shows that the database led under the term of its position; a read shows nothing.
+    if (commitsWrites() && reply.position)
+        upstreams().confirmCommit(m_route.group, attempt->database, reply.position->term, done);
+    else
+        upstreams().confirmLeading(m_route.group, attempt->database, done);
 }
 
 void StatementRun::confirmed(const AttemptPtr &attempt, const StatementReply &reply,
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -251,21 +251,49 @@
     return *known;
 }
 
-void Upstreams::confirmLeading(const GroupId &group, const DatabaseId &database, Term term,
+void Upstreams::confirmCommit(const GroupId &group, const DatabaseId &database, Term term,
+                              Confirmed confirmed)
+{
+    if (m_leadership.isLeading(group, database, m_context.timers.now())) {
+        confirmed(true);
+        return;
+    }
+    askOthers(group, database, term, std::move(confirmed));
+}
+
+void Upstreams::confirmLeading(const GroupId &group, const DatabaseId &database,
                                Confirmed confirmed)
 {
     if (m_leadership.isLeading(group, database, m_context.timers.now())) {
         confirmed(true);
         return;
     }
+    askOthers(group, database, Term(), std::move(confirmed));
+}
+
+void Upstreams::askOthers(const GroupId &group, const DatabaseId &database, Term term,
+                          Confirmed confirmed)
+{
     m_context.counters.counter("fescuespring_evidence_rounds_total").add();
-    evidence(group).confirm(
-            database, term,
-            [this, group, confirmed = std::move(confirmed)](const TermEvidence::Outcome &outcome) {
-                if (outcome.isConfirmed && outcome.primaryPosition)
-                    m_leadership.primaryShowed(group, *outcome.primaryPosition, outcome.askedAt);
-                confirmed(outcome.isConfirmed);
-            });
+    evidence(group).confirm(database, term,
+                            [this, group, isCommit = term != Term(),
+                             confirmed = std::move(confirmed)](
+                                    const TermEvidence::Outcome &outcome) {
+                                const bool leads = takeEvidence(group, outcome);
+                                confirmed(isCommit ? outcome.isConfirmed : leads);
+                            });
+}
+
+bool Upstreams::takeEvidence(const GroupId &group, const TermEvidence::Outcome &outcome)
+{
+    if (!outcome.isConfirmed || !outcome.primaryPosition)
+        return false;
+    // A term that is new here began after what this VM knows, perhaps after what is to be shown.
+    const Term known = m_leadership.knownTerm(group);
+    if (known != Term() && known != outcome.primaryTerm)
+        return false;
+    m_leadership.primaryShowed(group, *outcome.primaryPosition, outcome.askedAt);
+    return true;
 }
 
 void Upstreams::noteAnswer(const GroupId &group, const DatabaseId &database,
@@ -302,14 +330,7 @@
         });
         return;
     }
-    evidence(group).confirm(believed->database, Term(),
-                            [this, group](const TermEvidence::Outcome &outcome) {
-                                if (outcome.isConfirmed && outcome.primaryPosition) {
-                                    m_leadership.primaryShowed(group, *outcome.primaryPosition,
-                                                               outcome.askedAt);
-                                }
-                                floorAnswered(group);
-                            });
+    askOthers(group, believed->database, Term(), [this, group](bool) { floorAnswered(group); });
 }
 
 void Upstreams::floorAnswered(const GroupId &group)
