--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -19,7 +19,7 @@
 
 // Share of a database's connections that the VMs keep open together; the rest is for rises of
 // demand, for questions, and for VMs that are not counted yet.
-constexpr double keptShare = 0.8;
+constexpr double keptShare = 0.45;
 
 constexpr std::uint32_t extraConnections = 4;
 
