Few VMs read the store; the others follow them

VMs that the store turned away had no lease and fell back to statuses. Change: one or two VMs a data centre read; the others follow them over the internal port. A follower dates what it hears by the moment it asked minus the age that the reader states, so no other clock counts. A VM that the store turns away follows any other VM.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "leadership/succession.h"
 #include "statementproxy/upstreams.h"
+#include "storefeed/feedreader.h"
 #include "vmregistry/vmregistry.h"
 
 #include <functional>
@@ -20,10 +21,16 @@
     // Differs between two lives of this VM.
     std::string incarnation;
 
+    // Reads the records of leadership, from the store or from a VM that read them lately.
+    std::function<void(std::function<void(const Result<DatedRecords> &)>)> readRecords = {};
+
     // Orders the promotion of a database; see SuccessionPorts::order.
     std::function<void(const GroupId &, const DatabaseId &, std::uint64_t fencingToken,
                        std::function<void(PromotionOrderEnd)>)>
             order = {};
+
+    // The records that were read differ from those before. May be empty.
+    std::function<void()> onRecordsChanged = {};
 };
 
 // The part of a VM that acts together with the others: reads who leads often enough to vouch for
@@ -58,6 +65,18 @@
     // A configuration came into force.
     void configurationChanged(const RouteConfiguration &configuration);
 
+    // The records that were read last; nothing before the first.
+    const std::optional<DatedRecords> &records() const
+    {
+        return m_records;
+    }
+
+    // The living VMs, ordered by name.
+    std::vector<VmRecord> vms() const
+    {
+        return m_vms.living(now());
+    }
+
     // Whether who leads is known well enough to serve.
     bool isReady() const;
 
@@ -68,7 +87,9 @@
 private:
     void tick();
     void poll();
-    void polled(const Result<std::vector<StoredObject>> &objects, Instant askedAt);
+    void polled(const Result<DatedRecords> &records);
+    void noteReachable(const Result<DatedRecords> &records);
+    void take(const DatedRecords &records);
     void renew();
     void writeOwnRecord();
     void ownRecordWritten(const Result<WriteAnswer> &answer);
@@ -94,6 +115,7 @@
     std::size_t m_pollsOut = 0;
     bool m_pollAgain = false;
     Instant m_polledAt;
+    std::optional<DatedRecords> m_records;
     bool m_isReachable = false;
     std::map<DatabaseId, Instant> m_probedAt;
     std::optional<RouteConfiguration> m_configuration;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -13,8 +13,7 @@
 constexpr Duration tickInterval = milliseconds(100);
 
 // How often the records of leadership are read: a lease outlives two reads that fail.
-constexpr Duration pollInterval = milliseconds(500);
-constexpr milliseconds pollTimeout{1000};
+constexpr Duration pollInterval = milliseconds(400);
 constexpr std::size_t maximumPollsOut = 3;
 
 constexpr milliseconds writeTimeout{1000};
@@ -129,38 +128,54 @@
 {
     if (m_pollsOut >= maximumPollsOut)
         return;
-    const Instant askedAt = now();
-    m_polledAt = askedAt;
+    m_polledAt = now();
     ++m_pollsOut;
-    m_store.list(std::string(leadershipKeyPrefix), pollTimeout,
-                 [this, askedAt, alive = std::weak_ptr(m_alive)](
-                         const Result<std::vector<StoredObject>> &objects) {
-                     if (!alive.expired())
-                         polled(objects, askedAt);
-                 });
+    m_options.readRecords([this, alive = std::weak_ptr(m_alive)](
+                                  const Result<DatedRecords> &records) {
+        if (!alive.expired())
+            polled(records);
+    });
 }
 
-void Coordinator::polled(const Result<std::vector<StoredObject>> &objects, Instant askedAt)
+void Coordinator::polled(const Result<DatedRecords> &records)
 {
     --m_pollsOut;
+    const bool pollAgain = std::exchange(m_pollAgain, false);
+    noteReachable(records);
+    if (records)
+        take(records.value());
+    if (pollAgain)
+        poll();
+}
+
+void Coordinator::noteReachable(const Result<DatedRecords> &records)
+{
     Log &log = m_upstreams.context().log;
-    const bool wasReachable = std::exchange(m_isReachable, objects.has_value());
-    if (!objects) {
-        m_upstreams.context()
-                .counters.counter("fescuespring_store_failures_total", "reason",
-                                  toString(objects.error().code))
-                .add();
-        if (wasReachable)
-            log.warning("store-lost", {{"reason", objects.error().message}});
+    const bool wasReachable = std::exchange(m_isReachable, records.has_value());
+    if (records && !wasReachable)
+        log.info("store-reached", {{"age", now() - records.value().askedAt}});
+    if (records)
         return;
-    }
-    if (!wasReachable)
-        log.info("store-reached", {{"age", now() - askedAt}});
-    const Result<LeadershipSnapshot> snapshot = decodeSnapshot(objects.value());
+    m_upstreams.context()
+            .counters.counter("fescuespring_store_failures_total", "reason",
+                              toString(records.error().code))
+            .add();
+    if (wasReachable)
+        log.warning("store-lost", {{"reason", records.error().message}});
+}
+
+void Coordinator::take(const DatedRecords &records)
+{
+    Log &log = m_upstreams.context().log;
+    const Result<LeadershipSnapshot> snapshot = decodeSnapshot(records.objects);
     if (!snapshot) {
         log.error("leadership-unreadable", {{"error", describe(snapshot.error())}});
         return;
     }
+    const bool isNewer = !m_records || records.askedAt > m_records->askedAt;
+    const bool differs = !m_records || records.objects != m_records->objects;
+    if (!isNewer)
+        return;
     for (const LeadershipRecord &record : snapshot.value().records) {
         const LeadershipRecord before = m_upstreams.leadership().record(record.group);
         if (before.version == record.version)
@@ -170,11 +185,12 @@
                                      {"term", record.term},
                                      {"moving", record.isMoving},
                                      {"version", record.version},
-                                     {"age", now() - askedAt}});
+                                     {"age", now() - records.askedAt}});
     }
-    m_upstreams.leadership().snapshot(snapshot.value(), askedAt);
-    if (std::exchange(m_pollAgain, false))
-        poll();
+    m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
+    m_records = records;
+    if (differs && m_options.onRecordsChanged)
+        m_options.onRecordsChanged();
 }
 
 void Coordinator::renew()
--- /dev/null
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/result.h"
+#include "storefeed/storemirror.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuespring {
+
+// What a reader and its followers say to each other: one JSON text a line.
+struct FeedMessage
+{
+    enum class Kind {
+        // Follower: how old is what you last read of the records, and what is it?
+        Question,
+
+        // Reader: the answer.
+        Answer,
+
+        // Reader: every object of a kind; at the beginning.
+        All,
+
+        // Reader: one change.
+        Change,
+
+        // Reader: the records were read anew and differ; ask.
+        Nudge,
+    };
+    Kind kind = Kind::Nudge;
+
+    // Of Question and Answer: pairs them.
+    std::uint64_t number = 0;
+
+    // Of Answer: time since the reader asked the store, when it answered; negative where it knows
+    // nothing.
+    Duration age{-1};
+
+    // Of All and Change: the kind of objects. Of Answer and All: the objects.
+    std::string objectKind = {};
+    std::vector<StoredObject> objects = {};
+
+    // Of Change.
+    bool isRemoved = false;
+};
+
+// Text of a message with its end of line.
+std::string encodeFeedMessage(const FeedMessage &message);
+
+// Malformed for anything else; line is without its end.
+Result<FeedMessage> decodeFeedMessage(std::string_view line);
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -0,0 +1,159 @@
+#include "storefeed/feedfollower.h"
+
+#include "linecutter.h"
+
+#include <utility>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout{400};
+constexpr std::chrono::milliseconds unacknowledgedTimeout{1500};
+
+} // namespace
+
+struct FeedFollower::Data : std::enable_shared_from_this<FeedFollower::Data>
+{
+    struct Question
+    {
+        Instant askedAt;
+        Timers::Id timer = 0;
+        Answered answered;
+    };
+
+    Data(Timers &vmTimers, Options followerOptions)
+        : timers(vmTimers)
+        , options(std::move(followerOptions))
+    {}
+
+    void connect(EventLoop &loop)
+    {
+        stream = TcpStream::connect(
+                loop,
+                {.endpoint = options.reader,
+                 .localIp = options.localIp,
+                 .connectTimeout = connectTimeout,
+                 .unacknowledgedTimeout = unacknowledgedTimeout},
+                {.onBytes = [this](std::string_view bytes) { received(bytes); },
+                 .onClosed = [this](const Error &error) { lost(error); }});
+    }
+
+    void received(std::string_view bytes)
+    {
+        const auto self = shared_from_this();
+        if (!lines.append(bytes)) {
+            lost({.code = ErrorCode::TooLarge, .message = "a line of the feed is too long"});
+            return;
+        }
+        while (const auto line = isEnded ? std::nullopt : lines.next()) {
+            const Result<FeedMessage> message = decodeFeedMessage(*line);
+            if (!message) {
+                lost(message.error());
+                return;
+            }
+            take(message.value());
+        }
+    }
+
+    void take(const FeedMessage &message)
+    {
+        switch (message.kind) {
+        case FeedMessage::Kind::All:
+            options.mirror.replaceAll(message.objectKind, message.objects);
+            break;
+        case FeedMessage::Kind::Change:
+            for (const StoredObject &object : message.objects)
+                options.mirror.apply(message.objectKind, {object, message.isRemoved});
+            break;
+        case FeedMessage::Kind::Nudge:
+            options.onNudge();
+            break;
+        case FeedMessage::Kind::Answer:
+            answer(message);
+            break;
+        case FeedMessage::Kind::Question:
+            lost({.code = ErrorCode::Malformed, .message = "a question from a reader"});
+            break;
+        }
+    }
+
+    void ask(Duration timeout, Answered answered)
+    {
+        const std::uint64_t number = ++lastNumber;
+        const Timers::Id timer = timers.after(timeout, [weak = weak_from_this(), number] {
+            if (const auto self = weak.lock())
+                self->finish(number, Error{ErrorCode::Timeout, "no answer of the reader"});
+        });
+        questions[number] = {timers.now(), timer, std::move(answered)};
+        stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Question, .number = number}));
+    }
+
+    void answer(const FeedMessage &message)
+    {
+        const auto question = questions.find(message.number);
+        if (question == questions.end())
+            return;
+        if (message.age < Duration(0)) {
+            finish(message.number, Error{ErrorCode::Unavailable, "the reader knows nothing"});
+            return;
+        }
+        finish(message.number,
+               DatedRecords{message.objects, question->second.askedAt - message.age});
+    }
+
+    void finish(std::uint64_t number, const Result<DatedRecords> &end)
+    {
+        auto node = questions.extract(number);
+        if (node.empty())
+            return;
+        timers.cancel(node.mapped().timer);
+        node.mapped().answered(end);
+    }
+
+    void lost(const Error &error)
+    {
+        if (std::exchange(isEnded, true))
+            return;
+        while (!questions.empty())
+            finish(questions.begin()->first, Error{ErrorCode::ConnectionLost, error.message});
+        options.onLost(error);
+    }
+
+    void end()
+    {
+        isEnded = true;
+        for (const auto &[number, question] : questions)
+            timers.cancel(question.timer);
+        questions.clear();
+        // The stream may be the caller.
+        const auto kept = std::make_shared<std::unique_ptr<TcpStream>>(std::move(stream));
+        timers.after(Duration(0), [kept] { kept->reset(); });
+    }
+
+    Timers &timers;
+    Options options;
+    std::unique_ptr<TcpStream> stream;
+    detail::LineCutter lines;
+    std::map<std::uint64_t, Question> questions;
+    std::uint64_t lastNumber = 0;
+    bool isEnded = false;
+};
+
+FeedFollower::FeedFollower(EventLoop &loop, Timers &timers, Options options)
+    : m_data(std::make_shared<Data>(timers, std::move(options)))
+{
+    m_data->connect(loop);
+}
+
+FeedFollower::~FeedFollower()
+{
+    m_data->end();
+}
+
+void FeedFollower::ask(Duration timeout, Answered answered)
+{
+    m_data->ask(timeout, std::move(answered));
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -0,0 +1,104 @@
+#include "storefeed/feedmessages.h"
+
+#include "base/enumnames.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace json = boost::json;
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::array kindNames{"question", "answer", "all", "change", "nudge"};
+
+Error malformed(const char *field)
+{
+    return {.code = ErrorCode::Malformed, .message = "unreadable message", .field = field};
+}
+
+json::array encodeObjects(const std::vector<StoredObject> &objects)
+{
+    json::array array;
+    for (const StoredObject &object : objects)
+        array.push_back(json::array{object.key, object.version.value(), object.value});
+    return array;
+}
+
+Result<std::vector<StoredObject>> decodeObjects(const json::value *value)
+{
+    std::vector<StoredObject> objects;
+    if (!value)
+        return objects;
+    if (!value->is_array())
+        return malformed("objects");
+    for (const json::value &item : value->get_array()) {
+        const json::array *parts = item.if_array();
+        const bool isWhole = parts && parts->size() == 3 && parts->at(0).is_string()
+                             && parts->at(1).is_int64() && parts->at(2).is_string();
+        if (!isWhole)
+            return malformed("objects");
+        objects.push_back({std::string(parts->at(0).get_string()),
+                           ObjectVersion(static_cast<std::uint64_t>(parts->at(1).get_int64())),
+                           std::string(parts->at(2).get_string())});
+    }
+    return objects;
+}
+
+std::int64_t wholeOr(const json::object &fields, std::string_view name, std::int64_t otherwise)
+{
+    const json::value *value = fields.if_contains(name);
+    return value && value->is_int64() ? value->get_int64() : otherwise;
+}
+
+} // namespace
+
+std::string encodeFeedMessage(const FeedMessage &message)
+{
+    json::object fields{{"is", kindNames[static_cast<std::size_t>(message.kind)]}};
+    if (message.number != 0)
+        fields["number"] = message.number;
+    if (message.kind == FeedMessage::Kind::Answer)
+        fields["ageUs"] = message.age.count();
+    if (!message.objectKind.empty())
+        fields["of"] = message.objectKind;
+    if (!message.objects.empty())
+        fields["objects"] = encodeObjects(message.objects);
+    if (message.isRemoved)
+        fields["removed"] = true;
+    return json::serialize(fields) + '\n';
+}
+
+Result<FeedMessage> decodeFeedMessage(std::string_view line)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(line, error);
+    if (error || !value.is_object())
+        return malformed("(whole)");
+    const json::object &fields = value.get_object();
+    const json::value *is = fields.if_contains("is");
+    if (!is || !is->is_string())
+        return malformed("is");
+    const auto kind = detail::enumFromName<FeedMessage::Kind>(kindNames, is->get_string());
+    if (!kind)
+        return malformed("is");
+    FeedMessage message{.kind = *kind};
+    message.number = static_cast<std::uint64_t>(wholeOr(fields, "number", 0));
+    message.age = Duration(wholeOr(fields, "ageUs", -1));
+    if (const json::value *of = fields.if_contains("of")) {
+        if (!of->is_string())
+            return malformed("of");
+        message.objectKind = of->get_string();
+    }
+    Result<std::vector<StoredObject>> objects = decodeObjects(fields.if_contains("objects"));
+    if (!objects)
+        return objects.error();
+    message.objects = std::move(objects.value());
+    const json::value *removed = fields.if_contains("removed");
+    message.isRemoved = removed && removed->is_bool() && removed->get_bool();
+    return message;
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/storefeed/src/feedreader.cpp
@@ -0,0 +1,155 @@
+#include "storefeed/feedreader.h"
+
+#include "linecutter.h"
+
+#include <utility>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::chrono::milliseconds unacknowledgedTimeout{3000};
+
+// A follower that reads too slowly is let go, and asks another reader.
+constexpr std::size_t maximumQueuedBytes = std::size_t{8} * 1024 * 1024;
+
+} // namespace
+
+struct FeedReader::Data : std::enable_shared_from_this<FeedReader::Data>
+{
+    struct Follower
+    {
+        std::unique_ptr<TcpStream> stream;
+        detail::LineCutter lines;
+    };
+
+    Data(Timers &vmTimers, StoreMirror &vmMirror,
+         std::function<std::optional<DatedRecords>()> vmRecords)
+        : timers(vmTimers)
+        , mirror(vmMirror)
+        , records(std::move(vmRecords))
+    {}
+
+    void accepted(std::unique_ptr<TcpStream> stream)
+    {
+        const std::uint64_t number = ++lastNumber;
+        stream->setHandlers(
+                {.onBytes = [this, number](std::string_view bytes) { received(number, bytes); },
+                 .onClosed = [this, number](const Error &) { drop(number); }});
+        Follower &follower = followers[number];
+        follower.stream = std::move(stream);
+        for (const std::string &kind : mirror.kinds()) {
+            follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::All,
+                                                     .objectKind = kind,
+                                                     .objects = mirror.objects(kind)}));
+        }
+    }
+
+    void received(std::uint64_t number, std::string_view bytes)
+    {
+        Follower &follower = followers.at(number);
+        if (!follower.lines.append(bytes)) {
+            drop(number);
+            return;
+        }
+        while (const auto line = follower.lines.next()) {
+            const Result<FeedMessage> message = decodeFeedMessage(*line);
+            if (!message || message.value().kind != FeedMessage::Kind::Question) {
+                drop(number);
+                return;
+            }
+            follower.stream->send(encodeFeedMessage(answer(message.value().number)));
+        }
+    }
+
+    FeedMessage answer(std::uint64_t number) const
+    {
+        FeedMessage message{.kind = FeedMessage::Kind::Answer, .number = number};
+        std::optional<DatedRecords> known = records();
+        if (!known)
+            return message;
+        message.age = timers.now() - known->askedAt;
+        message.objects = std::move(known->objects);
+        return message;
+    }
+
+    void drop(std::uint64_t number)
+    {
+        const auto found = followers.find(number);
+        if (found == followers.end())
+            return;
+        // The stream may be the caller.
+        const auto kept = std::make_shared<Follower>(std::move(found->second));
+        followers.erase(found);
+        timers.after(Duration(0), [kept] {});
+    }
+
+    void sendToAll(const FeedMessage &message)
+    {
+        if (followers.empty())
+            return;
+        const std::string text = encodeFeedMessage(message);
+        std::vector<std::uint64_t> slow;
+        for (auto &[number, follower] : followers) {
+            follower.stream->send(text);
+            if (follower.stream->queuedBytes() > maximumQueuedBytes)
+                slow.push_back(number);
+        }
+        for (const std::uint64_t number : slow)
+            drop(number);
+    }
+
+    Timers &timers;
+    StoreMirror &mirror;
+    std::function<std::optional<DatedRecords>()> records;
+    std::unique_ptr<TcpListener> listener;
+    std::map<std::uint64_t, Follower> followers;
+    std::uint64_t lastNumber = 0;
+};
+
+FeedReader::FeedReader(std::shared_ptr<Data> data)
+    : m_data(std::move(data))
+{}
+
+FeedReader::~FeedReader()
+{
+    m_data->listener.reset();
+    m_data->followers.clear();
+}
+
+Result<std::unique_ptr<FeedReader>>
+FeedReader::listen(EventLoop &loop, const Endpoint &endpoint, Timers &timers, StoreMirror &mirror,
+                   std::function<std::optional<DatedRecords>()> records)
+{
+    auto data = std::make_shared<Data>(timers, mirror, std::move(records));
+    Result<std::unique_ptr<TcpListener>> listener
+            = TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
+                                  [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
+                                      if (const auto reader = weak.lock())
+                                          reader->accepted(std::move(stream));
+                                  });
+    if (!listener)
+        return listener.error();
+    data->listener = std::move(listener.value());
+    mirror.listen([weak = std::weak_ptr(data)](const std::string &kind, const StoreChange &change) {
+        if (const auto reader = weak.lock()) {
+            reader->sendToAll({.kind = FeedMessage::Kind::Change,
+                               .objectKind = kind,
+                               .objects = {change.object},
+                               .isRemoved = change.isRemoved});
+        }
+    });
+    return std::unique_ptr<FeedReader>(new FeedReader(std::move(data)));
+}
+
+void FeedReader::nudge()
+{
+    m_data->sendToAll({.kind = FeedMessage::Kind::Nudge});
+}
+
+std::size_t FeedReader::followerCount() const
+{
+    return m_data->followers.size();
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/storefeed/src/storemirror.cpp
@@ -0,0 +1,77 @@
+#include "storefeed/storemirror.h"
+
+#include <set>
+#include <utility>
+
+namespace fescuespring {
+
+void StoreMirror::listen(Listener listener)
+{
+    m_listeners.push_back(std::move(listener));
+}
+
+void StoreMirror::tell(const std::string &kind, const StoreChange &change)
+{
+    for (const Listener &listener : m_listeners)
+        listener(kind, change);
+}
+
+void StoreMirror::replaceAll(const std::string &kind, const std::vector<StoredObject> &objects)
+{
+    std::set<std::string> listed;
+    m_kinds[kind];
+    for (const StoredObject &object : objects) {
+        listed.insert(object.key);
+        apply(kind, {object, false});
+    }
+    for (const StoredObject &known : this->objects(kind)) {
+        if (!listed.contains(known.key))
+            remove(kind, known.key);
+    }
+}
+
+void StoreMirror::apply(const std::string &kind, const StoreChange &change)
+{
+    if (change.isRemoved) {
+        remove(kind, change.object.key);
+        return;
+    }
+    auto &objects = m_kinds[kind];
+    const auto known = objects.find(change.object.key);
+    if (known != objects.end() && known->second.version >= change.object.version)
+        return;
+    objects[change.object.key] = change.object;
+    tell(kind, change);
+}
+
+void StoreMirror::remove(const std::string &kind, const std::string &key)
+{
+    auto &objects = m_kinds[kind];
+    const auto known = objects.find(key);
+    if (known == objects.end())
+        return;
+    const StoreChange change{std::move(known->second), true};
+    objects.erase(known);
+    tell(kind, change);
+}
+
+std::vector<StoredObject> StoreMirror::objects(const std::string &kind) const
+{
+    std::vector<StoredObject> objects;
+    const auto known = m_kinds.find(kind);
+    if (known == m_kinds.end())
+        return objects;
+    for (const auto &[key, object] : known->second)
+        objects.push_back(object);
+    return objects;
+}
+
+std::vector<std::string> StoreMirror::kinds() const
+{
+    std::vector<std::string> kinds;
+    for (const auto &[kind, objects] : m_kinds)
+        kinds.push_back(kind);
+    return kinds;
+}
+
+} // namespace fescuespring
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -14,10 +14,10 @@
 namespace fescuespring {
 
 // Time without a change of its record after which a VM counts as gone.
-inline constexpr Duration vmSilenceLimit = std::chrono::seconds(14);
+inline constexpr Duration vmSilenceLimit = std::chrono::seconds(25);
 
 // How often a VM renews its record.
-inline constexpr Duration vmRenewal = std::chrono::seconds(5);
+inline constexpr Duration vmRenewal = std::chrono::seconds(10);
 
 // What a VM writes about itself to the store.
 struct VmRecord
