--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -17,6 +17,7 @@
     VmId vm;
     DataCentreId dataCentre;
     Endpoint peers;
+    Endpoint relay;
 
     // Differs between two lives of this VM.
     std::string incarnation;
@@ -119,7 +120,9 @@
     bool m_isReachable = false;
     std::map<DatabaseId, Instant> m_probedAt;
     std::optional<RouteConfiguration> m_configuration;
-    std::size_t m_sharedAmong = 0;
+    std::vector<VmId> m_sharedAmong;
+    bool m_wasSettled = false;
+    Instant m_startedAt;
     bool m_isStopping = false;
     Timers::Id m_tickTimer = 0;
 
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -16,6 +16,9 @@
 constexpr Duration pollInterval = milliseconds(400);
 constexpr std::size_t maximumPollsOut = 3;
 
+// Time after the start until the VMs that started together know one another.
+constexpr Duration settlingTime = milliseconds(1200);
+
 constexpr milliseconds writeTimeout{1000};
 constexpr Duration writeRetry = milliseconds(300);
 
@@ -25,8 +28,8 @@
 // A database that is suspected here or elsewhere is asked this often.
 constexpr Duration probeInterval = milliseconds(250);
 
-// The holder of the duty asks a primary that has been quiet for so long.
-constexpr Duration quietPrimary = milliseconds(500);
+// A primary that has been quiet for so long is asked.
+constexpr Duration quietPrimary = milliseconds(900);
 
 } // namespace
 
@@ -35,7 +38,8 @@
     , m_store(store)
     , m_options(std::move(options))
 {
-    m_own = {.vm = m_options.vm, .dataCentre = m_options.dataCentre, .peers = m_options.peers};
+    m_own = {.vm = m_options.vm, .dataCentre = m_options.dataCentre, .peers = m_options.peers,
+             .relay = m_options.relay};
     const ProxyContext &context = m_upstreams.context();
     m_succession = std::make_unique<Succession>(
             SuccessionOptions{.timers = context.timers,
@@ -75,6 +79,7 @@
 void Coordinator::start()
 {
     m_upstreams.judgeLossBy([this](const DatabaseId &database) { return isLostForMost(database); });
+    m_startedAt = now();
     poll();
     writeOwnRecord();
     tick();
@@ -97,7 +102,7 @@
 bool Coordinator::isLostForMost(const DatabaseId &database) const
 {
     // What others said before the store was lost is no help.
-    const std::size_t vms = m_vms.living(now()).size();
+    const std::size_t vms = m_upstreams.ownerCount(database);
     return m_isReachable && m_vms.silentCount(database, now()) * 2 > vms;
 }
 
@@ -255,17 +260,24 @@
 void Coordinator::configurationChanged(const RouteConfiguration &configuration)
 {
     m_configuration = configuration;
-    m_sharedAmong = 0;
+    m_sharedAmong.clear();
     shareConnections();
 }
 
 void Coordinator::shareConnections()
 {
-    const std::size_t vms = std::max<std::size_t>(1, m_vms.living(now()).size());
-    if (!m_configuration || vms == m_sharedAmong)
+    if (!m_configuration)
+        return;
+    const std::vector<VmRecord> vms = m_vms.living(now());
+    const bool isSettled = now() - m_startedAt > settlingTime;
+    std::vector<VmId> names;
+    for (const VmRecord &record : vms)
+        names.push_back(record.vm);
+    if (names == m_sharedAmong && isSettled == m_wasSettled)
         return;
-    m_sharedAmong = vms;
-    m_upstreams.shareConnections(*m_configuration, vms);
+    m_sharedAmong = std::move(names);
+    m_wasSettled = isSettled;
+    m_upstreams.shareConnections(*m_configuration, vms, isSettled);
 }
 
 std::vector<GroupId> Coordinator::groups() const
@@ -279,13 +291,12 @@
 std::vector<SuccessionCandidate> Coordinator::candidates(const GroupId &group) const
 {
     std::vector<SuccessionCandidate> candidates;
-    const std::size_t vms = std::max<std::size_t>(1, m_vms.living(now()).size());
     for (const UpstreamEntry &entry : m_upstreams.directory().group(group)) {
         candidates.push_back({.database = entry.target.database,
                               .isDraining = entry.isDraining,
                               .claimsToLead = entry.role == Role::Primary,
                               .vmsNotReached = m_vms.silentCount(entry.target.database, now()),
-                              .vms = vms});
+                              .vms = m_upstreams.ownerCount(entry.target.database)});
     }
     return candidates;
 }
@@ -301,25 +312,24 @@
     if (now() < probedAt + probeInterval)
         return;
     probedAt = now();
-    m_upstreams.askStatus(database, [](const std::optional<UpstreamStatus> &) {});
+    m_upstreams.probeOwn(database);
 }
 
 void Coordinator::watchDatabases()
 {
-    const bool holdsDuty = m_succession->holdsDuty();
     std::set<DatabaseId> silent;
     for (const UpstreamEntry &entry : m_upstreams.directory().all()) {
         const DatabaseId &database = entry.target.database;
-        const auto pool = m_upstreams.pool(database);
-        if (!pool)
+        // The word on a database is with those VMs that hold connections to it.
+        const auto own = m_upstreams.ownObservation(database);
+        if (!own)
             continue;
-        const DatabaseObservation &seen = pool->observation();
+        const DatabaseObservation &seen = *own;
         const auto believed = m_upstreams.leadership().primary(entry.target.group);
         const bool isPrimary = believed && believed->database == database;
         const Duration quiet = now() - seen.lastHeard;
         const Duration silence = seen.silentSince ? now() - *seen.silentSince : Duration(0);
-        const bool mustAsk = silence > probeInterval
-                             || (isPrimary && holdsDuty && quiet > quietPrimary)
+        const bool mustAsk = silence > probeInterval || (isPrimary && quiet > quietPrimary)
                              || (isPrimary && isOthersSuspect(database) && quiet > probeInterval);
         if (mustAsk)
             probeIfDue(database);
--- a/libs/storefeed/src/linecutter.h
+++ b/libs/net/include/net/linecutter.h
@@ -4,13 +4,14 @@
 #include <string>
 #include <string_view>
 
-namespace fescuespring::detail {
+namespace fescuespring {
 
-// Cuts a stream of bytes into lines that end with a line feed.
+// Cuts a stream of bytes into lines that end with a line feed. A line is bounded, so that a broken
+// peer cannot fill the memory.
 class LineCutter
 {
 public:
-    // False once a line is longer than the longest that a feed may hold.
+    // False once what waits to be cut is longer than the bound.
     bool append(std::string_view bytes)
     {
         m_bytes.erase(0, m_start);
@@ -37,4 +38,4 @@
     std::size_t m_start = 0;
 };
 
-} // namespace fescuespring::detail
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/include/relay/ownership.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/types.h"
+#include "vmregistry/vmregistry.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace fescuespring {
+
+// How the connections of one database are shared out.
+struct ConnectionShares
+{
+    // VMs that hold connections; the others send their statements by way of these.
+    std::size_t owners = 1;
+
+    // Connections that each owner keeps open, and the most that it may have.
+    std::uint32_t kept = 1;
+    std::uint32_t maximum = 1;
+};
+
+// Shares out the connections that a database bears among vms VMs: all of them hold some where each
+// gets enough for its own transactions, else fewer hold more. Every owner stays within its part, so
+// that together they never ask for more than the database bears.
+ConnectionShares shareOut(std::uint32_t connections, std::size_t vms);
+
+// The VMs that hold connections to a database, in the order in which self is to try them: those of
+// its own data centre first, spread over the VMs that ask. Spread over data centres, and every VM
+// that knows the same VMs comes to the same set.
+std::vector<VmRecord> databaseOwners(const std::vector<VmRecord> &vms, const DatabaseId &database,
+                                     std::size_t count, const VmId &self,
+                                     const DataCentreId &dataCentre);
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/include/relay/relaypool.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "relay/relaypeer.h"
+#include "upstreampool/linkpool.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescuespring {
+
+// Links to one database by way of another VM, which queues for its connections itself: a link is
+// there at once, and its first statement waits at the other VM. One thread only.
+class RelayPool : public LinkPool, public std::enable_shared_from_this<RelayPool>
+{
+public:
+    struct Options
+    {
+        Timers &timers;
+        DatabaseId database;
+
+        // The peer to ask now; null where there is none, and the statement is not sent.
+        std::function<std::shared_ptr<RelayPeer>()> peer = {};
+
+        // How long a statement may wait for a connection at the other VM.
+        Duration patience = std::chrono::milliseconds(250);
+    };
+
+    static std::shared_ptr<RelayPool> make(Options options);
+
+    LinkLease tryAcquire(const SessionContext *context) override;
+    TicketId wait(const SessionContext *context, std::uint32_t priority, Granted granted) override;
+    void cancel(TicketId ticket) override;
+
+    const DatabaseObservation &observation() const override
+    {
+        return m_observer.observation();
+    }
+    std::size_t load() const override
+    {
+        return m_inUse;
+    }
+
+private:
+    class Link;
+
+    explicit RelayPool(Options options);
+    void giveBack(const std::shared_ptr<StatementLink> &link) override;
+
+    Options m_options;
+    DatabaseObserver m_observer;
+    std::size_t m_inUse = 0;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/include/relay/relayserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/counters.h"
+#include "base/timers.h"
+#include "net/tcpstream.h"
+#include "relay/relaymessages.h"
+
+#include <functional>
+#include <memory>
+
+namespace fescuespring {
+
+// Lends this VM's connections to other VMs: runs their statements, keeps a connection for a
+// transaction until it is given back, and gives everything back when the other VM is gone.
+//
+//     auto server = RelayServer::listen(loop, endpoint, timers, counters,
+//                                       [&](const DatabaseId &database) { return pool(database); });
+//
+// Loop thread only.
+class RelayServer
+{
+public:
+    using PoolOf = std::function<std::shared_ptr<LinkPool>(const DatabaseId &)>;
+
+    static Result<std::unique_ptr<RelayServer>> listen(EventLoop &loop, const Endpoint &endpoint,
+                                                       Timers &timers, Counters &counters,
+                                                       PoolOf poolOf);
+    ~RelayServer();
+
+private:
+    struct Data;
+    explicit RelayServer(std::shared_ptr<Data> data);
+    std::shared_ptr<Data> m_data;
+};
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/src/ownership.cpp
@@ -0,0 +1,87 @@
+#include "relay/ownership.h"
+
+#include "placement/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+
+namespace fescuespring {
+
+namespace {
+
+// Connections that an owner should have at least for transactions to wait little for one another.
+constexpr double connectionsPerOwner = 6;
+
+// Part of the connections that owners may use; the rest is for VMs that do not know them yet and
+// for connections that a lost VM has left behind.
+constexpr double usableShare = 0.95;
+
+// Part that is kept open. What is open is held for seconds by the database when a VM loses power.
+constexpr double keptShare = 0.45;
+
+std::uint32_t part(std::uint32_t connections, double share, std::size_t owners)
+{
+    const double each = std::floor(connections * share / static_cast<double>(owners));
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(each));
+}
+
+const VmRecord &recordOf(const std::vector<VmRecord> &vms, const VmId &vm)
+{
+    return *std::find_if(vms.begin(), vms.end(),
+                         [&vm](const VmRecord &record) { return record.vm == vm; });
+}
+
+// Takes the first VM of each data centre in turn, then the second, and so on.
+std::vector<VmId> inTurn(const std::map<DataCentreId, std::vector<VmId>> &orders, std::size_t count)
+{
+    std::vector<VmId> chosen;
+    for (std::size_t place = 0; chosen.size() < count; ++place) {
+        const std::size_t before = chosen.size();
+        for (const auto &[dataCentre, order] : orders) {
+            if (place < order.size() && chosen.size() < count)
+                chosen.push_back(order[place]);
+        }
+        if (chosen.size() == before)
+            break;
+    }
+    return chosen;
+}
+
+} // namespace
+
+ConnectionShares shareOut(std::uint32_t connections, std::size_t vms)
+{
+    const std::size_t all = std::max<std::size_t>(1, vms);
+    const auto enough = static_cast<std::size_t>(connections * usableShare / connectionsPerOwner);
+    ConnectionShares shares;
+    shares.owners = std::clamp<std::size_t>(enough, 1, all);
+    shares.kept = part(connections, keptShare, shares.owners);
+    shares.maximum = part(connections, usableShare, shares.owners);
+    return shares;
+}
+
+std::vector<VmRecord> databaseOwners(const std::vector<VmRecord> &vms, const DatabaseId &database,
+                                     std::size_t count, const VmId &self,
+                                     const DataCentreId &dataCentre)
+{
+    std::map<DataCentreId, std::vector<VmId>> orders;
+    for (const VmRecord &record : vms)
+        orders[record.dataCentre].push_back(record.vm);
+    for (auto &[place, members] : orders)
+        members = Placement(members).owners("connections " + database.value(), members.size());
+    const std::vector<VmId> owners = inTurn(orders, count);
+    // Who asks draws an order of its own, so that the askers spread.
+    const std::vector<VmId> spread
+            = Placement(owners).owners("asks " + self.value() + ' ' + database.value(), count);
+    std::vector<VmRecord> ordered;
+    for (const VmId &vm : spread)
+        ordered.push_back(recordOf(vms, vm));
+    std::stable_partition(ordered.begin(), ordered.end(), [&](const VmRecord &record) {
+        return record.dataCentre == dataCentre;
+    });
+    return ordered;
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/src/relaypeer.cpp
@@ -0,0 +1,187 @@
+#include "relay/relaypeer.h"
+
+#include "net/linecutter.h"
+
+#include <map>
+#include <utility>
+
+namespace fescuespring {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds connectTimeout{350};
+constexpr milliseconds unacknowledgedTimeout{1500};
+
+// A peer that owes an answer is asked whether it is there this often, and is lost after this time
+// without a word.
+constexpr Duration pingInterval = milliseconds(200);
+constexpr Duration silenceLimit = milliseconds(600);
+
+} // namespace
+
+struct RelayPeer::Data : std::enable_shared_from_this<RelayPeer::Data>
+{
+    struct Call
+    {
+        Done done;
+        Instant sentAt;
+    };
+
+    Data(Timers &vmTimers, Options peerOptions)
+        : timers(vmTimers)
+        , options(std::move(peerOptions))
+        , lastHeard(timers.now())
+    {}
+
+    void connect(EventLoop &loop)
+    {
+        stream = TcpStream::connect(
+                loop,
+                {.endpoint = options.endpoint,
+                 .localIp = options.localIp,
+                 .connectTimeout = connectTimeout,
+                 .unacknowledgedTimeout = unacknowledgedTimeout},
+                {.onBytes = [this](std::string_view bytes) { received(bytes); },
+                 .onClosed = [this](const Error &error) { lost(error); },
+                 .onConnected = [this] { isConnected = true; }});
+    }
+
+    void run(const RelayMessage &request, Done done)
+    {
+        if (calls.empty())
+            lastHeard = timers.now();
+        calls[request.lease] = {std::move(done), timers.now()};
+        stream->send(encodeRelayMessage(request));
+        watch();
+    }
+
+    void watch()
+    {
+        if (pingTimer != 0 || calls.empty())
+            return;
+        pingTimer = timers.after(pingInterval, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self || self->isLost)
+                return;
+            self->pingTimer = 0;
+            self->checkSilence();
+        });
+    }
+
+    void checkSilence()
+    {
+        if (calls.empty())
+            return;
+        const Duration silence = timers.now() - lastHeard;
+        if (silence > silenceLimit) {
+            lost({.code = ErrorCode::Timeout, .message = "the VM that was asked says nothing"});
+            return;
+        }
+        if (silence >= pingInterval && isConnected)
+            stream->send(encodeRelayMessage({.kind = RelayMessage::Kind::Ping}));
+        watch();
+    }
+
+    void received(std::string_view bytes)
+    {
+        const auto self = shared_from_this();
+        lastHeard = timers.now();
+        if (!lines.append(bytes)) {
+            lost({.code = ErrorCode::TooLarge, .message = "a line is too long"});
+            return;
+        }
+        while (const auto line = isLost ? std::nullopt : lines.next()) {
+            const Result<RelayMessage> message = decodeRelayMessage(*line);
+            if (!message) {
+                lost(message.error());
+                return;
+            }
+            if (message.value().kind == RelayMessage::Kind::Outcome)
+                finish(message.value().lease, message.value().outcome);
+        }
+    }
+
+    void finish(std::uint64_t lease, LinkOutcome outcome)
+    {
+        auto node = calls.extract(lease);
+        if (node.empty())
+            return;
+        outcome.sentAt = node.mapped().sentAt;
+        node.mapped().done(outcome);
+    }
+
+    void lost(const Error &error)
+    {
+        if (std::exchange(isLost, true))
+            return;
+        const auto self = shared_from_this();
+        timers.cancel(pingTimer);
+        // A connection that was never open has carried nothing.
+        const LinkEnd end = isConnected ? LinkEnd::Lost : LinkEnd::NotSent;
+        options.onLost(error);
+        while (!calls.empty()) {
+            finish(calls.begin()->first,
+                   {.end = end, .reply = {.message = "by way of another VM: " + error.message}});
+        }
+    }
+
+    void end()
+    {
+        isLost = true;
+        timers.cancel(pingTimer);
+        calls.clear();
+        // The stream may be the caller.
+        const auto kept = std::make_shared<std::unique_ptr<TcpStream>>(std::move(stream));
+        timers.after(Duration(0), [kept] { kept->reset(); });
+    }
+
+    Timers &timers;
+    Options options;
+    std::unique_ptr<TcpStream> stream;
+    LineCutter lines;
+    std::map<std::uint64_t, Call> calls;
+    std::uint64_t lastLease = 0;
+    Instant lastHeard;
+    Timers::Id pingTimer = 0;
+    bool isConnected = false;
+    bool isLost = false;
+};
+
+RelayPeer::RelayPeer(EventLoop &loop, Timers &timers, Options options)
+    : m_data(std::make_shared<Data>(timers, std::move(options)))
+{
+    m_data->connect(loop);
+}
+
+RelayPeer::~RelayPeer()
+{
+    m_data->end();
+}
+
+std::uint64_t RelayPeer::newLease()
+{
+    return ++m_data->lastLease;
+}
+
+void RelayPeer::run(const RelayMessage &request, Done done)
+{
+    m_data->run(request, std::move(done));
+}
+
+void RelayPeer::release(std::uint64_t lease)
+{
+    m_data->calls.erase(lease);
+    if (!m_data->isLost) {
+        m_data->stream->send(
+                encodeRelayMessage({.kind = RelayMessage::Kind::Release, .lease = lease}));
+    }
+}
+
+bool RelayPeer::isLost() const
+{
+    return m_data->isLost;
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/src/relaypool.cpp
@@ -0,0 +1,138 @@
+#include "relay/relaypool.h"
+
+#include <utility>
+
+namespace fescuespring {
+
+// A lease at another VM.
+class RelayPool::Link : public StatementLink, public std::enable_shared_from_this<Link>
+{
+public:
+    Link(RelayPool &pool, std::shared_ptr<RelayPeer> peer)
+        : m_pool(pool)
+        , m_peer(std::move(peer))
+        , m_lease(m_peer ? m_peer->newLease() : 0)
+    {}
+
+    void run(const LinkCommand &command, Done done) override
+    {
+        m_done = std::move(done);
+        if (!m_peer || m_peer->isLost()) {
+            m_isBroken = true;
+            // Without anybody to ask the database is as silent as if it did not answer.
+            m_pool.m_observer.sent(m_pool.m_options.timers.now());
+            m_pool.m_observer.lost();
+            m_pool.m_options.timers.after(Duration(0), [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->finish({.end = LinkEnd::NotSent,
+                                  .reply = {.message = "no VM that holds connections answers"}});
+            });
+            return;
+        }
+        RelayMessage request{.kind = RelayMessage::Kind::Run,
+                             .lease = m_lease,
+                             .database = m_pool.m_options.database,
+                             .patience = m_pool.m_options.patience,
+                             .command = command.command};
+        if (command.context) {
+            request.hasValues = true;
+            request.values = command.context->values();
+        }
+        if (command.prepared)
+            request.prepared = *command.prepared;
+        request.begin = command.begin;
+        request.beginAfter = command.beginAfter;
+        m_sentAt = m_pool.m_options.timers.now();
+        m_pool.m_observer.sent(m_sentAt);
+        m_peer->run(request, [weak = weak_from_this()](const LinkOutcome &outcome) {
+            if (const auto self = weak.lock())
+                self->answered(outcome);
+        });
+    }
+
+    bool isBroken() const override
+    {
+        return m_isBroken || !m_peer || m_peer->isLost();
+    }
+    bool isBusy() const override
+    {
+        return static_cast<bool>(m_done);
+    }
+    SessionPhase phase() const override
+    {
+        return m_phase;
+    }
+
+    void end()
+    {
+        m_done = nullptr;
+        if (m_peer)
+            m_peer->release(m_lease);
+    }
+
+private:
+    void answered(const LinkOutcome &outcome)
+    {
+        const Instant now = m_pool.m_options.timers.now();
+        if (outcome.end == LinkEnd::Answered)
+            m_pool.m_observer.heard(outcome.reply, now - m_sentAt, now);
+        else if (outcome.end == LinkEnd::Refused)
+            m_pool.m_observer.heard(outcome.reply, Duration(0), now);
+        else
+            m_pool.m_observer.lost();
+        if (outcome.end == LinkEnd::Answered || outcome.end == LinkEnd::Refused)
+            m_phase = outcome.reply.phase;
+        else
+            m_isBroken = true;
+        finish(outcome);
+    }
+
+    void finish(const LinkOutcome &outcome)
+    {
+        if (const Done done = std::exchange(m_done, nullptr))
+            done(outcome);
+    }
+
+    RelayPool &m_pool;
+    std::shared_ptr<RelayPeer> m_peer;
+    std::uint64_t m_lease;
+    SessionPhase m_phase = SessionPhase::Idle;
+    bool m_isBroken = false;
+    Instant m_sentAt;
+    Done m_done;
+};
+
+RelayPool::RelayPool(Options options)
+    : m_options(std::move(options))
+    , m_observer(m_options.timers.now())
+{}
+
+std::shared_ptr<RelayPool> RelayPool::make(Options options)
+{
+    return std::shared_ptr<RelayPool>(new RelayPool(std::move(options)));
+}
+
+LinkLease RelayPool::tryAcquire(const SessionContext *)
+{
+    ++m_inUse;
+    return {shared_from_this(), std::make_shared<Link>(*this, m_options.peer())};
+}
+
+LinkPool::TicketId RelayPool::wait(const SessionContext *context, std::uint32_t, Granted granted)
+{
+    m_options.timers.after(Duration(0), [self = shared_from_this(), context, granted] {
+        granted(self->tryAcquire(context));
+    });
+    return 0;
+}
+
+void RelayPool::cancel(TicketId)
+{}
+
+void RelayPool::giveBack(const std::shared_ptr<StatementLink> &link)
+{
+    --m_inUse;
+    std::static_pointer_cast<Link>(link)->end();
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/src/relayserver.cpp
@@ -0,0 +1,256 @@
+#include "relay/relayserver.h"
+
+#include "net/linecutter.h"
+
+#include <map>
+#include <utility>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr std::chrono::milliseconds unacknowledgedTimeout{3000};
+
+} // namespace
+
+struct RelayServer::Data : std::enable_shared_from_this<RelayServer::Data>
+{
+    class Peer;
+
+    Data(Timers &vmTimers, Counters &counters, PoolOf vmPoolOf)
+        : timers(vmTimers)
+        , poolOf(std::move(vmPoolOf))
+        , run(counters.counter("fescuespring_relayed_statements_total"))
+        , notLent(counters.counter("fescuespring_relay_refusals_total"))
+    {}
+
+    void accepted(std::unique_ptr<TcpStream> stream);
+    void drop(std::uint64_t number);
+
+    Timers &timers;
+    PoolOf poolOf;
+    Counter &run;
+    Counter &notLent;
+    std::unique_ptr<TcpListener> listener;
+    std::map<std::uint64_t, std::shared_ptr<Peer>> peers;
+    std::uint64_t lastNumber = 0;
+};
+
+// One VM that borrows connections.
+class RelayServer::Data::Peer : public std::enable_shared_from_this<Peer>
+{
+public:
+    Peer(Data &server, std::uint64_t number, std::unique_ptr<TcpStream> stream)
+        : m_server(server)
+        , m_number(number)
+        , m_stream(std::move(stream))
+    {
+        m_stream->setHandlers({.onBytes = [this](std::string_view bytes) { received(bytes); },
+                               .onClosed = [this](const Error &) { m_server.drop(m_number); }});
+    }
+
+    ~Peer()
+    {
+        for (auto &[number, loan] : m_loans)
+            forget(*loan);
+    }
+
+    Peer(const Peer &) = delete;
+    Peer &operator=(const Peer &) = delete;
+
+private:
+    // A connection that the other VM holds or waits for.
+    struct Loan
+    {
+        std::shared_ptr<LinkPool> pool;
+        LinkLease lease = {};
+        LinkPool::TicketId ticket = 0;
+        Timers::Id patience = 0;
+        RelayMessage request = {};
+        SessionContext context = {};
+    };
+
+    void received(std::string_view bytes)
+    {
+        const auto self = shared_from_this();
+        if (!m_lines.append(bytes)) {
+            m_server.drop(m_number);
+            return;
+        }
+        while (const auto line = m_lines.next()) {
+            Result<RelayMessage> message = decodeRelayMessage(*line);
+            if (!message) {
+                m_server.drop(m_number);
+                return;
+            }
+            take(std::move(message.value()));
+        }
+    }
+
+    void take(RelayMessage message)
+    {
+        switch (message.kind) {
+        case RelayMessage::Kind::Ping:
+            m_stream->send(encodeRelayMessage({.kind = RelayMessage::Kind::Pong}));
+            break;
+        case RelayMessage::Kind::Release:
+            release(message.lease);
+            break;
+        case RelayMessage::Kind::Run:
+            run(std::move(message));
+            break;
+        default:
+            m_server.drop(m_number);
+            break;
+        }
+    }
+
+    void run(RelayMessage message)
+    {
+        m_server.run.add();
+        std::shared_ptr<Loan> &loan = m_loans[message.lease];
+        if (!loan)
+            loan = std::make_shared<Loan>();
+        loan->context = SessionContext(std::move(message.values));
+        loan->request = std::move(message);
+        if (loan->lease)
+            start(loan);
+        else
+            borrow(loan);
+    }
+
+    void borrow(const std::shared_ptr<Loan> &loan)
+    {
+        loan->pool = m_server.poolOf(loan->request.database);
+        if (!loan->pool) {
+            refuse(loan, "this VM has no connections to the database");
+            return;
+        }
+        const SessionContext *context = loan->request.hasValues ? &loan->context : nullptr;
+        if (LinkLease lease = loan->pool->tryAcquire(context)) {
+            loan->lease = std::move(lease);
+            start(loan);
+            return;
+        }
+        loan->patience = m_server.timers.after(
+                loan->request.patience, [this, weak = std::weak_ptr(loan)] {
+                    const auto late = weak.lock();
+                    if (!late)
+                        return;
+                    late->patience = 0;
+                    late->pool->cancel(std::exchange(late->ticket, 0));
+                    refuse(late, "no connection came free in time");
+                });
+        loan->ticket = loan->pool->wait(context, loan->request.priority,
+                                        [this, weak = std::weak_ptr(loan)](LinkLease lease) {
+                                            const auto granted = weak.lock();
+                                            if (!granted)
+                                                return;
+                                            granted->ticket = 0;
+                                            granted->lease = std::move(lease);
+                                            start(granted);
+                                        });
+    }
+
+    void start(const std::shared_ptr<Loan> &loan)
+    {
+        m_server.timers.cancel(std::exchange(loan->patience, 0));
+        if (loan->lease->isBroken()) {
+            refuse(loan, "the connection was lost");
+            return;
+        }
+        const RelayMessage &request = loan->request;
+        loan->lease->run({.command = request.command,
+                          .context = request.hasValues ? &loan->context : nullptr,
+                          .prepared = request.prepared ? &*request.prepared : nullptr,
+                          .begin = request.begin,
+                          .beginAfter = request.beginAfter},
+                         [this, weak = std::weak_ptr(loan)](const LinkOutcome &outcome) {
+                             if (const auto ran = weak.lock())
+                                 answer(ran->request.lease, outcome);
+                         });
+    }
+
+    void refuse(const std::shared_ptr<Loan> &loan, const std::string &reason)
+    {
+        m_server.notLent.add();
+        answer(loan->request.lease,
+               {.end = LinkEnd::NotSent, .reply = {.message = reason}});
+    }
+
+    void answer(std::uint64_t lease, const LinkOutcome &outcome)
+    {
+        m_stream->send(encodeRelayMessage(
+                {.kind = RelayMessage::Kind::Outcome, .lease = lease, .outcome = outcome}));
+    }
+
+    void release(std::uint64_t lease)
+    {
+        const auto found = m_loans.find(lease);
+        if (found == m_loans.end())
+            return;
+        const std::shared_ptr<Loan> loan = std::move(found->second);
+        m_loans.erase(found);
+        forget(*loan);
+    }
+
+    void forget(Loan &loan)
+    {
+        m_server.timers.cancel(std::exchange(loan.patience, 0));
+        if (loan.ticket != 0)
+            loan.pool->cancel(std::exchange(loan.ticket, 0));
+        loan.lease.release();
+    }
+
+    Data &m_server;
+    std::uint64_t m_number;
+    std::unique_ptr<TcpStream> m_stream;
+    LineCutter m_lines;
+    std::map<std::uint64_t, std::shared_ptr<Loan>> m_loans;
+};
+
+void RelayServer::Data::accepted(std::unique_ptr<TcpStream> stream)
+{
+    const std::uint64_t number = ++lastNumber;
+    peers.emplace(number, std::make_shared<Peer>(*this, number, std::move(stream)));
+}
+
+void RelayServer::Data::drop(std::uint64_t number)
+{
+    const auto found = peers.find(number);
+    if (found == peers.end())
+        return;
+    // The peer may be the caller.
+    const std::shared_ptr<Peer> kept = std::move(found->second);
+    peers.erase(found);
+    timers.after(Duration(0), [kept] {});
+}
+
+RelayServer::RelayServer(std::shared_ptr<Data> data)
+    : m_data(std::move(data))
+{}
+
+RelayServer::~RelayServer()
+{
+    m_data->listener.reset();
+    m_data->peers.clear();
+}
+
+Result<std::unique_ptr<RelayServer>> RelayServer::listen(EventLoop &loop, const Endpoint &endpoint,
+                                                         Timers &timers, Counters &counters,
+                                                         PoolOf poolOf)
+{
+    auto data = std::make_shared<Data>(timers, counters, std::move(poolOf));
+    Result<std::unique_ptr<TcpListener>> listener
+            = TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
+                                  [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
+                                      if (const auto server = weak.lock())
+                                          server->accepted(std::move(stream));
+                                  });
+    if (!listener)
+        return listener.error();
+    data->listener = std::move(listener.value());
+    return std::unique_ptr<RelayServer>(new RelayServer(std::move(data)));
+}
+
+} // namespace fescuespring
--- /dev/null
+++ b/libs/relay/tests/relaymessagestest.cpp
@@ -0,0 +1,119 @@
+#include "relay/relaymessages.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+RelayMessage wholeRun()
+{
+    return {.kind = RelayMessage::Kind::Run,
+            .lease = 7,
+            .database = DatabaseId("i-1"),
+            .priority = 2,
+            .patience = 250ms,
+            .command = {.id = RequestId("5c0e"),
+                        .after = LogPoint{Term(3), LogPosition(1207)},
+                        .statement = {.kind = StatementKind::Execute,
+                                      .name = "wq2c",
+                                      .argument = "1a4 \"x\\k\t\xc3\xa9"}},
+            .values = {{"zone", "kst"}, {"", " "}},
+            .hasValues = true,
+            .prepared = PreparedStatement{StatementAccess::Write, "q2c"},
+            .begin = StatementKind::BeginReadOnly,
+            .beginAfter = LogPoint{Term(2), LogPosition(9)}};
+}
+
+RelayMessage decoded(const std::string &text)
+{
+    const Result<RelayMessage> message
+            = decodeRelayMessage(std::string_view(text).substr(0, text.size() - 1));
+    CPPUNIT_ASSERT(message);
+    return message.value();
+}
+
+} // namespace
+
+class RelayMessagesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayMessagesTest);
+    CPPUNIT_TEST(runComesBackWhole);
+    CPPUNIT_TEST(outcomeComesBackWhole);
+    CPPUNIT_TEST(missingFieldsAreNamed);
+    CPPUNIT_TEST(brokenTextsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void runComesBackWhole()
+    {
+        const RelayMessage sent = wholeRun();
+        const RelayMessage got = decoded(encodeRelayMessage(sent));
+        CPPUNIT_ASSERT(got.kind == sent.kind && got.lease == sent.lease);
+        CPPUNIT_ASSERT(got.database == sent.database && got.priority == sent.priority);
+        CPPUNIT_ASSERT(got.patience == sent.patience && got.values == sent.values);
+        CPPUNIT_ASSERT(got.hasValues);
+        CPPUNIT_ASSERT(got.command.id == sent.command.id && got.command.after == sent.command.after);
+        CPPUNIT_ASSERT(got.command.statement == sent.command.statement);
+        CPPUNIT_ASSERT(got.prepared && got.prepared->access == StatementAccess::Write);
+        CPPUNIT_ASSERT_EQUAL(std::string("q2c"), got.prepared->shape);
+        CPPUNIT_ASSERT(got.begin == sent.begin && got.beginAfter == sent.beginAfter);
+    }
+
+    void outcomeComesBackWhole()
+    {
+        const RelayMessage got = decoded(encodeRelayMessage(
+                {.kind = RelayMessage::Kind::Outcome,
+                 .lease = 9,
+                 .outcome = {.end = LinkEnd::Refused,
+                             .reply = {.failure = StatementFailure::Lagging,
+                                       .message = "behind",
+                                       .rows = {"a", ""},
+                                       .signature = "7.1f3",
+                                       .phase = SessionPhase::Failed,
+                                       .position = LogPoint{Term(1), LogPosition(2)},
+                                       .status = UpstreamStatus{.role = Role::Primary,
+                                                                .term = Term(4),
+                                                                .received = {Term(3),
+                                                                             LogPosition(8)},
+                                                                .heldTerm = Term(5)}}}}));
+        const StatementReply &reply = got.outcome.reply;
+        CPPUNIT_ASSERT(got.outcome.end == LinkEnd::Refused);
+        CPPUNIT_ASSERT(reply.failure == StatementFailure::Lagging && reply.message == "behind");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reply.rows.size());
+        CPPUNIT_ASSERT(reply.phase == SessionPhase::Failed && reply.signature == "7.1f3");
+        CPPUNIT_ASSERT(reply.position == LogPoint({Term(1), LogPosition(2)}));
+        CPPUNIT_ASSERT(reply.status && reply.status->role == Role::Primary);
+        CPPUNIT_ASSERT(reply.status->term == Term(4) && reply.status->heldTerm == Term(5));
+        CPPUNIT_ASSERT(reply.status->received == LogPoint({Term(3), LogPosition(8)}));
+    }
+
+    void missingFieldsAreNamed()
+    {
+        const Result<RelayMessage> run = decodeRelayMessage(R"({"is":0,"lease":1})");
+        CPPUNIT_ASSERT(!run);
+        CPPUNIT_ASSERT_EQUAL(std::string("database"), run.error().field);
+        const Result<RelayMessage> outcome
+                = decodeRelayMessage(R"({"is":1,"lease":1,"end":0,"reply":{"failure":99}})");
+        CPPUNIT_ASSERT(!outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("reply"), outcome.error().field);
+    }
+
+    void brokenTextsAreRefused()
+    {
+        const std::string text = encodeRelayMessage(wholeRun());
+        std::mt19937 random(11);
+        for (int i = 0; i < 5000; ++i) {
+            std::string broken = text.substr(0, random() % text.size());
+            for (int j = 0; j < 3 && !broken.empty(); ++j)
+                broken[random() % broken.size()] = static_cast<char>(random() % 256);
+            // Must neither crash nor throw; what is read must be whole.
+            const Result<RelayMessage> message = decodeRelayMessage(broken);
+            CPPUNIT_ASSERT(!message || message.value().kind <= RelayMessage::Kind::Pong);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayMessagesTest);
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -25,9 +25,11 @@
     Endpoint callers;
     Endpoint readiness;
 
-    // Where counters are served as text, and where other VMs reach this one.
+    // Where counters are served as text, where other VMs get what this one knows of the store, and
+    // where they borrow its connections.
     Endpoint metrics;
     Endpoint peers;
+    Endpoint relay;
 
     // The platform's object store, and the address that takes orders to promote.
     Endpoint store;
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -19,6 +19,7 @@
     readEndpointText(section, "readiness", settings.readiness);
     readEndpointText(section, "metrics", settings.metrics);
     readEndpointText(section, "peers", settings.peers);
+    readEndpointText(section, "relay", settings.relay);
     readEndpointText(section, "store", settings.store);
     readEndpointText(section, "promotions", settings.promotions);
     section.milliseconds("stopDeadlineMs", settings.stopDeadline,
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -7,7 +7,10 @@
 #include "leadership/leadershipview.h"
 #include "leadership/termevidence.h"
 #include "logging/log.h"
+#include "relay/ownership.h"
+#include "relay/relaypool.h"
 #include "upstreampool/databasepool.h"
+#include "vmregistry/vmregistry.h"
 
 #include <functional>
 #include <map>
@@ -26,8 +29,14 @@
     Counters &counters;
     UpstreamConnector connect;
 
-    // Of this VM; databases of the same data centre are nearer.
+    // This VM; databases of the same data centre are nearer.
+    VmId vm = {};
     DataCentreId dataCentre = {};
+
+    // Connects to a VM that lends its connections. Empty where this VM uses its own only.
+    std::function<std::shared_ptr<RelayPeer>(const Endpoint &,
+                                             std::function<void(const Error &)> onLost)>
+            connectPeer = {};
 };
 
 // The databases that this VM uses, with their connections, and what is known of who leads.
@@ -66,11 +75,23 @@
         return m_context;
     }
 
-    // Connections to a database; null if there is no such database.
-    std::shared_ptr<DatabasePool> pool(const DatabaseId &database) const;
+    // The best way to a database: own connections where this VM holds some and they work, else
+    // those of another VM. Null if there is no such database.
+    std::shared_ptr<LinkPool> pool(const DatabaseId &database) const;
+
+    // Own connections, for lending them to other VMs.
+    std::shared_ptr<DatabasePool> ownPool(const DatabaseId &database) const;
+
+    // What this VM's own connections say of a database; nothing where it is to hold none.
+    std::optional<DatabaseObservation> ownObservation(const DatabaseId &database) const;
 
-    // Shares the connections that the configuration grants among vmCount VMs.
-    void shareConnections(const RouteConfiguration &configuration, std::size_t vmCount);
+    // VMs that hold connections to a database.
+    std::size_t ownerCount(const DatabaseId &database) const;
+
+    // Shares the connections that the configuration grants among the living VMs. While these are
+    // not all known yet, nothing is opened ahead of need.
+    void shareConnections(const RouteConfiguration &configuration, std::vector<VmRecord> vms,
+                          bool areAllKnown);
 
     // The primary that may take statements now; nothing while none is known, or while it is silent
     // and a change is announced.
@@ -115,13 +136,25 @@
                  CommandDone done);
     void askStatus(const DatabaseId &database, TermEvidence::StatusDone done);
 
+    // Asks over this VM's own connections, to learn whether they work.
+    void probeOwn(const DatabaseId &database);
+
     // Closes every connection that is not in use, and opens no more.
     void close();
 
 private:
     void entryChanged(const UpstreamEntry &entry, bool isNewLife);
     void entryGone(const UpstreamEntry &entry);
-    void applyLimits(DatabasePool &pool, const GroupId &group);
+    struct Access;
+
+    void shareOut(const DatabaseId &database, Access &access);
+    ConnectionShares sharesOf(const GroupId &group) const;
+    std::shared_ptr<RelayPeer> peerFor(const DatabaseId &database);
+    std::shared_ptr<RelayPeer> peer(const VmRecord &record);
+    void commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
+                   Duration timeout, CommandDone done);
+    const Access *access(const DatabaseId &database) const;
+    Duration silence(const LinkPool &pool) const;
     TermEvidence &evidence(const GroupId &group);
     void askOthers(const GroupId &group, const DatabaseId &database, Term term,
                    Confirmed confirmed);
@@ -132,12 +165,14 @@
     ProxyContext m_context;
     LeadershipView m_leadership;
     UpstreamDirectory m_directory;
-    std::map<DatabaseId, std::shared_ptr<DatabasePool>> m_pools;
-    std::map<DatabaseId, Instant> m_drainingSince;
+    std::map<DatabaseId, std::unique_ptr<Access>> m_accesses;
+    std::map<VmId, std::shared_ptr<RelayPeer>> m_peers;
+    std::map<VmId, Instant> m_peerLostAt;
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
     std::map<GroupId, GroupLimits> m_limits;
-    std::size_t m_vmCount = 1;
+    std::vector<VmRecord> m_vms;
+    bool m_areVmsKnown = false;
     std::function<bool(const DatabaseId &)> m_isLostForMost = [](const DatabaseId &) {
         return false;
     };
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -31,9 +31,9 @@
     struct Attempt
     {
         DatabaseId database;
-        std::shared_ptr<DatabasePool> pool;
+        std::shared_ptr<LinkPool> pool;
         LinkLease lease = {};
-        DatabasePool::TicketId ticket = 0;
+        LinkPool::TicketId ticket = 0;
         bool isSent = false;
         bool isEnded = false;
         Instant sentAt = {};
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -17,11 +17,18 @@
 // nothing from it either.
 constexpr Duration cutOffAfter = std::chrono::milliseconds(450);
 
-// Share of a database's connections that the VMs keep open together; the rest is for rises of
-// demand, for questions, and for VMs that are not counted yet.
-constexpr double keptShare = 0.45;
+// Silence of own connections after which another VM's are used.
+constexpr Duration ownSilence = std::chrono::milliseconds(350);
 
-constexpr std::uint32_t extraConnections = 4;
+// Silence by way of other VMs after which a VM that is to hold no connections opens one.
+constexpr Duration othersSilence = std::chrono::milliseconds(700);
+
+// Silence by way of one VM after which the next is asked, and time for which a lost one is not.
+constexpr Duration peerSilence = std::chrono::milliseconds(300);
+constexpr Duration peerRest = std::chrono::milliseconds(2500);
+
+// Connections of a VM that is to hold none, for when no other VM can be asked.
+constexpr std::uint32_t emergencyConnections = 1;
 
 // Longest time that a primary which is leaving gets new statements while no successor leads.
 constexpr Duration drainingUse = std::chrono::milliseconds(5500);
@@ -36,6 +43,20 @@
 
 } // namespace
 
+// The ways to one database.
+struct Upstreams::Access
+{
+    std::shared_ptr<DatabasePool> own;
+    std::shared_ptr<RelayPool> byOthers;
+
+    // Whether this VM is to hold connections, and who else is, best first.
+    bool isOwner = true;
+    std::vector<VmRecord> otherOwners;
+    std::size_t owners = 1;
+
+    std::optional<Instant> drainingSince;
+};
+
 Upstreams::Upstreams(ProxyContext context)
     : m_context(std::move(context))
     , m_directory({.onEntry = [this](const UpstreamEntry &entry,
@@ -45,62 +66,165 @@
 
 Upstreams::~Upstreams() = default;
 
-std::shared_ptr<DatabasePool> Upstreams::pool(const DatabaseId &database) const
+const Upstreams::Access *Upstreams::access(const DatabaseId &database) const
+{
+    const auto found = m_accesses.find(database);
+    return found == m_accesses.end() ? nullptr : found->second.get();
+}
+
+std::shared_ptr<LinkPool> Upstreams::pool(const DatabaseId &database) const
+{
+    const Access *known = access(database);
+    if (!known)
+        return nullptr;
+    if (known->otherOwners.empty())
+        return known->own;
+    const bool ownWorks = silence(*known->own) < ownSilence;
+    const bool othersWork = silence(*known->byOthers) < othersSilence;
+    if (known->isOwner ? ownWorks || !othersWork : ownWorks && !othersWork)
+        return known->own;
+    return known->byOthers;
+}
+
+Duration Upstreams::silence(const LinkPool &pool) const
+{
+    const auto &silentSince = pool.observation().silentSince;
+    return silentSince ? m_context.timers.now() - *silentSince : Duration(0);
+}
+
+std::shared_ptr<DatabasePool> Upstreams::ownPool(const DatabaseId &database) const
+{
+    const Access *known = access(database);
+    return known ? known->own : nullptr;
+}
+
+std::optional<DatabaseObservation> Upstreams::ownObservation(const DatabaseId &database) const
+{
+    const Access *known = access(database);
+    if (!known || !known->isOwner)
+        return std::nullopt;
+    return known->own->observation();
+}
+
+std::size_t Upstreams::ownerCount(const DatabaseId &database) const
 {
-    const auto found = m_pools.find(database);
-    return found == m_pools.end() ? nullptr : found->second;
+    const Access *known = access(database);
+    return known ? known->owners : 1;
 }
 
 void Upstreams::entryChanged(const UpstreamEntry &entry, bool isNewLife)
 {
-    std::shared_ptr<DatabasePool> &pool = m_pools[entry.target.database];
-    if (!pool || isNewLife) {
-        if (pool)
-            pool->close();
-        m_drainingSince.erase(entry.target.database);
-        pool = DatabasePool::make(m_context.timers, m_context.connect, {.target = entry.target});
-        applyLimits(*pool, entry.target.group);
-        m_context.log.info("database-found", {{"database", entry.target.database},
+    const DatabaseId &database = entry.target.database;
+    std::unique_ptr<Access> &known = m_accesses[database];
+    if (!known || isNewLife) {
+        if (known)
+            known->own->close();
+        known = std::make_unique<Access>();
+        known->own = DatabasePool::make(m_context.timers, m_context.connect,
+                                        {.target = entry.target});
+        known->byOthers = RelayPool::make({.timers = m_context.timers,
+                                           .database = database,
+                                           .peer = [this, database] { return peerFor(database); }});
+        shareOut(database, *known);
+        m_context.log.info("database-found", {{"database", database},
                                               {"group", entry.target.group},
                                               {"endpoint", entry.target.endpoint},
                                               {"draining", entry.isDraining}});
     }
     if (entry.role == Role::Primary)
-        m_leadership.announcedPrimary(entry.target.group, entry.target.database);
-    if (entry.isDraining)
-        m_drainingSince.try_emplace(entry.target.database, m_context.timers.now());
-    else
-        pool->warmUp();
+        m_leadership.announcedPrimary(entry.target.group, database);
+    if (!entry.isDraining)
+        known->own->warmUp();
+    else if (!known->drainingSince)
+        known->drainingSince = m_context.timers.now();
 }
 
 void Upstreams::entryGone(const UpstreamEntry &entry)
 {
     m_context.log.info("database-gone", {{"database", entry.target.database},
                                          {"group", entry.target.group}});
-    const auto found = m_pools.find(entry.target.database);
-    if (found == m_pools.end())
+    const auto found = m_accesses.find(entry.target.database);
+    if (found == m_accesses.end())
         return;
-    found->second->close();
-    m_pools.erase(found);
-    m_drainingSince.erase(entry.target.database);
+    found->second->own->close();
+    m_accesses.erase(found);
 }
 
-void Upstreams::applyLimits(DatabasePool &pool, const GroupId &group)
+ConnectionShares Upstreams::sharesOf(const GroupId &group) const
 {
     const auto limits = m_limits.find(group);
     const std::uint32_t granted
             = limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
-    const double share = granted * keptShare / static_cast<double>(m_vmCount);
-    const auto kept = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::round(share)));
-    pool.setLimits(kept, kept + extraConnections);
+    return fescuespring::shareOut(granted, m_vms.size());
+}
+
+void Upstreams::shareOut(const DatabaseId &database, Access &access)
+{
+    const ConnectionShares shares = sharesOf(access.own->target().group);
+    access.isOwner = true;
+    access.otherOwners.clear();
+    access.owners = shares.owners;
+    if (m_context.connectPeer && m_areVmsKnown) {
+        access.otherOwners = databaseOwners(m_vms, database, shares.owners, m_context.vm,
+                                            m_context.dataCentre);
+        access.isOwner = std::erase_if(access.otherOwners, [this](const VmRecord &record) {
+                             return record.vm == m_context.vm;
+                         }) > 0;
+    }
+    if (!m_areVmsKnown)
+        access.own->setLimits(0, emergencyConnections);
+    else if (access.isOwner)
+        access.own->setLimits(shares.kept, shares.maximum);
+    else
+        access.own->setLimits(0, emergencyConnections);
 }
 
-void Upstreams::shareConnections(const RouteConfiguration &configuration, std::size_t vmCount)
+void Upstreams::shareConnections(const RouteConfiguration &configuration,
+                                 std::vector<VmRecord> vms, bool areAllKnown)
 {
     m_limits = configuration.groups;
-    m_vmCount = std::max<std::size_t>(1, vmCount);
-    for (const auto &[database, pool] : m_pools)
-        applyLimits(*pool, pool->target().group);
+    m_vms = std::move(vms);
+    m_areVmsKnown = areAllKnown;
+    for (const auto &[database, known] : m_accesses) {
+        shareOut(database, *known);
+        if (known->isOwner && !known->drainingSince)
+            known->own->warmUp();
+    }
+}
+
+std::shared_ptr<RelayPeer> Upstreams::peer(const VmRecord &record)
+{
+    std::shared_ptr<RelayPeer> &known = m_peers[record.vm];
+    if (known)
+        return known;
+    const VmId vm = record.vm;
+    known = m_context.connectPeer(record.relay, [this, vm](const Error &error) {
+        m_context.log.info("relay-lost", {{"vm", vm}, {"error", error.message}});
+        m_peerLostAt[vm] = m_context.timers.now();
+        // The peer is the caller.
+        const auto node = std::make_shared<decltype(m_peers)::node_type>(m_peers.extract(vm));
+        m_context.timers.after(Duration(0), [node] {});
+    });
+    return known;
+}
+
+std::shared_ptr<RelayPeer> Upstreams::peerFor(const DatabaseId &database)
+{
+    const Access *known = access(database);
+    if (!known || known->otherOwners.empty())
+        return nullptr;
+    const Instant now = m_context.timers.now();
+    const auto &silentSince = known->byOthers->observation().silentSince;
+    const auto skipped = silentSince ? static_cast<std::size_t>((now - *silentSince) / peerSilence)
+                                     : std::size_t{0};
+    const std::size_t count = known->otherOwners.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const VmRecord &record = known->otherOwners[(skipped + i) % count];
+        const auto lostAt = m_peerLostAt.find(record.vm);
+        if (lostAt == m_peerLostAt.end() || now - lostAt->second > peerRest)
+            return peer(record);
+    }
+    return nullptr;
 }
 
 std::optional<DatabaseId> Upstreams::usablePrimary(const GroupId &group) const
@@ -114,9 +238,9 @@
     const UpstreamEntry *entry = m_directory.find(believed->database);
     if (!entry)
         return std::nullopt;
-    const auto draining = m_drainingSince.find(believed->database);
-    const bool hasLeft = draining != m_drainingSince.end()
-                         && m_context.timers.now() - draining->second > drainingUse;
+    const Access *known = access(believed->database);
+    const bool hasLeft = known && known->drainingSince
+                         && m_context.timers.now() - *known->drainingSince > drainingUse;
     if (hasLeft)
         return std::nullopt;
     return believed->database;
@@ -145,7 +269,7 @@
 {
     const auto known = pool(entry.target.database);
     const DatabaseObservation &seen = known->observation();
-    const auto inFlight = static_cast<double>(known->inUse() + known->waiting());
+    const auto inFlight = static_cast<double>(known->load());
     double cost = static_cast<double>(seen.serviceTime.count()) * (1 + inFlight);
     if (entry.dataCentre != m_context.dataCentre)
         cost += remoteCost;
@@ -166,7 +290,7 @@
     double lowest = 0;
     for (const UpstreamEntry &entry : m_directory.group(group)) {
         const DatabaseId &database = entry.target.database;
-        if (entry.isDraining || excluded.contains(database) || !m_pools.contains(database))
+        if (entry.isDraining || excluded.contains(database) || !m_accesses.contains(database))
             continue;
         const double cost = readCost(entry);
         if (chosen && cost >= lowest)
@@ -180,7 +304,12 @@
 void Upstreams::command(const DatabaseId &database, const Statement &statement, Duration timeout,
                         CommandDone done)
 {
-    const auto known = pool(database);
+    commandOn(pool(database), statement, timeout, std::move(done));
+}
+
+void Upstreams::commandOn(const std::shared_ptr<LinkPool> &known, const Statement &statement,
+                          Duration timeout, CommandDone done)
+{
     if (!known) {
         m_context.timers.after(Duration(0), [done] { done(std::nullopt); });
         return;
@@ -188,7 +317,7 @@
     struct Call
     {
         LinkLease lease;
-        DatabasePool::TicketId ticket = 0;
+        LinkPool::TicketId ticket = 0;
         Timers::Id timer = 0;
         CommandDone done;
     };
@@ -232,6 +361,12 @@
             });
 }
 
+void Upstreams::probeOwn(const DatabaseId &database)
+{
+    commandOn(ownPool(database), {.kind = StatementKind::Status}, statusTimeout,
+              [](const std::optional<StatementReply> &) {});
+}
+
 TermEvidence &Upstreams::evidence(const GroupId &group)
 {
     std::unique_ptr<TermEvidence> &known = m_evidence[group];
@@ -356,8 +491,8 @@
 
 void Upstreams::close()
 {
-    for (const auto &[database, pool] : m_pools)
-        pool->close();
+    for (const auto &[database, known] : m_accesses)
+        known->own->close();
 }
 
 } // namespace fescuespring
--- a/libs/statements/include/statements/sessioncontext.h
+++ b/libs/statements/include/statements/sessioncontext.h
@@ -20,6 +20,9 @@
 class SessionContext
 {
 public:
+    SessionContext() = default;
+    explicit SessionContext(std::map<std::string, std::string> values);
+
     // Applies a SetValue, Prepare or Deallocate statement.
     void apply(const Statement &statement);
 
--- a/libs/statements/src/sessioncontext.cpp
+++ b/libs/statements/src/sessioncontext.cpp
@@ -1,7 +1,13 @@
 #include "statements/sessioncontext.h"
 
+#include <utility>
+
 namespace fescuespring {
 
+SessionContext::SessionContext(std::map<std::string, std::string> values)
+    : m_values(std::move(values))
+{}
+
 void SessionContext::apply(const Statement &statement)
 {
     switch (statement.kind) {
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -1,6 +1,6 @@
 #include "storefeed/feedfollower.h"
 
-#include "linecutter.h"
+#include "net/linecutter.h"
 
 #include <utility>
 
@@ -134,7 +134,7 @@
     Timers &timers;
     Options options;
     std::unique_ptr<TcpStream> stream;
-    detail::LineCutter lines;
+    LineCutter lines;
     std::map<std::uint64_t, Question> questions;
     std::uint64_t lastNumber = 0;
     bool isEnded = false;
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -1,6 +1,6 @@
 #include "storefeed/feedreader.h"
 
-#include "linecutter.h"
+#include "net/linecutter.h"
 
 #include <utility>
 
@@ -20,7 +20,7 @@
     struct Follower
     {
         std::unique_ptr<TcpStream> stream;
-        detail::LineCutter lines;
+        LineCutter lines;
     };
 
     Data(Timers &vmTimers, StoreMirror &vmMirror,
--- a/libs/upstreampool/include/upstreampool/databaselink.h
+++ b/libs/upstreampool/include/upstreampool/databaselink.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "base/timers.h"
-#include "statements/sessioncontext.h"
-#include "statements/upstreamchannel.h"
+#include "upstreampool/linkpool.h"
 
 #include <functional>
 #include <memory>
@@ -10,48 +9,6 @@
 
 namespace fescuespring {
 
-// What is to run on a link for one statement of a session.
-struct LinkCommand
-{
-    UpstreamCommand command = {};
-
-    // The link is brought to this session's values first; null for statements of this VM.
-    const SessionContext *context = nullptr;
-
-    // The prepared statement that the command executes; null for others.
-    const PreparedStatement *prepared = nullptr;
-
-    // Set for the first statement of a transaction: how it begins, and the point that the
-    // database's log must hold.
-    std::optional<StatementKind> begin = {};
-    std::optional<LogPoint> beginAfter = {};
-};
-
-enum class LinkEnd {
-    // The database answered the statement.
-    Answered,
-
-    // What had to come before the statement was refused; the statement was not sent.
-    Refused,
-
-    // The connection was lost before the statement was sent.
-    NotSent,
-
-    // The connection was lost after the statement was sent; it may have run.
-    Lost,
-};
-
-struct LinkOutcome
-{
-    LinkEnd end = LinkEnd::NotSent;
-
-    // With Answered and Refused.
-    StatementReply reply = {};
-
-    // When the statement was sent; with Answered and Lost.
-    Instant sentAt = {};
-};
-
 // Counts what a link sends and hears, for judging its database.
 struct LinkObserver
 {
@@ -67,11 +24,9 @@
 //     link->run({.command = command, .context = &session}, [](const LinkOutcome &outcome) {...});
 //
 // One thread only. Destroying it closes the connection and drops the callback.
-class DatabaseLink
+class DatabaseLink : public StatementLink
 {
 public:
-    using Done = std::function<void(const LinkOutcome &)>;
-
     struct Options
     {
         UpstreamTarget target;
@@ -83,13 +38,11 @@
     };
 
     DatabaseLink(Timers &timers, const UpstreamConnector &connect, Options options);
-    ~DatabaseLink();
+    ~DatabaseLink() override;
     DatabaseLink(const DatabaseLink &) = delete;
     DatabaseLink &operator=(const DatabaseLink &) = delete;
 
-    // Runs one statement. The link must be open and not busy; done is called exactly once unless
-    // the link is destroyed first, never from inside the call.
-    void run(const LinkCommand &command, Done done);
+    void run(const LinkCommand &command, Done done) override;
 
     // Drops the connection; a statement under way ends as NotSent or Lost.
     void breakOff(const Error &error);
@@ -98,15 +51,15 @@
     {
         return m_isOpen;
     }
-    bool isBroken() const
+    bool isBroken() const override
     {
         return m_isBroken;
     }
-    bool isBusy() const
+    bool isBusy() const override
     {
         return static_cast<bool>(m_done);
     }
-    SessionPhase phase() const
+    SessionPhase phase() const override
     {
         return m_phase;
     }
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -28,78 +28,28 @@
     Duration rollbackTimeout = std::chrono::milliseconds(1000);
 };
 
-// What the answers of one database say of it.
-struct DatabaseObservation
-{
-    // When it last answered anything.
-    Instant lastHeard = {};
-
-    // Since when something has been expected of it without an answer of any kind; nothing while
-    // all is answered.
-    std::optional<Instant> silentSince = {};
-
-    // Smoothed time of a statement at the database.
-    Duration serviceTime = std::chrono::milliseconds(5);
-
-    // Failures in a row of statements that the database said it ran.
-    std::uint32_t failuresInARow = 0;
-};
-
-class DatabasePool;
-
-// A link that one statement or transaction holds. Destroying it gives the link back; an open
-// transaction is rolled back, and a link with a statement under way is cut off. The pool lives as long
-// as its leases.
-class LinkLease
-{
-public:
-    LinkLease() = default;
-    LinkLease(std::shared_ptr<DatabasePool> pool, std::shared_ptr<DatabaseLink> link);
-    ~LinkLease();
-    LinkLease(LinkLease &&other) noexcept;
-    LinkLease &operator=(LinkLease &&other) noexcept;
-
-    explicit operator bool() const
-    {
-        return m_link != nullptr;
-    }
-    DatabaseLink *operator->() const
-    {
-        return m_link.get();
-    }
-
-    // Gives the link back now.
-    void release();
-
-private:
-    std::shared_ptr<DatabasePool> m_pool;
-    std::shared_ptr<DatabaseLink> m_link;
-};
-
 // The connections of this VM to one database, and who waits for one: by priority, then by arrival.
 //
-//     if (LinkLease lease = pool->tryAcquire(session))
-//         ...
-//     else
-//         ticket = pool->wait(&session, priority, [](LinkLease lease) {...});
-//
 // One thread only.
-class DatabasePool : public std::enable_shared_from_this<DatabasePool>
+class DatabasePool : public LinkPool, public std::enable_shared_from_this<DatabasePool>
 {
 public:
-    using TicketId = std::uint64_t;
-    using Granted = std::function<void(LinkLease)>;
-
     static std::shared_ptr<DatabasePool> make(Timers &timers, UpstreamConnector connect,
                                               DatabasePoolOptions options);
-    ~DatabasePool();
+    ~DatabasePool() override;
 
-    // A free link, the nearest to the session's values, unless somebody waits already.
-    LinkLease tryAcquire(const SessionContext *context);
+    LinkLease tryAcquire(const SessionContext *context) override;
+    TicketId wait(const SessionContext *context, std::uint32_t priority, Granted granted) override;
+    void cancel(TicketId ticket) override;
 
-    // Queues for a link; lower priorities go first. The session must outlive the ticket.
-    TicketId wait(const SessionContext *context, std::uint32_t priority, Granted granted);
-    void cancel(TicketId ticket);
+    const DatabaseObservation &observation() const override
+    {
+        return m_observer.observation();
+    }
+    std::size_t load() const override
+    {
+        return inUse() + m_waiters.size();
+    }
 
     void setLimits(std::uint32_t kept, std::uint32_t maximum);
 
@@ -114,10 +64,6 @@
     {
         return m_options.target;
     }
-    const DatabaseObservation &observation() const
-    {
-        return m_observation;
-    }
     std::size_t inUse() const;
     std::size_t waiting() const
     {
@@ -135,7 +81,6 @@
     }
 
 private:
-    friend class LinkLease;
     struct Entry
     {
         std::shared_ptr<DatabaseLink> link;
@@ -154,7 +99,7 @@
     void openForDemand();
     void opened(DatabaseLink &link, const StatementReply &reply);
     void broken(DatabaseLink &link, const Error &error);
-    void release(const std::shared_ptr<DatabaseLink> &link);
+    void giveBack(const std::shared_ptr<StatementLink> &link) override;
     void rollBack(const std::shared_ptr<DatabaseLink> &link);
     void becomeFree(const std::shared_ptr<DatabaseLink> &link);
     void remove(const DatabaseLink &link);
@@ -165,16 +110,13 @@
     Entry *find(const DatabaseLink &link);
     Entry *nearestFree(const SessionContext *context);
     std::size_t opening() const;
-    void noteSent();
-    void noteHeard(const StatementReply &reply, Duration time);
 
     Timers &m_timers;
     UpstreamConnector m_connect;
     DatabasePoolOptions m_options;
     std::vector<Entry> m_links;
     std::vector<Waiter> m_waiters;
-    DatabaseObservation m_observation;
-    std::size_t m_unanswered = 0;
+    DatabaseObserver m_observer;
     TicketId m_lastTicket = 0;
     std::uint64_t m_openedCount = 0;
     Duration m_backoff{0};
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -5,46 +5,6 @@
 
 namespace fescuespring {
 
-namespace {
-
-constexpr int smoothing = 8;
-
-} // namespace
-
-LinkLease::LinkLease(std::shared_ptr<DatabasePool> pool, std::shared_ptr<DatabaseLink> link)
-    : m_pool(std::move(pool))
-    , m_link(std::move(link))
-{}
-
-LinkLease::~LinkLease()
-{
-    release();
-}
-
-LinkLease::LinkLease(LinkLease &&other) noexcept
-    : m_pool(std::move(other.m_pool))
-    , m_link(std::move(other.m_link))
-{}
-
-LinkLease &LinkLease::operator=(LinkLease &&other) noexcept
-{
-    if (this == &other)
-        return *this;
-    release();
-    m_pool = std::move(other.m_pool);
-    m_link = std::move(other.m_link);
-    return *this;
-}
-
-void LinkLease::release()
-{
-    if (!m_link)
-        return;
-    const auto link = std::exchange(m_link, nullptr);
-    const auto pool = std::exchange(m_pool, nullptr);
-    pool->release(link);
-}
-
 std::shared_ptr<DatabasePool> DatabasePool::make(Timers &timers, UpstreamConnector connect,
                                                  DatabasePoolOptions options)
 {
@@ -56,9 +16,8 @@
     : m_timers(timers)
     , m_connect(std::move(connect))
     , m_options(std::move(options))
-{
-    m_observation.lastHeard = timers.now();
-}
+    , m_observer(timers.now())
+{}
 
 DatabasePool::~DatabasePool()
 {
@@ -157,12 +116,14 @@
 void DatabasePool::open()
 {
     ++m_openedCount;
-    noteSent();
+    m_observer.sent(m_timers.now());
     DatabaseLink::Options options{
             .target = m_options.target,
-            .observer = {.onSent = [this] { noteSent(); },
-                         .onHeard = [this](const StatementReply &reply,
-                                           Duration time) { noteHeard(reply, time); }},
+            .observer = {.onSent = [this] { m_observer.sent(m_timers.now()); },
+                         .onHeard =
+                                 [this](const StatementReply &reply, Duration time) {
+                                     m_observer.heard(reply, time, m_timers.now());
+                                 }},
             .onOpened = [this](DatabaseLink &link,
                                const StatementReply &reply) { opened(link, reply); },
             .onBroken = [this](DatabaseLink &link, const Error &error) { broken(link, error); }};
@@ -198,7 +159,7 @@
 
 void DatabasePool::opened(DatabaseLink &link, const StatementReply &reply)
 {
-    noteHeard(reply, Duration(0));
+    m_observer.heard(reply, Duration(0), m_timers.now());
     Entry *entry = find(link);
     if (!entry)
         return;
@@ -213,13 +174,10 @@
 
 void DatabasePool::broken(DatabaseLink &link, const Error &error)
 {
-    // The database stays silent until it answers something again; a refusal is an answer.
-    if (m_unanswered > 0)
-        --m_unanswered;
-    if (error.code == ErrorCode::Refused) {
-        m_observation.lastHeard = m_timers.now();
-        m_observation.silentSince.reset();
-    }
+    if (error.code == ErrorCode::Refused)
+        m_observer.refused(m_timers.now());
+    else
+        m_observer.lost();
     remove(link);
     if (error.code == ErrorCode::Unreachable || error.code == ErrorCode::Refused)
         failedToOpen();
@@ -240,8 +198,9 @@
     m_timers.after(Duration(0), [kept] {});
 }
 
-void DatabasePool::release(const std::shared_ptr<DatabaseLink> &link)
+void DatabasePool::giveBack(const std::shared_ptr<StatementLink> &given)
 {
+    const auto link = std::static_pointer_cast<DatabaseLink>(given);
     Entry *entry = find(*link);
     if (!entry || link->isBroken())
         return;
@@ -323,26 +282,4 @@
     scheduleIdleCheck();
 }
 
-void DatabasePool::noteSent()
-{
-    ++m_unanswered;
-    if (!m_observation.silentSince)
-        m_observation.silentSince = m_timers.now();
-}
-
-void DatabasePool::noteHeard(const StatementReply &reply, Duration time)
-{
-    const Instant now = m_timers.now();
-    m_observation.lastHeard = now;
-    if (m_unanswered > 0)
-        --m_unanswered;
-    m_observation.silentSince = m_unanswered > 0 ? std::optional(now) : std::nullopt;
-    if (reply.failure == StatementFailure::Failed)
-        ++m_observation.failuresInARow;
-    else if (reply.isSuccess())
-        m_observation.failuresInARow = 0;
-    if (time > Duration(0) && reply.isSuccess())
-        m_observation.serviceTime += (time - m_observation.serviceTime) / smoothing;
-}
-
 } // namespace fescuespring
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -25,8 +25,9 @@
     VmId vm;
     DataCentreId dataCentre;
 
-    // Where other VMs reach it.
+    // Where other VMs get what it knows of the store, and where they borrow its connections.
     Endpoint peers;
+    Endpoint relay;
 
     // Rises with each renewal.
     std::uint64_t renewal = 0;
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -21,6 +21,7 @@
     return json::serialize(json::object{{"dataCentre", record.dataCentre.value()},
                                         {"ip", record.peers.ip},
                                         {"port", record.peers.port},
+                                        {"relayPort", record.relay.port},
                                         {"renewal", record.renewal},
                                         {"stopping", record.isStopping},
                                         {"silent", std::move(silent)}});
@@ -39,11 +40,12 @@
     const json::value *dataCentre = fields.if_contains("dataCentre");
     const json::value *ip = fields.if_contains("ip");
     const json::value *port = fields.if_contains("port");
+    const json::value *relayPort = fields.if_contains("relayPort");
     const json::value *renewal = fields.if_contains("renewal");
     const json::value *stopping = fields.if_contains("stopping");
     const json::value *silent = fields.if_contains("silent");
     const bool isWhole = dataCentre && dataCentre->is_string() && ip && ip->is_string() && port
-                         && port->is_int64() && renewal && renewal->is_int64() && stopping
+                         && port->is_int64() && relayPort && relayPort->is_int64() && renewal && renewal->is_int64() && stopping
                          && stopping->is_bool() && silent && silent->is_array();
     if (!isWhole)
         return unreadable;
@@ -51,6 +53,8 @@
                     .dataCentre = DataCentreId(std::string(dataCentre->get_string())),
                     .peers = {std::string(ip->get_string()),
                               static_cast<std::uint16_t>(port->get_int64())},
+                    .relay = {std::string(ip->get_string()),
+                              static_cast<std::uint16_t>(relayPort->get_int64())},
                     .renewal = static_cast<std::uint64_t>(renewal->get_int64()),
                     .isStopping = stopping->get_bool()};
     for (const json::value &database : silent->get_array()) {
