Limit what is at a database at once; newest first under overload; open transactions before new work

Change: an AIMD limit on the statements at a database for each owner, a queue that turns to newest first once the oldest has waited 80 ms, a gate that lets statements of open transactions in first.

--- /dev/null
+++ b/libs/admission/src/concurrencylimit.cpp
@@ -0,0 +1,56 @@
+#include "admission/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace fescuespring {
+
+namespace {
+
+constexpr double weightOfNewest = 0.2;
+constexpr double decrease = 0.8;
+constexpr double increase = 1.0;
+
+// Below this part of the target answers count as quick.
+constexpr double quickPart = 0.75;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
+    : m_options(options)
+    , m_limit(options.maximum)
+{}
+
+void ConcurrencyLimit::setBounds(double minimum, double maximum)
+{
+    m_options.minimum = minimum;
+    m_options.maximum = maximum;
+    m_limit = std::clamp(m_limit, minimum, maximum);
+}
+
+void ConcurrencyLimit::begin()
+{
+    ++m_active;
+    if (!hasRoom())
+        m_wasFull = true;
+}
+
+void ConcurrencyLimit::end(Duration time, Instant now)
+{
+    if (m_active > 0)
+        --m_active;
+    if (time <= Duration(0))
+        return;
+    const auto measured = static_cast<double>(time.count());
+    m_smoothed += weightOfNewest * (measured - m_smoothed);
+    if (now < m_changeFrom)
+        return;
+    const auto target = static_cast<double>(m_options.target.count());
+    if (m_smoothed > target)
+        m_limit = std::max(m_options.minimum, m_limit * decrease);
+    else if (m_smoothed < quickPart * target && m_wasFull)
+        m_limit = std::min(m_options.maximum, m_limit + increase);
+    m_wasFull = false;
+    m_changeFrom = now + m_options.settling;
+}
+
+} // namespace fescuespring
--- a/libs/relay/include/relay/ownership.h
+++ b/libs/relay/include/relay/ownership.h
@@ -18,12 +18,15 @@
     // Connections that each owner keeps open, and the most that it may have.
     std::uint32_t kept = 1;
     std::uint32_t maximum = 1;
+
+    // Statements that each owner may have at the database at least, so that no slot is idle.
+    double fewestStatements = 1;
 };
 
 // Shares out the connections that a database bears among vms VMs: all of them hold some where each
 // gets enough for its own transactions, else fewer hold more. Every owner stays within its part, so
 // that together they never ask for more than the database bears.
-ConnectionShares shareOut(std::uint32_t connections, std::size_t vms);
+ConnectionShares shareOut(std::uint32_t connections, std::uint32_t slots, std::size_t vms);
 
 // The VMs that hold connections to a database, in the order in which self is to try them: those of
 // its own data centre first, spread over the VMs that ask. Spread over data centres, and every VM
--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -20,9 +20,6 @@
 
         // The peer to ask now; null where there is none, and the statement is not sent.
         std::function<std::shared_ptr<RelayPeer>()> peer = {};
-
-        // How long a statement may wait for a connection at the other VM.
-        Duration patience = std::chrono::milliseconds(250);
     };
 
     static std::shared_ptr<RelayPool> make(Options options);
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -21,6 +21,9 @@
 // Part that is kept open. What is open is held for seconds by the database when a VM loses power.
 constexpr double keptShare = 0.45;
 
+// Statements at a database for each of its slots at least, of all owners together.
+constexpr double statementsPerSlot = 1.5;
+
 std::uint32_t part(std::uint32_t connections, double share, std::size_t owners)
 {
     const double each = std::floor(connections * share / static_cast<double>(owners));
@@ -51,7 +54,7 @@
 
 } // namespace
 
-ConnectionShares shareOut(std::uint32_t connections, std::size_t vms)
+ConnectionShares shareOut(std::uint32_t connections, std::uint32_t slots, std::size_t vms)
 {
     const std::size_t all = std::max<std::size_t>(1, vms);
     const auto enough = static_cast<std::size_t>(connections * usableShare / connectionsPerOwner);
@@ -59,6 +62,7 @@
     shares.owners = std::clamp<std::size_t>(enough, 1, all);
     shares.kept = part(connections, keptShare, shares.owners);
     shares.maximum = part(connections, usableShare, shares.owners);
+    shares.fewestStatements = std::max(1.0, slots * statementsPerSlot / static_cast<double>(shares.owners));
     return shares;
 }
 
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -32,7 +32,8 @@
         RelayMessage request{.kind = RelayMessage::Kind::Run,
                              .lease = m_lease,
                              .database = m_pool.m_options.database,
-                             .patience = m_pool.m_options.patience,
+                             .priority = command.priority,
+                             .patience = command.patience,
                              .command = command.command};
         if (command.context) {
             request.hasValues = true;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -148,7 +148,7 @@
     struct Access;
 
     void shareOut(const DatabaseId &database, Access &access);
-    ConnectionShares sharesOf(const GroupId &group) const;
+    ConnectionShares sharesOf(const UpstreamTarget &target) const;
     std::shared_ptr<RelayPeer> peerFor(const DatabaseId &database);
     std::shared_ptr<RelayPeer> peer(const VmRecord &record);
     void commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -150,17 +150,19 @@
     m_accesses.erase(found);
 }
 
-ConnectionShares Upstreams::sharesOf(const GroupId &group) const
+ConnectionShares Upstreams::sharesOf(const UpstreamTarget &target) const
 {
+    const GroupId &group = target.group;
+    const UpstreamEntry *entry = m_directory.find(target.database);
     const auto limits = m_limits.find(group);
     const std::uint32_t granted
             = limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
-    return fescuespring::shareOut(granted, m_vms.size());
+    return fescuespring::shareOut(granted, entry ? entry->slots : 1, m_vms.size());
 }
 
 void Upstreams::shareOut(const DatabaseId &database, Access &access)
 {
-    const ConnectionShares shares = sharesOf(access.own->target().group);
+    const ConnectionShares shares = sharesOf(access.own->target());
     access.isOwner = true;
     access.otherOwners.clear();
     access.owners = shares.owners;
@@ -172,11 +174,11 @@
                          }) > 0;
     }
     if (!m_areVmsKnown)
-        access.own->setLimits(0, emergencyConnections);
+        access.own->setLimits(0, emergencyConnections, 1);
     else if (access.isOwner)
-        access.own->setLimits(shares.kept, shares.maximum);
+        access.own->setLimits(shares.kept, shares.maximum, shares.fewestStatements);
     else
-        access.own->setLimits(0, emergencyConnections);
+        access.own->setLimits(0, emergencyConnections, 1);
 }
 
 void Upstreams::shareConnections(const RouteConfiguration &configuration,
--- a/libs/upstreampool/include/upstreampool/databaselink.h
+++ b/libs/upstreampool/include/upstreampool/databaselink.h
@@ -9,6 +9,16 @@
 
 namespace fescuespring {
 
+// Holds a caller's statement back until its database has room for it.
+struct LinkGate
+{
+    // Calls go once there is room, perhaps at once. go says whether the statement still goes out.
+    std::function<void(std::function<bool()> go)> enter = {};
+
+    // What entered has ended, after the time that the database took; zero if that is not known.
+    std::function<void(Duration)> leave = {};
+};
+
 // Counts what a link sends and hears, for judging its database.
 struct LinkObserver
 {
@@ -24,13 +34,14 @@
 //     link->run({.command = command, .context = &session}, [](const LinkOutcome &outcome) {...});
 //
 // One thread only. Destroying it closes the connection and drops the callback.
-class DatabaseLink : public StatementLink
+class DatabaseLink : public StatementLink, public std::enable_shared_from_this<DatabaseLink>
 {
 public:
     struct Options
     {
         UpstreamTarget target;
         LinkObserver observer = {};
+        LinkGate gate = {};
 
         // The link can be used, or was refused for good.
         std::function<void(DatabaseLink &, const StatementReply &)> onOpened = {};
@@ -76,6 +87,8 @@
     void opened(const StatementReply &reply);
     void replied(StatementReply reply);
     void prepareStatements(const LinkCommand &command);
+    void begin(const LinkCommand &command);
+    void leaveGate(Duration time);
     void sendStatement();
     void prologueReplied(const StatementReply &reply);
     void finish(LinkOutcome outcome);
@@ -88,6 +101,7 @@
     bool m_isOpen = false;
     bool m_isBroken = false;
     bool m_statementSent = false;
+    bool m_isInGate = false;
     std::size_t m_prologueLeft = 0;
     bool m_prologueBegins = false;
     UpstreamCommand m_command;
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "admission/concurrencylimit.h"
+#include "admission/waitqueue.h"
 #include "upstreampool/databaselink.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -28,7 +32,8 @@
     Duration rollbackTimeout = std::chrono::milliseconds(1000);
 };
 
-// The connections of this VM to one database, and who waits for one: by priority, then by arrival.
+// The connections of this VM to one database, who waits for one, and how many statements run at
+// once. Statements of open transactions go before new work, so that transactions end.
 //
 // One thread only.
 class DatabasePool : public LinkPool, public std::enable_shared_from_this<DatabasePool>
@@ -48,10 +53,11 @@
     }
     std::size_t load() const override
     {
-        return inUse() + m_waiters.size();
+        return inUse() + m_queue.size();
     }
 
-    void setLimits(std::uint32_t kept, std::uint32_t maximum);
+    // Statements that may run at once lie between fewest and what the connections allow.
+    void setLimits(std::uint32_t kept, std::uint32_t maximum, double fewest);
 
     // Opens links ahead of need.
     void warmUp();
@@ -67,7 +73,7 @@
     std::size_t inUse() const;
     std::size_t waiting() const
     {
-        return m_waiters.size();
+        return m_queue.size();
     }
     std::size_t connections() const
     {
@@ -88,8 +94,6 @@
     };
     struct Waiter
     {
-        TicketId ticket = 0;
-        std::uint32_t priority = 0;
         const SessionContext *context = nullptr;
         Granted granted;
     };
@@ -104,6 +108,9 @@
     void becomeFree(const std::shared_ptr<DatabaseLink> &link);
     void remove(const DatabaseLink &link);
     void grantNext();
+    void enterGate(std::function<bool()> go);
+    void passGate(const std::function<bool()> &go);
+    void leaveGate(Duration time);
     void failedToOpen();
     void closeIdle();
     void scheduleIdleCheck();
@@ -115,7 +122,10 @@
     UpstreamConnector m_connect;
     DatabasePoolOptions m_options;
     std::vector<Entry> m_links;
-    std::vector<Waiter> m_waiters;
+    WaitQueue m_queue;
+    std::map<TicketId, Waiter> m_waiters;
+    ConcurrencyLimit m_limit;
+    std::deque<std::function<bool()>> m_atGate;
     DatabaseObserver m_observer;
     TicketId m_lastTicket = 0;
     std::uint64_t m_openedCount = 0;
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -26,6 +26,10 @@
     // database's log must hold.
     std::optional<StatementKind> begin = {};
     std::optional<LogPoint> beginAfter = {};
+
+    // Its urgency, and how long it may wait for a connection, where the link is another VM's.
+    std::uint32_t priority = 0;
+    Duration patience = std::chrono::milliseconds(250);
 };
 
 enum class LinkEnd {
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -15,7 +15,10 @@
                          .onClosed = [this](const Error &error) { breakOff(error); }});
 }
 
-DatabaseLink::~DatabaseLink() = default;
+DatabaseLink::~DatabaseLink()
+{
+    leaveGate(Duration(0));
+}
 
 void DatabaseLink::opened(const StatementReply &reply)
 {
@@ -30,11 +33,35 @@
     m_command = command.command;
     m_statementSent = false;
     m_lastUsed = m_timers.now();
+    m_prologueLeft = 0;
+    // Statements of this VM itself are few and must not wait behind callers.
+    if (!command.context || !m_options.gate.enter) {
+        begin(command);
+        return;
+    }
+    m_options.gate.enter([weak = weak_from_this(), command] {
+        const auto self = weak.lock();
+        if (!self || self->m_isBroken || !self->m_done)
+            return false;
+        self->m_isInGate = true;
+        self->begin(command);
+        return true;
+    });
+}
+
+void DatabaseLink::begin(const LinkCommand &command)
+{
     prepareStatements(command);
     if (m_prologueLeft == 0)
         sendStatement();
 }
 
+void DatabaseLink::leaveGate(Duration time)
+{
+    if (std::exchange(m_isInGate, false))
+        m_options.gate.leave(time);
+}
+
 void DatabaseLink::prepareStatements(const LinkCommand &command)
 {
     std::vector<UpstreamCommand> prologue;
@@ -75,8 +102,10 @@
         prologueReplied(reply);
         return;
     }
+    const Duration time = m_lastUsed - m_sentAt;
     if (m_options.observer.onHeard)
-        m_options.observer.onHeard(reply, m_lastUsed - m_sentAt);
+        m_options.observer.onHeard(reply, time);
+    leaveGate(reply.isSuccess() ? time : Duration(0));
     finish({.end = LinkEnd::Answered, .reply = std::move(reply), .sentAt = m_sentAt});
 }
 
@@ -103,6 +132,7 @@
 
 void DatabaseLink::finish(LinkOutcome outcome)
 {
+    leaveGate(Duration(0));
     const Done done = std::exchange(m_done, nullptr);
     done(outcome);
 }
@@ -116,6 +146,7 @@
     // The channel may be the caller, so it is only told to close by being given up later.
     const auto channel = std::make_shared<std::unique_ptr<UpstreamChannel>>(std::move(m_channel));
     m_timers.after(Duration(0), [channel] { channel->reset(); });
+    leaveGate(Duration(0));
     if (m_done) {
         finish({.end = m_statementSent ? LinkEnd::Lost : LinkEnd::NotSent,
                 .reply = {.message = error.message},
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -23,6 +23,11 @@
 {
     m_timers.cancel(m_openTimer);
     m_timers.cancel(m_idleTimer);
+    // Links tell the pool when they end.
+    close();
+    m_atGate.clear();
+    const std::vector<Entry> links = std::move(m_links);
+    m_links.clear();
 }
 
 DatabasePool::Entry *DatabasePool::find(const DatabaseLink &link)
@@ -51,7 +56,7 @@
 
 LinkLease DatabasePool::tryAcquire(const SessionContext *context)
 {
-    if (m_isClosed || !m_waiters.empty())
+    if (m_isClosed || (context && (!m_queue.isEmpty() || !m_limit.hasRoom())))
         return {};
     Entry *entry = nearestFree(context);
     if (!entry)
@@ -64,24 +69,21 @@
                                           Granted granted)
 {
     const TicketId ticket = ++m_lastTicket;
-    const auto place = std::upper_bound(
-            m_waiters.begin(), m_waiters.end(), priority,
-            [](std::uint32_t value, const Waiter &waiter) { return value < waiter.priority; });
-    m_waiters.insert(place, {.ticket = ticket,
-                             .priority = priority,
-                             .context = context,
-                             .granted = std::move(granted)});
+    m_queue.push(ticket, priority, m_timers.now());
+    m_waiters[ticket] = {.context = context, .granted = std::move(granted)};
     openForDemand();
     return ticket;
 }
 
 void DatabasePool::cancel(TicketId ticket)
 {
-    std::erase_if(m_waiters, [ticket](const Waiter &waiter) { return waiter.ticket == ticket; });
+    m_queue.remove(ticket);
+    m_waiters.erase(ticket);
 }
 
-void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum)
+void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum, double fewest)
 {
+    m_limit.setBounds(fewest, std::max<double>(fewest, maximum));
     m_options.kept = kept;
     m_options.maximum = maximum;
 }
@@ -95,6 +97,7 @@
 void DatabasePool::close()
 {
     m_isClosed = true;
+    m_queue.clear();
     m_waiters.clear();
     std::erase_if(m_links, [](const Entry &entry) { return !entry.isLeased; });
 }
@@ -124,6 +127,8 @@
                                  [this](const StatementReply &reply, Duration time) {
                                      m_observer.heard(reply, time, m_timers.now());
                                  }},
+            .gate = {.enter = [this](std::function<bool()> go) { enterGate(std::move(go)); },
+                     .leave = [this](Duration time) { leaveGate(time); }},
             .onOpened = [this](DatabaseLink &link,
                                const StatementReply &reply) { opened(link, reply); },
             .onBroken = [this](DatabaseLink &link, const Error &error) { broken(link, error); }};
@@ -136,7 +141,7 @@
     if (m_isClosed)
         return;
     const Instant now = m_timers.now();
-    while (m_links.size() < m_options.maximum && opening() < m_waiters.size()) {
+    while (m_links.size() < m_options.maximum && opening() < m_queue.size()) {
         if (now < m_openNotBefore) {
             if (m_openTimer == 0) {
                 m_openTimer = m_timers.after(m_openNotBefore - now, [this] {
@@ -248,17 +253,46 @@
 
 void DatabasePool::grantNext()
 {
-    while (!m_waiters.empty()) {
-        Entry *entry = nearestFree(m_waiters.front().context);
+    while (m_limit.hasRoom()) {
+        const auto ticket = m_queue.next(m_timers.now());
+        if (!ticket)
+            return;
+        Entry *entry = nearestFree(m_waiters.at(*ticket).context);
         if (!entry)
             return;
         entry->isLeased = true;
-        const Granted granted = std::move(m_waiters.front().granted);
-        m_waiters.erase(m_waiters.begin());
+        const Granted granted = std::move(m_waiters.at(*ticket).granted);
+        cancel(*ticket);
         granted(LinkLease(shared_from_this(), entry->link));
     }
 }
 
+void DatabasePool::enterGate(std::function<bool()> go)
+{
+    if (m_limit.hasRoom())
+        passGate(go);
+    else
+        m_atGate.push_back(std::move(go));
+}
+
+void DatabasePool::passGate(const std::function<bool()> &go)
+{
+    m_limit.begin();
+    if (!go())
+        m_limit.end(Duration(0), m_timers.now());
+}
+
+void DatabasePool::leaveGate(Duration time)
+{
+    m_limit.end(time, m_timers.now());
+    while (!m_atGate.empty() && m_limit.hasRoom()) {
+        const std::function<bool()> go = std::move(m_atGate.front());
+        m_atGate.pop_front();
+        passGate(go);
+    }
+    grantNext();
+}
+
 void DatabasePool::scheduleIdleCheck()
 {
     if (m_idleTimer != 0 || m_links.size() <= m_options.kept)
