--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -194,8 +194,12 @@
     }
     m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
     m_records = records;
-    if (differs && m_options.onRecordsChanged)
+    if (!differs)
+        return;
+    if (m_options.onRecordsChanged)
         m_options.onRecordsChanged();
+    if (!m_isStopping)
+        m_succession->tick();
 }
 
 void Coordinator::renew()
--- /dev/null
+++ b/libs/directory/tests/directorytest.cpp
@@ -0,0 +1,107 @@
+#include "directory/routetable.h"
+#include "directory/upstreamdirectory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{std::chrono::hours(1)};
+
+UpstreamEntry entry(const std::string &database, std::int64_t startedAt = 1)
+{
+    return {.target = {GroupId("herd"), DatabaseId(database), {"10.0.0.1", 80}},
+            .startedAt = startedAt};
+}
+
+struct Seen
+{
+    std::vector<std::string> lives;
+    std::vector<std::string> gone;
+    UpstreamDirectory directory{
+            {.onEntry =
+                     [this](const UpstreamEntry &entry, bool isNewLife) {
+                         if (isNewLife)
+                             lives.push_back(entry.target.database.value());
+                     },
+             .onGone = [this](const UpstreamEntry &entry) {
+                 gone.push_back(entry.target.database.value());
+             }}};
+};
+
+} // namespace
+
+class DirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(vanishedEntryIsKeptForAWhile);
+    CPPUNIT_TEST(entryThatComesBackStays);
+    CPPUNIT_TEST(otherLifeAndOtherAddressAreNew);
+    CPPUNIT_TEST(fullListDropsTheOthers);
+    CPPUNIT_TEST(configurationsOnlyRise);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void vanishedEntryIsKeptForAWhile()
+    {
+        Seen seen;
+        seen.directory.update(entry("a"));
+        seen.directory.vanished(DatabaseId("a"), start);
+        seen.directory.expire(start + missingEntryGrace - 1ms);
+        CPPUNIT_ASSERT(seen.directory.find(DatabaseId("a")));
+        seen.directory.expire(start + missingEntryGrace);
+        CPPUNIT_ASSERT(!seen.directory.find(DatabaseId("a")));
+        CPPUNIT_ASSERT(seen.gone == std::vector<std::string>{"a"});
+    }
+
+    void entryThatComesBackStays()
+    {
+        Seen seen;
+        seen.directory.update(entry("a"));
+        seen.directory.vanished(DatabaseId("a"), start);
+        seen.directory.update(entry("a"));
+        seen.directory.expire(start + 1h);
+        CPPUNIT_ASSERT(seen.directory.find(DatabaseId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.lives.size());
+    }
+
+    void otherLifeAndOtherAddressAreNew()
+    {
+        Seen seen;
+        seen.directory.update(entry("a"));
+        seen.directory.update(entry("a"));
+        seen.directory.update(entry("a", 2));
+        UpstreamEntry moved = entry("a", 2);
+        moved.target.endpoint.port = 81;
+        seen.directory.update(moved);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.lives.size());
+    }
+
+    void fullListDropsTheOthers()
+    {
+        Seen seen;
+        seen.directory.replaceAll({entry("a"), entry("b")}, start);
+        seen.directory.replaceAll({entry("b")}, start + 1s);
+        seen.directory.expire(start + 1s + missingEntryGrace);
+        CPPUNIT_ASSERT(seen.gone == std::vector<std::string>{"a"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.directory.group(GroupId("herd")).size());
+    }
+
+    void configurationsOnlyRise()
+    {
+        RouteTable table;
+        CPPUNIT_ASSERT(!table.isLoaded());
+        const Route route{.name = RouteName("r"), .group = GroupId("herd")};
+        CPPUNIT_ASSERT(table.apply({.version = 7, .routes = {route}}));
+        CPPUNIT_ASSERT(table.find(RouteName("r")));
+        CPPUNIT_ASSERT(!table.apply({.version = 6}));
+        CPPUNIT_ASSERT(!table.apply({.version = 7}));
+        CPPUNIT_ASSERT(table.find(RouteName("r")));
+        CPPUNIT_ASSERT(table.apply({.version = 9}));
+        CPPUNIT_ASSERT(!table.find(RouteName("r")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -80,27 +80,36 @@
 
 void LeadershipChange::learnTerm()
 {
-    for (const SuccessionCandidate &candidate : m_owner->m_ports.databases(m_group)) {
-        m_owner->m_ports.command(candidate.database, {.kind = StatementKind::Status},
-                                 commandTimeout,
-                                 [weak = weak_from_this()](
-                                         const std::optional<StatementReply> &reply) {
-                                     const auto self = weak.lock();
-                                     if (!self || !reply || !reply->status)
-                                         return;
-                                     self->m_oldTerm
-                                             = std::max(self->m_oldTerm, reply->status->term);
-                                 });
+    const std::vector<SuccessionCandidate> candidates = m_owner->m_ports.databases(m_group);
+    // One may be lost; the others know its term.
+    const std::size_t enough = std::max<std::size_t>(1, candidates.size() - 1);
+    const auto heard = std::make_shared<std::size_t>(0);
+    for (const SuccessionCandidate &candidate : candidates) {
+        m_owner->m_ports.command(
+                candidate.database, {.kind = StatementKind::Status}, commandTimeout,
+                [weak = weak_from_this(), heard,
+                 enough](const std::optional<StatementReply> &reply) {
+                    const auto self = weak.lock();
+                    if (!self || !self->goesOn() || !reply || !reply->status)
+                        return;
+                    self->m_oldTerm = std::max(self->m_oldTerm, reply->status->term);
+                    if (++*heard == enough)
+                        self->termLearnt();
+                });
     }
     after(commandTimeout + stepRetry, &LeadershipChange::termLearnt);
 }
 
 void LeadershipChange::termLearnt()
 {
-    if (m_oldTerm == Term())
+    if (m_isTermLearnt)
+        return;
+    if (m_oldTerm == Term()) {
         learnTerm();
-    else
-        announce();
+        return;
+    }
+    m_isTermLearnt = true;
+    announce();
 }
 
 void LeadershipChange::announce()
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -53,6 +53,7 @@
     Instant m_announcedAt;
     LeadershipRecord m_record;
     Term m_oldTerm;
+    bool m_isTermLearnt = false;
     std::optional<LogPoint> m_oldPosition;
     Instant m_catchUpUntil;
     DatabaseId m_chosen;
--- /dev/null
+++ b/libs/relay/tests/ownershiptest.cpp
@@ -0,0 +1,116 @@
+#include "relay/ownership.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <set>
+
+using namespace fescuespring;
+
+namespace {
+
+std::vector<VmRecord> vms(std::size_t dataCentres, std::size_t each)
+{
+    std::vector<VmRecord> all;
+    for (std::size_t place = 0; place < dataCentres; ++place) {
+        for (std::size_t i = 0; i < each; ++i) {
+            all.push_back({.vm = VmId("vm-" + std::to_string(place) + '-' + std::to_string(i)),
+                           .dataCentre = DataCentreId("dc-" + std::to_string(place))});
+        }
+    }
+    return all;
+}
+
+std::set<VmId> names(const std::vector<VmRecord> &records)
+{
+    std::set<VmId> names;
+    for (const VmRecord &record : records)
+        names.insert(record.vm);
+    return names;
+}
+
+} // namespace
+
+class OwnershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnershipTest);
+    CPPUNIT_TEST(ownersTogetherStayWithinTheLimit);
+    CPPUNIT_TEST(fewConnectionsMeanFewOwners);
+    CPPUNIT_TEST(everyoneAgreesOnTheOwners);
+    CPPUNIT_TEST(ownersAreSpreadOverDataCentres);
+    CPPUNIT_TEST(ownDataCentreIsAskedFirst);
+    CPPUNIT_TEST(lostVmMovesOnlyItsOwnPart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void ownersTogetherStayWithinTheLimit()
+    {
+        for (std::uint32_t connections = 6; connections < 200; connections += 5) {
+            for (std::size_t count = 1; count < 400; count += 7) {
+                const ConnectionShares shares = shareOut(connections, 3, count);
+                CPPUNIT_ASSERT(shares.owners >= 1 && shares.owners <= count);
+                CPPUNIT_ASSERT(shares.owners * shares.maximum <= connections);
+                CPPUNIT_ASSERT(shares.kept <= shares.maximum && shares.kept >= 1);
+                CPPUNIT_ASSERT(shares.fewestStatements >= 1);
+            }
+        }
+    }
+
+    void fewConnectionsMeanFewOwners()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, shareOut(23, 3, 9).owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, shareOut(38, 3, 6).owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, shareOut(46, 4, 70).owners);
+    }
+
+    void everyoneAgreesOnTheOwners()
+    {
+        std::vector<VmRecord> all = vms(3, 10);
+        const DatabaseId database("i-1");
+        const auto first = databaseOwners(all, database, 7, all[0].vm, all[0].dataCentre);
+        std::reverse(all.begin(), all.end());
+        const auto second = databaseOwners(all, database, 7, all[0].vm, all[0].dataCentre);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, first.size());
+        CPPUNIT_ASSERT(names(first) == names(second));
+    }
+
+    void ownersAreSpreadOverDataCentres()
+    {
+        const auto owners = databaseOwners(vms(3, 10), DatabaseId("i-1"), 7, VmId("x"),
+                                           DataCentreId("dc-1"));
+        std::map<DataCentreId, int> each;
+        for (const VmRecord &record : owners)
+            ++each[record.dataCentre];
+        for (const auto &[dataCentre, count] : each)
+            CPPUNIT_ASSERT(count == 2 || count == 3);
+    }
+
+    void ownDataCentreIsAskedFirst()
+    {
+        const auto owners = databaseOwners(vms(3, 10), DatabaseId("i-1"), 7, VmId("x"),
+                                           DataCentreId("dc-1"));
+        CPPUNIT_ASSERT(owners.front().dataCentre == DataCentreId("dc-1"));
+        CPPUNIT_ASSERT(owners.back().dataCentre != DataCentreId("dc-1"));
+    }
+
+    void lostVmMovesOnlyItsOwnPart()
+    {
+        std::vector<VmRecord> all = vms(3, 10);
+        const VmId lost = all[4].vm;
+        std::vector<VmRecord> left = all;
+        std::erase_if(left, [&lost](const VmRecord &record) { return record.vm == lost; });
+        for (int i = 0; i < 50; ++i) {
+            const DatabaseId database("i-" + std::to_string(i));
+            const auto before = names(databaseOwners(all, database, 6, VmId("x"), {}));
+            const auto after = names(databaseOwners(left, database, 6, VmId("x"), {}));
+            if (!before.contains(lost))
+                CPPUNIT_ASSERT(before == after);
+            std::vector<VmId> kept;
+            std::set_intersection(before.begin(), before.end(), after.begin(), after.end(),
+                                  std::back_inserter(kept));
+            CPPUNIT_ASSERT(kept.size() >= 5);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -293,7 +293,7 @@
         if (attempt->isSent)
             ++running;
     }
-    constexpr std::size_t maximumRunning = 2;
+    constexpr std::size_t maximumRunning = 3;
     if (m_isConfirming || m_isWaiting || m_retryTimer != 0 || running >= maximumRunning)
         return;
     upstreams().context().counters.counter("fescuespring_hedged_reads_total").add();
--- /dev/null
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -0,0 +1,405 @@
+#include "statementproxy/statementsession.h"
+
+#include "support/fakegroup.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const GroupId group("herd");
+
+// One VM before one group: a primary a and replicas b and c, in virtual time.
+struct Vm
+{
+    Vm()
+        : upstreams({.timers = timers,
+                     .log = log,
+                     .counters = counters,
+                     .connect = databases.connector(),
+                     .dataCentre = DataCentreId("north")})
+    {
+        databases["a"].role = Role::Primary;
+        databases["b"];
+        databases["c"];
+        for (const DatabaseId &database : databases.names())
+            upstreams.directory().update(entry(database));
+        RouteConfiguration configuration{.version = 1};
+        configuration.routes
+                = {route("strict", ReadConsistency::Primary),
+                   route("own", ReadConsistency::ReadYourWrites),
+                   route("old", ReadConsistency::BoundedStaleness)};
+        configuration.groups[group] = {.connections = 20};
+        configuration.idleTransactionTimeout = 3s;
+        upstreams.shareConnections(configuration, {}, true);
+        routes.apply(configuration);
+        renewLease();
+        timers.advance(50ms);
+    }
+
+    UpstreamEntry entry(const DatabaseId &database)
+    {
+        return {.target = {group, database, {"10.0.0.1", 1}},
+                .dataCentre = DataCentreId("north"),
+                .role = databases[database.value()].role,
+                .slots = 3};
+    }
+
+    static Route route(const std::string &name, ReadConsistency consistency)
+    {
+        return {.name = RouteName(name),
+                .group = group,
+                .consistency = consistency,
+                .maximumStaleness = 1500ms,
+                .timeout = 800ms,
+                .latencyTarget = 250ms};
+    }
+
+    // The store says that no change is announced.
+    void renewLease()
+    {
+        upstreams.leadership().snapshot({}, timers.now());
+    }
+
+    VirtualTimers timers;
+    Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+    Counters counters;
+    FakeGroup databases{timers};
+    RouteTable routes;
+    Upstreams upstreams;
+};
+
+struct Caller
+{
+    Caller(Vm &servingVm, const std::string &name)
+        : vm(servingVm)
+        , session({.upstreams = vm.upstreams,
+                   .routes = vm.routes,
+                   .name = RouteName(name),
+                   .onReply = [this](const StatementReply &reply) { replies.push_back(reply); }})
+    {}
+
+    // The answer, if it comes within time.
+    std::optional<StatementReply> ask(const Statement &statement, Duration time = 2s)
+    {
+        replies.clear();
+        session.handle(RequestId("id-" + std::to_string(++asked)), statement);
+        for (Duration waited{0}; waited < time && replies.empty(); waited += 1ms)
+            vm.timers.advance(1ms);
+        CPPUNIT_ASSERT(replies.size() <= 1);
+        return replies.empty() ? std::nullopt : std::optional(replies.front());
+    }
+
+    StatementFailure failure(const Statement &statement)
+    {
+        const auto reply = ask(statement);
+        CPPUNIT_ASSERT(reply);
+        return reply->failure;
+    }
+
+    Vm &vm;
+    std::deque<StatementReply> replies;
+    int asked = 0;
+    StatementSession session;
+};
+
+const Statement readItem{.kind = StatementKind::Read, .argument = "1a4"};
+const Statement writeItem{.kind = StatementKind::Write, .argument = "1a4 x"};
+const Statement begin{.kind = StatementKind::Begin};
+const Statement beginRead{.kind = StatementKind::BeginReadOnly};
+const Statement commit{.kind = StatementKind::Commit};
+const Statement rollback{.kind = StatementKind::Rollback};
+
+std::size_t countOf(const FakeGroup::Database &database, const std::string &kind)
+{
+    return static_cast<std::size_t>(
+            std::count_if(database.ran.begin(), database.ran.end(), [&kind](const std::string &ran) {
+                return ran.starts_with(kind + ' ');
+            }));
+}
+
+} // namespace
+
+class StatementSessionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StatementSessionTest);
+    CPPUNIT_TEST(writeGoesToThePrimaryOnce);
+    CPPUNIT_TEST(busyWriteIsTriedAgain);
+    CPPUNIT_TEST(lostWriteIsInDoubtAndNotRepeated);
+    CPPUNIT_TEST(lostReadIsTriedElsewhere);
+    CPPUNIT_TEST(readsSeeTheSessionsOwnCommit);
+    CPPUNIT_TEST(strictReadsStayAtThePrimary);
+    CPPUNIT_TEST(valuesOfSessionsAreNeverMixed);
+    CPPUNIT_TEST(preparedStatementsFollowTheSession);
+    CPPUNIT_TEST(transactionStaysOnOneConnection);
+    CPPUNIT_TEST(leavingRollsBack);
+    CPPUNIT_TEST(failedTransactionOnlyEnds);
+    CPPUNIT_TEST(idleTransactionIsEnded);
+    CPPUNIT_TEST(commitLostIsInDoubt);
+    CPPUNIT_TEST(nothingIsAcknowledgedAfterAReplacement);
+    CPPUNIT_TEST(outageOfTheStoreDoesNotStopWrites);
+    CPPUNIT_TEST(silentPrimaryIsRefusedSoon);
+    CPPUNIT_TEST(silentReplicaIsHedged);
+    CPPUNIT_TEST(unknownRouteIsSaid);
+    CPPUNIT_TEST(discardedCommitDoesNotBlockReads);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void writeGoesToThePrimaryOnce()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, vm.databases["b"].ran.size());
+    }
+
+    void busyWriteIsTriedAgain()
+    {
+        Vm vm;
+        vm.databases["a"].failures = {StatementFailure::Busy, StatementFailure::Busy};
+        Caller caller(vm, "strict");
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
+    }
+
+    void lostWriteIsInDoubtAndNotRepeated()
+    {
+        Vm vm;
+        vm.databases["a"].losesAnswers = true;
+        Caller caller(vm, "strict");
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::InDoubt);
+        vm.timers.advance(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
+    }
+
+    void lostReadIsTriedElsewhere()
+    {
+        Vm vm;
+        vm.databases["b"].failures = {StatementFailure::Failed};
+        vm.databases["c"].failures = {StatementFailure::Failed};
+        Caller caller(vm, "old");
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+    }
+
+    void readsSeeTheSessionsOwnCommit()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        // The replicas lag, so only the primary has it.
+        const auto reply = caller.ask(readItem);
+        CPPUNIT_ASSERT(reply && reply->isSuccess());
+        CPPUNIT_ASSERT_EQUAL(std::string("signed-a"), reply->signature);
+    }
+
+    void strictReadsStayAtThePrimary()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, countOf(vm.databases["a"], "read"));
+    }
+
+    void valuesOfSessionsAreNeverMixed()
+    {
+        Vm vm;
+        Caller first(vm, "strict");
+        Caller second(vm, "strict");
+        Caller third(vm, "strict");
+        first.ask({.kind = StatementKind::SetValue, .name = "zone", .argument = "one"});
+        second.ask({.kind = StatementKind::SetValue, .name = "zone", .argument = "two"});
+        second.ask({.kind = StatementKind::SetValue, .name = "unit", .argument = "kg"});
+        for (int i = 0; i < 10; ++i) {
+            first.ask({.kind = StatementKind::Read, .argument = "first"});
+            second.ask({.kind = StatementKind::Read, .argument = "second"});
+            third.ask({.kind = StatementKind::Read, .argument = "third"});
+        }
+        for (const std::string &ran : vm.databases["a"].ran) {
+            if (ran.find("first") != std::string::npos)
+                CPPUNIT_ASSERT(ran.ends_with("first {zone=one}"));
+            if (ran.find("second") != std::string::npos)
+                CPPUNIT_ASSERT(ran.ends_with("second {unit=kg} {zone=two}"));
+            if (ran.find("third") != std::string::npos)
+                CPPUNIT_ASSERT(ran.ends_with("third"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, vm.databases["a"].ran.size());
+    }
+
+    void preparedStatementsFollowTheSession()
+    {
+        Vm vm;
+        Caller first(vm, "strict");
+        Caller second(vm, "strict");
+        const auto prepare = [](const char *shape, StatementAccess access) {
+            return Statement{.kind = StatementKind::Prepare,
+                             .name = "s1",
+                             .access = access,
+                             .argument = shape};
+        };
+        const Statement execute{.kind = StatementKind::Execute, .name = "s1", .argument = "1a4 v"};
+        CPPUNIT_ASSERT(first.failure(execute) == StatementFailure::UnknownPrepared);
+        first.ask(prepare("q1", StatementAccess::Write));
+        second.ask(prepare("q2", StatementAccess::Read));
+        CPPUNIT_ASSERT(first.failure(execute) == StatementFailure::None);
+        CPPUNIT_ASSERT(second.failure(execute) == StatementFailure::None);
+        CPPUNIT_ASSERT(vm.databases["a"].ran.at(0).starts_with("execute id-3 wq1"));
+        CPPUNIT_ASSERT(vm.databases["a"].ran.at(1).starts_with("execute id-2 rq2"));
+    }
+
+    void transactionStaysOnOneConnection()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        CPPUNIT_ASSERT(caller.ask(begin)->phase == SessionPhase::InTransaction);
+        CPPUNIT_ASSERT(vm.databases["a"].ran.empty());
+        CPPUNIT_ASSERT(caller.ask(writeItem)->phase == SessionPhase::InTransaction);
+        CPPUNIT_ASSERT(caller.ask(readItem)->phase == SessionPhase::InTransaction);
+        const auto end = caller.ask(commit);
+        CPPUNIT_ASSERT(end->isSuccess() && end->phase == SessionPhase::Idle);
+        const std::vector<std::string> &ran = vm.databases["a"].ran;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, ran.size());
+        CPPUNIT_ASSERT(ran[0].starts_with("begin ") && ran[1].starts_with("write id-2"));
+        CPPUNIT_ASSERT(ran[2].starts_with("read id-3") && ran[3].starts_with("commit id-4"));
+    }
+
+    void leavingRollsBack()
+    {
+        Vm vm;
+        {
+            Caller caller(vm, "own");
+            caller.ask(begin);
+            caller.ask(writeItem);
+        }
+        vm.timers.advance(100ms);
+        CPPUNIT_ASSERT(vm.databases["a"].ran.back().starts_with("rollback"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(vm.databases["a"], "commit"));
+    }
+
+    void failedTransactionOnlyEnds()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        caller.ask(begin);
+        caller.ask(writeItem);
+        vm.databases["a"].failures = {StatementFailure::ReadOnly};
+        CPPUNIT_ASSERT(caller.ask(writeItem)->phase == SessionPhase::Failed);
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::Malformed);
+        const auto end = caller.ask(commit);
+        CPPUNIT_ASSERT(end->failure == StatementFailure::Aborted);
+        CPPUNIT_ASSERT(end->phase == SessionPhase::Idle);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(vm.databases["a"], "commit"));
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+    }
+
+    void idleTransactionIsEnded()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        caller.ask(begin);
+        caller.ask(writeItem);
+        vm.timers.advance(4s);
+        CPPUNIT_ASSERT(vm.databases["a"].ran.back().starts_with("rollback"));
+        const auto next = caller.ask(commit);
+        CPPUNIT_ASSERT(next->failure == StatementFailure::Aborted);
+        CPPUNIT_ASSERT(next->phase == SessionPhase::Idle);
+    }
+
+    void commitLostIsInDoubt()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        caller.ask(begin);
+        caller.ask(writeItem);
+        vm.databases["a"].isSilent = true;
+        const auto end = caller.ask(commit);
+        CPPUNIT_ASSERT(end && end->failure == StatementFailure::InDoubt);
+        CPPUNIT_ASSERT(end->phase == SessionPhase::Idle);
+    }
+
+    // The store cannot be read any more, and another database leads a later term.
+    void nothingIsAcknowledgedAfterAReplacement()
+    {
+        Vm vm;
+        Caller writer(vm, "strict");
+        Caller reader(vm, "strict");
+        CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::None);
+        vm.timers.advance(leadershipLease * 2);
+        vm.databases.promote(DatabaseId("b"));
+        CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::InDoubt);
+        const auto read = reader.ask(readItem);
+        CPPUNIT_ASSERT(!read || !read->isSuccess());
+    }
+
+    void outageOfTheStoreDoesNotStopWrites()
+    {
+        Vm vm;
+        Caller writer(vm, "strict");
+        Caller reader(vm, "own");
+        vm.timers.advance(leadershipLease * 2);
+        vm.databases.sync();
+        CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(writer.failure(readItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(reader.failure(readItem) == StatementFailure::None);
+    }
+
+    void silentPrimaryIsRefusedSoon()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        vm.databases["a"].isSilent = true;
+        caller.ask(readItem);
+        vm.renewLease();
+        const Instant askedAt = vm.timers.now();
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::Busy);
+        CPPUNIT_ASSERT(vm.timers.now() - askedAt < 100ms);
+    }
+
+    void silentReplicaIsHedged()
+    {
+        Vm vm;
+        Caller caller(vm, "old");
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+        vm.databases["b"].isSilent = true;
+        vm.databases["c"].isSilent = true;
+        const Instant askedAt = vm.timers.now();
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(vm.timers.now() - askedAt < 400ms);
+    }
+
+    void unknownRouteIsSaid()
+    {
+        Vm vm;
+        Caller caller(vm, "gone");
+        CPPUNIT_ASSERT(caller.failure(readItem) == StatementFailure::UnknownRoute);
+        CPPUNIT_ASSERT(caller.failure(begin) == StatementFailure::UnknownRoute);
+    }
+
+    // The session's commit was lost with the old primary.
+    void discardedCommitDoesNotBlockReads()
+    {
+        Vm vm;
+        Caller caller(vm, "own");
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        vm.databases["a"].isSilent = true;
+        vm.databases.promote(DatabaseId("b"));
+        vm.databases["b"].received = {Term(2), LogPosition(0)};
+        vm.databases.sync();
+        vm.upstreams.leadership().snapshot(
+                {.records = {{.group = group,
+                              .primary = DatabaseId("b"),
+                              .term = Term(2),
+                              .version = ObjectVersion(5)}}},
+                vm.timers.now());
+        const auto reply = caller.ask(readItem);
+        CPPUNIT_ASSERT(reply && reply->isSuccess());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StatementSessionTest);
--- a/libs/storefeed/include/storefeed/feedreader.h
+++ b/libs/storefeed/include/storefeed/feedreader.h
@@ -42,6 +42,9 @@
 
     std::size_t followerCount() const;
 
+    // Where it listens, with the port that the system chose.
+    Endpoint endpoint() const;
+
 private:
     struct Data;
     explicit FeedReader(std::shared_ptr<Data> data);
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -152,4 +152,9 @@
     return m_data->followers.size();
 }
 
+Endpoint FeedReader::endpoint() const
+{
+    return m_data->listener->endpoint();
+}
+
 } // namespace fescuespring
--- /dev/null
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -0,0 +1,209 @@
+#include "net/looptimers.h"
+#include "storefeed/feedfollower.h"
+#include "storefeed/feedreader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+StoredObject object(const std::string &key, std::uint64_t version, const std::string &value = "{}")
+{
+    return {key, ObjectVersion(version), value};
+}
+
+// A reader and a follower on one loop, over loopback.
+struct Pair
+{
+    Pair()
+    {
+        reader.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)});
+        auto feed = FeedReader::listen(loop, {"127.0.0.1", 0}, timers, reader,
+                                       [this] { return records; });
+        CPPUNIT_ASSERT(feed);
+        server = std::move(feed.value());
+    }
+
+    void run(Duration time)
+    {
+        loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    EventLoop loop;
+    LoopTimers timers{loop};
+    StoreMirror reader;
+    StoreMirror mirror;
+    std::optional<DatedRecords> records;
+    std::unique_ptr<FeedReader> server;
+};
+
+} // namespace
+
+class StoreFeedTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreFeedTest);
+    CPPUNIT_TEST(versionsOnlyRise);
+    CPPUNIT_TEST(listRemovesWhatItLacks);
+    CPPUNIT_TEST(messagesComeBackWhole);
+    CPPUNIT_TEST(brokenMessagesAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void versionsOnlyRise()
+    {
+        StoreMirror mirror;
+        int changes = 0;
+        mirror.listen([&changes](const std::string &, const StoreChange &) { ++changes; });
+        mirror.apply("servers", {object("servers/a", 5, "new"), false});
+        mirror.apply("servers", {object("servers/a", 4, "old"), false});
+        mirror.apply("servers", {object("servers/a", 5, "new"), false});
+        CPPUNIT_ASSERT_EQUAL(1, changes);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), mirror.objects("servers").at(0).value);
+    }
+
+    void listRemovesWhatItLacks()
+    {
+        StoreMirror mirror;
+        std::vector<std::string> removed;
+        mirror.listen([&removed](const std::string &, const StoreChange &change) {
+            if (change.isRemoved)
+                removed.push_back(change.object.key);
+        });
+        CPPUNIT_ASSERT(!mirror.isKnown("servers"));
+        mirror.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)});
+        mirror.replaceAll("servers", {object("servers/b", 2)});
+        CPPUNIT_ASSERT(mirror.isKnown("servers"));
+        CPPUNIT_ASSERT(removed == std::vector<std::string>{"servers/a"});
+    }
+
+    void messagesComeBackWhole()
+    {
+        const FeedMessage sent{.kind = FeedMessage::Kind::Answer,
+                               .number = 12,
+                               .age = 345us,
+                               .objects = {object("fescue-leadership/duty", 9, R"({"a":"\n"})")}};
+        const std::string text = encodeFeedMessage(sent);
+        CPPUNIT_ASSERT_EQUAL('\n', text.back());
+        CPPUNIT_ASSERT_EQUAL(text.size() - 1, text.find('\n'));
+        const auto got = decodeFeedMessage(std::string_view(text).substr(0, text.size() - 1));
+        CPPUNIT_ASSERT(got);
+        CPPUNIT_ASSERT(got.value().kind == sent.kind && got.value().number == sent.number);
+        CPPUNIT_ASSERT(got.value().age == sent.age && got.value().objects == sent.objects);
+    }
+
+    void brokenMessagesAreRefused()
+    {
+        const std::string text
+                = encodeFeedMessage({.kind = FeedMessage::Kind::All,
+                                     .objectKind = "servers",
+                                     .objects = {object("servers/a", 1), object("servers/b", 2)}});
+        std::mt19937 random(7);
+        for (int i = 0; i < 5000; ++i) {
+            std::string broken = text.substr(0, random() % text.size());
+            for (int j = 0; j < 2 && !broken.empty(); ++j)
+                broken[random() % broken.size()] = static_cast<char>(random() % 256);
+            const auto message = decodeFeedMessage(broken);
+            CPPUNIT_ASSERT(!message || message.value().objects.size() <= 2);
+        }
+        CPPUNIT_ASSERT(!decodeFeedMessage(R"({"is":"answers"})"));
+    }
+};
+
+// Over real connections on loopback; each waits for what it asserts, not for a time.
+class StoreFeedLoopTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreFeedLoopTest);
+    CPPUNIT_TEST(followerKnowsWhatTheReaderKnows);
+    CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
+    CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
+    CPPUNIT_TEST(lostReaderIsTold);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void followerKnowsWhatTheReaderKnows()
+    {
+        Pair pair;
+        pair.records = DatedRecords{{object("fescue-leadership/duty", 3)}, pair.timers.now()};
+        FeedFollower follower(pair.loop, pair.timers, options(pair));
+        std::optional<DatedRecords> records;
+        follower.ask(2s, [&](const Result<DatedRecords> &answer) {
+            CPPUNIT_ASSERT(answer);
+            records = answer.value();
+            pair.loop.stop();
+        });
+        pair.run(3s);
+        CPPUNIT_ASSERT(records && records->objects.size() == 1);
+        CPPUNIT_ASSERT(pair.mirror.objects("servers") == pair.reader.objects("servers"));
+        pair.mirror.listen([&](const std::string &, const StoreChange &change) {
+            if (change.isRemoved)
+                pair.loop.stop();
+        });
+        pair.reader.apply("servers", {object("servers/a", 8, "moved"), false});
+        pair.reader.apply("servers", {object("servers/b", 2), true});
+        pair.run(3s);
+        CPPUNIT_ASSERT(pair.mirror.objects("servers") == pair.reader.objects("servers"));
+    }
+
+    // The reader is slow to answer, so that its word is older than it says by then.
+    void ageCountsFromTheFollowersQuestion()
+    {
+        Pair pair;
+        const Instant readAt = pair.timers.now() - 500ms;
+        pair.records = DatedRecords{{}, readAt};
+        FeedFollower follower(pair.loop, pair.timers, options(pair));
+        Instant askedAt;
+        follower.ask(2s, [&](const Result<DatedRecords> &answer) {
+            CPPUNIT_ASSERT(answer);
+            askedAt = answer.value().askedAt;
+            pair.loop.stop();
+        });
+        pair.run(3s);
+        CPPUNIT_ASSERT(askedAt <= readAt);
+        CPPUNIT_ASSERT(askedAt > readAt - 1s);
+    }
+
+    void readerThatKnowsNothingSaysSo()
+    {
+        Pair pair;
+        FeedFollower follower(pair.loop, pair.timers, options(pair));
+        std::optional<ErrorCode> code;
+        follower.ask(2s, [&](const Result<DatedRecords> &answer) {
+            code = answer.error().code;
+            pair.loop.stop();
+        });
+        pair.run(3s);
+        CPPUNIT_ASSERT(code == ErrorCode::Unavailable);
+    }
+
+    void lostReaderIsTold()
+    {
+        Pair pair;
+        pair.records = DatedRecords{{}, pair.timers.now()};
+        bool isLost = false;
+        auto followerOptions = options(pair);
+        followerOptions.onLost = [&](const Error &) {
+            isLost = true;
+            pair.loop.stop();
+        };
+        FeedFollower follower(pair.loop, pair.timers, followerOptions);
+        follower.ask(2s, [&](const Result<DatedRecords> &) { pair.server.reset(); });
+        pair.run(3s);
+        CPPUNIT_ASSERT(isLost);
+    }
+
+private:
+    static FeedFollower::Options options(Pair &pair)
+    {
+        return {.reader = pair.server->endpoint(),
+                .mirror = pair.mirror,
+                .onNudge = [] {},
+                .onLost = [](const Error &) {}};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFeedTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFeedLoopTest);
--- /dev/null
+++ b/tests/support/fakegroup.h
@@ -0,0 +1,264 @@
+#pragma once
+
+#include "statements/upstreamchannel.h"
+#include "support/virtualtimers.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuespring {
+
+// A group of databases in virtual time, small enough to see through: each has a role, a term, a
+// position and a held term, answers after a delay, and can be made silent, full, or unreachable.
+// What it runs stands in `ran`. Replicas have what the primary had at sync().
+class FakeGroup
+{
+public:
+    struct Database
+    {
+        Role role = Role::Replica;
+        Term term{1};
+        LogPoint received{Term(1), LogPosition(0)};
+        Term heldTerm;
+
+        // Does not answer, nor accept.
+        bool isSilent = false;
+
+        // Refuses new connections as a live database does.
+        bool isFull = false;
+
+        // Connections end at the next write, after it ran.
+        bool losesAnswers = false;
+        std::size_t connections = 0;
+        std::size_t maximumConnections = 100;
+
+        // Failure of the next statements of callers.
+        std::deque<StatementFailure> failures;
+        std::vector<std::string> ran;
+    };
+
+    explicit FakeGroup(VirtualTimers &timers)
+        : m_timers(timers)
+    {}
+
+    Database &operator[](const std::string &name)
+    {
+        return m_databases[DatabaseId(name)];
+    }
+
+    // The replicas receive all that the primary has.
+    void sync()
+    {
+        for (auto &[id, database] : m_databases) {
+            for (const auto &[other, primary] : m_databases) {
+                if (primary.role == Role::Primary && database.role == Role::Replica
+                    && primary.received > database.received && primary.term >= database.heldTerm) {
+                    database.received = primary.received;
+                    database.term = primary.term;
+                }
+            }
+        }
+    }
+
+    // As the platform does some time after the order.
+    void promote(const DatabaseId &id)
+    {
+        Term highest;
+        for (const auto &[other, database] : m_databases)
+            highest = std::max(highest, database.term);
+        Database &chosen = m_databases[id];
+        if (chosen.role == Role::Primary && chosen.term == highest)
+            return;
+        chosen.role = Role::Primary;
+        chosen.term = highest.next();
+    }
+
+    std::vector<DatabaseId> names() const
+    {
+        std::vector<DatabaseId> names;
+        for (const auto &[id, database] : m_databases)
+            names.push_back(id);
+        return names;
+    }
+
+    UpstreamConnector connector()
+    {
+        return [this](const UpstreamTarget &target, UpstreamChannelHandlers handlers) {
+            return std::make_unique<Channel>(*this, target.database, std::move(handlers));
+        };
+    }
+
+    // The status that a database tells, and the effect of a command of a VM.
+    StatementReply administer(const DatabaseId &id, const Statement &statement)
+    {
+        Database &database = m_databases[id];
+        if (statement.kind == StatementKind::Pause && database.role == Role::Replica)
+            database.heldTerm = std::max(database.heldTerm, statement.term);
+        if (statement.kind == StatementKind::Demote && statement.term > database.term)
+            database.role = Role::Replica;
+        return {.rows = {"status"},
+                .signature = "-",
+                .position = database.received,
+                .status = UpstreamStatus{.role = database.role,
+                                         .term = database.term,
+                                         .received = database.received,
+                                         .heldTerm = database.heldTerm}};
+    }
+
+    static constexpr Duration delay = std::chrono::milliseconds(1);
+
+private:
+    class Channel : public UpstreamChannel
+    {
+    public:
+        Channel(FakeGroup &group, DatabaseId id, UpstreamChannelHandlers handlers)
+            : m_group(group)
+            , m_id(std::move(id))
+            , m_handlers(std::move(handlers))
+        {
+            later([this] { open(); });
+        }
+
+        ~Channel() override
+        {
+            if (m_isOpen)
+                --database().connections;
+        }
+
+        Channel(const Channel &) = delete;
+        Channel &operator=(const Channel &) = delete;
+
+        void send(const std::vector<UpstreamCommand> &commands) override
+        {
+            for (const UpstreamCommand &command : commands)
+                later([this, command] { run(command); });
+        }
+
+    private:
+        Database &database()
+        {
+            return m_group.m_databases[m_id];
+        }
+
+        void later(std::function<void()> task)
+        {
+            m_group.m_timers.after(delay, [alive = std::weak_ptr(m_alive), task] {
+                if (!alive.expired())
+                    task();
+            });
+        }
+
+        void open()
+        {
+            if (database().isSilent)
+                return;
+            if (database().isFull || database().connections >= database().maximumConnections) {
+                m_handlers.onClosed({.code = ErrorCode::Refused, .message = "full"});
+                return;
+            }
+            m_isOpen = true;
+            ++database().connections;
+            m_handlers.onOpened({.signature = "-", .position = database().received});
+        }
+
+        void run(const UpstreamCommand &command)
+        {
+            if (database().isSilent)
+                return;
+            StatementReply reply = answer(command);
+            reply.phase = m_phase;
+            if (!reply.position)
+                reply.position = database().received;
+            if (database().losesAnswers && command.statement.kind == StatementKind::Write) {
+                m_handlers.onClosed({.code = ErrorCode::ConnectionLost, .message = "reset"});
+                return;
+            }
+            m_handlers.onReply(reply);
+        }
+
+        StatementReply answer(const UpstreamCommand &command)
+        {
+            const Statement &statement = command.statement;
+            if (command.after && *command.after > database().received)
+                return {.failure = StatementFailure::Lagging};
+            switch (statement.kind) {
+            case StatementKind::Status:
+            case StatementKind::Pause:
+            case StatementKind::Resume:
+            case StatementKind::Demote:
+                return m_group.administer(m_id, statement);
+            case StatementKind::Reset:
+                m_values.clear();
+                m_prepared.clear();
+                return {.signature = "-"};
+            case StatementKind::SetValue:
+                m_values[statement.name] = statement.argument;
+                return {.signature = "-"};
+            case StatementKind::Prepare:
+                m_prepared.insert(statement.name);
+                return {.signature = "-"};
+            default:
+                return runForCaller(command);
+            }
+        }
+
+        StatementReply runForCaller(const UpstreamCommand &command)
+        {
+            const Statement &statement = command.statement;
+            if (!database().failures.empty() && !command.id.isEmpty()) {
+                const StatementFailure failure = database().failures.front();
+                database().failures.pop_front();
+                return {.failure = failure};
+            }
+            const bool writes = statement.kind == StatementKind::Write
+                                || statement.kind == StatementKind::Begin
+                                || (statement.kind == StatementKind::Execute
+                                    && statement.name.starts_with('w'));
+            if (writes && database().role != Role::Primary)
+                return {.failure = StatementFailure::ReadOnly};
+            if (statement.kind == StatementKind::Execute && !m_prepared.contains(statement.name))
+                return {.failure = StatementFailure::UnknownPrepared};
+            note(command);
+            if (statement.kind == StatementKind::Begin
+                || statement.kind == StatementKind::BeginReadOnly)
+                m_phase = SessionPhase::InTransaction;
+            const bool ends = statement.kind == StatementKind::Commit
+                              || statement.kind == StatementKind::Rollback;
+            if (statement.kind == StatementKind::Commit || (writes && m_phase == SessionPhase::Idle))
+                database().received = {database().term, database().received.position.next()};
+            if (ends)
+                m_phase = SessionPhase::Idle;
+            return {.rows = {"row"}, .signature = "signed-" + m_id.value()};
+        }
+
+        // "kind id name argument {value=...}"
+        void note(const UpstreamCommand &command)
+        {
+            std::string text = toString(command.statement.kind);
+            text += ' ' + command.id.value() + ' ' + command.statement.name + ' '
+                    + command.statement.argument;
+            for (const auto &[name, value] : m_values)
+                text += " {" + name + '=' + value + '}';
+            database().ran.push_back(text);
+        }
+
+        FakeGroup &m_group;
+        DatabaseId m_id;
+        UpstreamChannelHandlers m_handlers;
+        bool m_isOpen = false;
+        SessionPhase m_phase = SessionPhase::Idle;
+        std::map<std::string, std::string> m_values;
+        std::set<std::string> m_prepared;
+        std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    };
+
+    VirtualTimers &m_timers;
+    std::map<DatabaseId, Database> m_databases;
+};
+
+} // namespace fescuespring
