Probe every way that is silent, also by way of other VMs

Own connections were probed, those of others were not. Test: primaryThatAnswersAgainIsUsedAgain, red without the probe.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -95,7 +95,6 @@
     void writeOwnRecord();
     void ownRecordWritten(const Result<WriteAnswer> &answer);
     void watchDatabases();
-    void probeIfDue(const DatabaseId &database);
     bool isLostForMost(const DatabaseId &database) const;
     bool isOthersSuspect(const DatabaseId &database) const;
     void shareConnections();
@@ -118,7 +117,6 @@
     Instant m_polledAt;
     std::optional<DatedRecords> m_records;
     bool m_isReachable = false;
-    std::map<DatabaseId, Instant> m_probedAt;
     std::optional<RouteConfiguration> m_configuration;
     std::vector<VmId> m_sharedAmong;
     bool m_wasSettled = false;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -25,12 +25,12 @@
 // Silence after which a VM says that it hears nothing from a database.
 constexpr Duration silentAfter = milliseconds(650);
 
-// A database that is suspected here or elsewhere is asked this often.
-constexpr Duration probeInterval = milliseconds(250);
-
 // A primary that has been quiet for so long is asked.
 constexpr Duration quietPrimary = milliseconds(900);
 
+// The same for one that other VMs hear nothing from.
+constexpr Duration suspectedQuiet = milliseconds(250);
+
 } // namespace
 
 Coordinator::Coordinator(Upstreams &upstreams, ObjectStore &store, CoordinatorOptions options)
@@ -310,17 +310,9 @@
     return m_vms.silentCount(database, now()) > 0;
 }
 
-void Coordinator::probeIfDue(const DatabaseId &database)
-{
-    Instant &probedAt = m_probedAt[database];
-    if (now() < probedAt + probeInterval)
-        return;
-    probedAt = now();
-    m_upstreams.probeOwn(database);
-}
-
 void Coordinator::watchDatabases()
 {
+    m_upstreams.probeSilent();
     std::set<DatabaseId> silent;
     for (const UpstreamEntry &entry : m_upstreams.directory().all()) {
         const DatabaseId &database = entry.target.database;
@@ -333,10 +325,10 @@
         const bool isPrimary = believed && believed->database == database;
         const Duration quiet = now() - seen.lastHeard;
         const Duration silence = seen.silentSince ? now() - *seen.silentSince : Duration(0);
-        const bool mustAsk = silence > probeInterval || (isPrimary && quiet > quietPrimary)
-                             || (isPrimary && isOthersSuspect(database) && quiet > probeInterval);
-        if (mustAsk)
-            probeIfDue(database);
+        const bool mustAsk = quiet > quietPrimary
+                             || (isOthersSuspect(database) && quiet > suspectedQuiet);
+        if (isPrimary && mustAsk)
+            m_upstreams.probeOwn(database);
         if (isPrimary && silence > silentAfter)
             silent.insert(database);
     }
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -139,6 +139,10 @@
     // Asks over this VM's own connections, to learn whether they work.
     void probeOwn(const DatabaseId &database);
 
+    // Asks every database that is silent on a way that this VM uses, so that it is noticed when the
+    // way works again; to be called every 100 ms or so.
+    void probeSilent();
+
     // Closes every connection that is not in use, and opens no more.
     void close();
 
@@ -155,6 +159,7 @@
                    Duration timeout, CommandDone done);
     const Access *access(const DatabaseId &database) const;
     Duration silence(const LinkPool &pool) const;
+    void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
     TermEvidence &evidence(const GroupId &group);
     void askOthers(const GroupId &group, const DatabaseId &database, Term term,
                    Confirmed confirmed);
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration statusTimeout = std::chrono::milliseconds(350);
 
+// A database that is silent is asked this often.
+constexpr Duration probeInterval = std::chrono::milliseconds(250);
+
 // Silence after which a read goes elsewhere if it can.
 constexpr Duration unresponsiveAfter = std::chrono::milliseconds(250);
 
@@ -55,6 +58,10 @@
     std::size_t owners = 1;
 
     std::optional<Instant> drainingSince;
+
+    // When each way was last probed.
+    Instant ownProbedAt;
+    Instant othersProbedAt;
 };
 
 Upstreams::Upstreams(ProxyContext context)
@@ -365,10 +372,31 @@
 
 void Upstreams::probeOwn(const DatabaseId &database)
 {
-    commandOn(ownPool(database), {.kind = StatementKind::Status}, statusTimeout,
+    const auto known = m_accesses.find(database);
+    if (known != m_accesses.end())
+        probe(known->second->own, known->second->ownProbedAt);
+}
+
+void Upstreams::probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt)
+{
+    const Instant now = m_context.timers.now();
+    if (now < probedAt + probeInterval)
+        return;
+    probedAt = now;
+    commandOn(pool, {.kind = StatementKind::Status}, statusTimeout,
               [](const std::optional<StatementReply> &) {});
 }
 
+void Upstreams::probeSilent()
+{
+    for (const auto &[database, known] : m_accesses) {
+        if (silence(*known->own) > probeInterval)
+            probe(known->own, known->ownProbedAt);
+        if (!known->otherOwners.empty() && silence(*known->byOthers) > probeInterval)
+            probe(known->byOthers, known->othersProbedAt);
+    }
+}
+
 TermEvidence &Upstreams::evidence(const GroupId &group)
 {
     std::unique_ptr<TermEvidence> &known = m_evidence[group];
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -142,6 +142,7 @@
     CPPUNIT_TEST(nothingIsAcknowledgedAfterAReplacement);
     CPPUNIT_TEST(outageOfTheStoreDoesNotStopWrites);
     CPPUNIT_TEST(silentPrimaryIsRefusedSoon);
+    CPPUNIT_TEST(primaryThatAnswersAgainIsUsedAgain);
     CPPUNIT_TEST(silentReplicaIsHedged);
     CPPUNIT_TEST(unknownRouteIsSaid);
     CPPUNIT_TEST(discardedCommitDoesNotBlockReads);
@@ -360,6 +361,22 @@
         CPPUNIT_ASSERT(vm.timers.now() - askedAt < 100ms);
     }
 
+    // What is refused at once is not sent, so only a probe can find out.
+    void primaryThatAnswersAgainIsUsedAgain()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        vm.databases["a"].isSilent = true;
+        caller.ask(readItem);
+        vm.databases["a"].isSilent = false;
+        for (int i = 0; i < 10; ++i) {
+            vm.upstreams.probeSilent();
+            vm.timers.advance(100ms);
+        }
+        vm.renewLease();
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+    }
+
     void silentReplicaIsHedged()
     {
         Vm vm;
