Seek fresh records at other VMs before the store; do not watch a store that does not answer

VMs that were gone were tried again with live statements (300 lost relays in 2 s). Change: three modes (direct, following, seeking); while nobody has anything fresh the store is asked about once a second and not watched; a VM that was lost is used again once it is connected.

--- a/libs/coordination/include/coordination/storeaccess.h
+++ b/libs/coordination/include/coordination/storeaccess.h
@@ -23,8 +23,9 @@
 
 // Decides whether this VM reads the store itself or follows another VM of its data centre, and
 // changes over when the one it follows is lost, falls behind or leaves. Store calls so grow with
-// the data centres and not with the VMs. A VM that the store turns away follows any other VM, and
-// tries the store again from time to time.
+// the data centres and not with the VMs. A VM that has nothing fresh, from the store or the VM that
+// it follows, asks any other VM, and the store from time to time; while nobody has anything fresh the
+// store is asked by each VM about once a second, and not watched.
 //
 //     StoreAccess access(options);
 //     access.start();
@@ -73,32 +74,47 @@
 
     bool isFollowing() const
     {
-        return m_isFollowing;
+        return m_mode == Mode::Following;
     }
 
 private:
+    enum class Mode {
+        // Reads and watches the store.
+        Direct,
+
+        // Gets everything from another VM.
+        Following,
+
+        // Has nothing fresh.
+        Seeking,
+    };
+
     void consider();
-    void considerAsReader(const std::vector<VmRecord> &vms);
-    bool isStoreLost() const;
-    void seekRefuge(const std::vector<VmRecord> &vms);
-    void tryFollowing(const VmRecord &reader);
+    bool isReader(const std::vector<VmRecord> &vms) const;
+    const VmRecord *leaderToFollow(const std::vector<VmRecord> &vms);
+    std::vector<VmRecord> nearVms(const std::vector<VmRecord> &vms) const;
+    void tryFollowing(const VmRecord &vm);
     void follow();
+    void seek(const std::string &reason);
+    void enterDirect();
     void readDirectly(ReadDone done);
-    void askReader(ReadDone done);
-    void giveUpFollowing(const std::string &reason);
-    void stopFollowing(const char *reason);
+    void askFollowed(ReadDone done);
+    void dropFollower();
 
     Options m_options;
     std::mt19937_64 m_random;
     std::unique_ptr<FeedFollower> m_follower;
-    VmId m_reader;
-    bool m_isFollowing = false;
-    std::size_t m_nextReader = 0;
-    Instant m_followFrom;
+    VmId m_followed;
+    Mode m_mode = Mode::Direct;
+
+    // Whether the VM that is followed now is one of the readers; else it is only a stopgap.
+    bool m_isStopgap = false;
+    Instant m_followedSince;
+    std::size_t m_attempts = 0;
 
-    // When the store last answered this VM, and until when it does without it.
+    // When the store last answered this VM, and when it is to be asked again while seeking.
     Instant m_lastAnswer;
-    Instant m_refugeUntil;
+    Instant m_askStoreFrom;
     Timers::Id m_timer = 0;
 };
 
--- a/libs/coordination/src/storeaccess.cpp
+++ b/libs/coordination/src/storeaccess.cpp
@@ -9,18 +9,17 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration considerInterval = milliseconds(500);
+constexpr Duration considerInterval = milliseconds(250);
 constexpr Duration askTimeout = milliseconds(300);
 
-// Records that are older are no better than asking the store.
+// Records that are older are not fresh.
 constexpr Duration oldestRecords = milliseconds(800);
 
-// After a reader was given up, this VM reads the store itself for a while between these bounds.
-constexpr Duration shortestOwnReading = milliseconds(1500);
-constexpr Duration longestOwnReading = milliseconds(4000);
+// Pause between two questions to the store while it does not answer; spread by half of it.
+constexpr Duration storePause = milliseconds(900);
 
-// Time for which a VM that the store turned away does without it.
-constexpr Duration refugeTime = milliseconds(2500);
+// Time for which a VM that is no reader is followed before a reader, or the store, is tried again.
+constexpr Duration stopgapTime = milliseconds(2500);
 
 constexpr std::size_t vmsForTwoReaders = 5;
 
@@ -43,140 +42,176 @@
 
 void StoreAccess::start()
 {
-    m_nextReader = m_random();
+    m_attempts = m_random();
     m_lastAnswer = m_options.timers.now();
     m_options.startWatching();
     consider();
 }
 
-void StoreAccess::consider()
+std::vector<VmRecord> StoreAccess::nearVms(const std::vector<VmRecord> &vms) const
 {
-    m_timer = m_options.timers.after(considerInterval, [this] { consider(); });
-    const std::vector<VmRecord> vms = m_options.vms();
-    if (vms.empty())
-        return;
     std::vector<VmRecord> near = vms;
     std::erase_if(near, [this](const VmRecord &vm) {
         return vm.dataCentre != m_options.dataCentre;
     });
+    return near;
+}
+
+bool StoreAccess::isReader(const std::vector<VmRecord> &vms) const
+{
+    const std::vector<VmRecord> near = nearVms(vms);
     const auto self = std::find_if(near.begin(), near.end(), [this](const VmRecord &vm) {
         return vm.vm == m_options.self;
     });
-    const std::size_t readers = storeReaderCount(near.size());
     const auto rank = static_cast<std::size_t>(self - near.begin());
-    const bool mustRead = self == near.end() || rank < readers;
-    if (mustRead)
-        considerAsReader(vms);
-    else if (!m_follower && isStoreLost())
-        seekRefuge(vms);
-    else if (!m_follower && m_options.timers.now() >= m_followFrom)
-        tryFollowing(near[m_nextReader % readers]);
+    return self == near.end() || rank < storeReaderCount(near.size());
 }
 
-void StoreAccess::considerAsReader(const std::vector<VmRecord> &vms)
+// A reader of this data centre at first; where that had nothing fresh, any VM.
+const VmRecord *StoreAccess::leaderToFollow(const std::vector<VmRecord> &vms)
 {
-    if (m_follower && m_options.timers.now() >= m_refugeUntil)
-        stopFollowing("is-reader");
-    else if (!m_follower && isStoreLost())
-        seekRefuge(vms);
-}
-
-bool StoreAccess::isStoreLost() const
-{
-    return m_options.timers.now() - m_lastAnswer > oldestRecords;
+    const std::vector<VmRecord> near = nearVms(vms);
+    const std::size_t attempt = m_attempts++;
+    const bool anyVm = m_mode == Mode::Seeking && attempt % 2 == 0;
+    const VmRecord &chosen
+            = anyVm || near.empty()
+                      ? vms[m_random() % vms.size()]
+                      : near[(attempt / 2) % storeReaderCount(near.size())];
+    const auto found = std::find_if(vms.begin(), vms.end(), [&chosen](const VmRecord &vm) {
+        return vm.vm == chosen.vm;
+    });
+    m_isStopgap = anyVm || near.empty();
+    return found->vm == m_options.self ? nullptr : &*found;
 }
 
-void StoreAccess::seekRefuge(const std::vector<VmRecord> &vms)
+void StoreAccess::consider()
 {
-    const VmRecord &vm = vms[std::uniform_int_distribution<std::size_t>(0, vms.size() - 1)(m_random)];
-    if (vm.vm == m_options.self)
+    m_timer = m_options.timers.after(considerInterval, [this] { consider(); });
+    const std::vector<VmRecord> vms = m_options.vms();
+    if (vms.empty())
         return;
-    m_refugeUntil = m_options.timers.now() + refugeTime;
-    tryFollowing(vm);
+    const Instant now = m_options.timers.now();
+    const bool reads = isReader(vms);
+    if (m_mode == Mode::Following) {
+        const bool isOver = (m_isStopgap || reads) && now - m_followedSince > stopgapTime;
+        if (isOver) {
+            m_askStoreFrom = now;
+            seek("stopgap is over");
+        }
+        return;
+    }
+    if (m_mode == Mode::Direct && now - m_lastAnswer > oldestRecords)
+        seek("the store does not answer");
+    const bool mayFollow = m_mode == Mode::Seeking || !reads;
+    if (m_follower || !mayFollow)
+        return;
+    if (const VmRecord *vm = leaderToFollow(vms))
+        tryFollowing(*vm);
 }
 
-void StoreAccess::tryFollowing(const VmRecord &reader)
+void StoreAccess::tryFollowing(const VmRecord &vm)
 {
-    m_reader = reader.vm;
+    m_followed = vm.vm;
     m_follower = std::make_unique<FeedFollower>(
             m_options.loop, m_options.timers,
-            FeedFollower::Options{
-                    .reader = reader.peers,
-                    .localIp = m_options.localIp,
-                    .mirror = m_options.mirror,
-                    .onNudge = m_options.onNudge,
-                    .onLost = [this](const Error &error) { giveUpFollowing(error.message); }});
-    askReader([this](const Result<DatedRecords> &records) {
+            FeedFollower::Options{.reader = vm.peers,
+                                  .localIp = m_options.localIp,
+                                  .mirror = m_options.mirror,
+                                  .onNudge = m_options.onNudge,
+                                  .onLost = [this](const Error &error) { seek(error.message); }});
+    askFollowed([](const Result<DatedRecords> &) {});
+}
+
+void StoreAccess::askFollowed(ReadDone done)
+{
+    m_follower->ask(askTimeout, [this, done = std::move(done)](
+                                        const Result<DatedRecords> &records) {
+        if (!m_follower)
+            return;
         const Instant now = m_options.timers.now();
-        if (records && now - records.value().askedAt <= oldestRecords)
+        const bool isFresh = records && now - records.value().askedAt <= oldestRecords;
+        if (!isFresh)
+            seek(records ? "it is behind" : records.error().message);
+        else if (m_mode != Mode::Following)
             follow();
+        done(records);
     });
 }
 
 void StoreAccess::follow()
 {
-    m_options.log.info("store-followed", {{"reader", m_reader}});
-    m_isFollowing = true;
-    m_options.stopWatching();
+    m_options.log.info("store-followed", {{"vm", m_followed}, {"stopgap", m_isStopgap}});
+    const bool wasDirect = m_mode == Mode::Direct;
+    m_mode = Mode::Following;
+    m_followedSince = m_options.timers.now();
+    if (wasDirect)
+        m_options.stopWatching();
+    m_options.onNudge();
 }
 
-void StoreAccess::askReader(ReadDone done)
+void StoreAccess::seek(const std::string &reason)
 {
-    m_follower->ask(askTimeout, [this, done = std::move(done)](
-                                        const Result<DatedRecords> &records) {
-        if (!records) {
-            giveUpFollowing(records.error().message);
-            done(records.error());
-            return;
-        }
-        const Duration age = m_options.timers.now() - records.value().askedAt;
-        done(records);
-        if (age > oldestRecords)
-            giveUpFollowing("the reader is behind");
-    });
+    dropFollower();
+    // A VM that reads the store is none the worse for one that it could not follow.
+    const bool isServed
+            = m_mode == Mode::Direct && m_options.timers.now() - m_lastAnswer <= oldestRecords;
+    if (isServed || m_mode == Mode::Seeking)
+        return;
+    m_options.log.info("store-sought", {{"vm", m_followed}, {"reason", reason}});
+    m_options.counters.counter("fescuespring_store_sought_total").add();
+    if (m_mode == Mode::Direct)
+        m_options.stopWatching();
+    m_mode = Mode::Seeking;
+    m_options.onNudge();
 }
 
-void StoreAccess::readRecords(ReadDone done)
+void StoreAccess::dropFollower()
 {
-    if (m_isFollowing)
-        askReader(std::move(done));
-    else
-        readDirectly(std::move(done));
+    if (!m_follower)
+        return;
+    // The follower may be the caller.
+    const auto kept = std::make_shared<std::unique_ptr<FeedFollower>>(std::move(m_follower));
+    m_options.timers.after(Duration(0), [kept] {});
 }
 
-void StoreAccess::readDirectly(ReadDone done)
+void StoreAccess::enterDirect()
 {
-    m_options.readFromStore([this, done = std::move(done)](const Result<DatedRecords> &records) {
-        if (records)
-            m_lastAnswer = m_options.timers.now();
-        done(records);
-    });
+    m_options.log.info("store-read-directly", {});
+    dropFollower();
+    m_mode = Mode::Direct;
+    m_options.startWatching();
 }
 
-void StoreAccess::giveUpFollowing(const std::string &reason)
+void StoreAccess::readRecords(ReadDone done)
 {
-    if (!m_follower)
+    if (m_mode == Mode::Following) {
+        askFollowed(std::move(done));
+        return;
+    }
+    const Instant now = m_options.timers.now();
+    if (m_mode == Mode::Seeking && now < m_askStoreFrom) {
+        m_options.timers.after(Duration(0), [done = std::move(done)] {
+            done(Error{ErrorCode::Unavailable, "nothing fresh is to be had"});
+        });
         return;
+    }
     using Count = Duration::rep;
     const Duration pause(std::uniform_int_distribution<Count>(
-            shortestOwnReading.count(), longestOwnReading.count())(m_random));
-    m_followFrom = m_options.timers.now() + pause;
-    ++m_nextReader;
-    stopFollowing(reason.c_str());
+            storePause.count() / 2, storePause.count() * 3 / 2)(m_random));
+    m_askStoreFrom = now + pause;
+    readDirectly(std::move(done));
 }
 
-void StoreAccess::stopFollowing(const char *reason)
+void StoreAccess::readDirectly(ReadDone done)
 {
-    m_options.counters.counter("fescuespring_store_readers_given_up_total").add();
-    if (std::exchange(m_isFollowing, false)) {
-        m_options.log.info("store-read-directly", {{"reader", m_reader}, {"reason", reason}});
-        m_lastAnswer = m_options.timers.now();
-        m_options.startWatching();
-    }
-    // The follower may be the caller.
-    const auto kept = std::make_shared<std::unique_ptr<FeedFollower>>(std::move(m_follower));
-    m_options.timers.after(Duration(0), [kept] {});
-    m_options.onNudge();
+    m_options.readFromStore([this, done = std::move(done)](const Result<DatedRecords> &records) {
+        if (records) {
+            m_lastAnswer = m_options.timers.now();
+            if (m_mode == Mode::Seeking)
+                enterDirect();
+        }
+        done(records);
+    });
 }
 
 } // namespace fescuespring
--- a/libs/relay/include/relay/relaypeer.h
+++ b/libs/relay/include/relay/relaypeer.h
@@ -45,6 +45,7 @@
     void release(std::uint64_t lease);
 
     bool isLost() const;
+    bool isConnected() const;
 
 private:
     struct Data;
--- a/libs/relay/src/relaypeer.cpp
+++ b/libs/relay/src/relaypeer.cpp
@@ -184,4 +184,9 @@
     return m_data->isLost;
 }
 
+bool RelayPeer::isConnected() const
+{
+    return m_data->isConnected && !m_data->isLost;
+}
+
 } // namespace fescuespring
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -227,13 +227,24 @@
     const auto skipped = silentSince ? static_cast<std::size_t>((now - *silentSince) / peerSilence)
                                      : std::size_t{0};
     const std::size_t count = known->otherOwners.size();
+    // A VM that is not connected yet may be gone; the next one serves until it is.
+    std::shared_ptr<RelayPeer> connecting;
     for (std::size_t i = 0; i < count; ++i) {
         const VmRecord &record = known->otherOwners[(skipped + i) % count];
         const auto lostAt = m_peerLostAt.find(record.vm);
-        if (lostAt == m_peerLostAt.end() || now - lostAt->second > peerRest)
-            return peer(record);
+        const bool wasLost = lostAt != m_peerLostAt.end();
+        if (wasLost && now - lostAt->second <= peerRest)
+            continue;
+        const std::shared_ptr<RelayPeer> candidate = peer(record);
+        if (candidate->isConnected()) {
+            if (wasLost)
+                m_peerLostAt.erase(lostAt);
+            return candidate;
+        }
+        if (!connecting && !wasLost)
+            connecting = candidate;
     }
-    return nullptr;
+    return connecting;
 }
 
 std::optional<DatabaseId> Upstreams::usablePrimary(const GroupId &group) const
