--- a/libs/admission/src/waitqueue.cpp
+++ b/libs/admission/src/waitqueue.cpp
@@ -18,9 +18,8 @@
 
 bool WaitQueue::remove(Ticket ticket)
 {
-    return std::erase_if(m_waiting, [ticket](const Waiting &waiting) {
-               return waiting.ticket == ticket;
-           })
+    return std::erase_if(m_waiting,
+                         [ticket](const Waiting &waiting) { return waiting.ticket == ticket; })
            > 0;
 }
 
@@ -31,10 +30,10 @@
     const Waiting &oldest = m_waiting.front();
     if (now - oldest.since <= m_overloadAfter)
         return oldest.ticket;
-    const auto end = std::find_if(m_waiting.begin(), m_waiting.end(),
-                                  [&oldest](const Waiting &waiting) {
-                                      return waiting.priority != oldest.priority;
-                                  });
+    const auto end =
+            std::find_if(m_waiting.begin(), m_waiting.end(), [&oldest](const Waiting &waiting) {
+                return waiting.priority != oldest.priority;
+            });
     return std::prev(end)->ticket;
 }
 
--- a/libs/coordination/include/coordination/storeaccess.h
+++ b/libs/coordination/include/coordination/storeaccess.h
@@ -24,8 +24,8 @@
 // Decides whether this VM reads the store itself or follows another VM of its data centre, and
 // changes over when the one it follows is lost, falls behind or leaves. Store calls so grow with
 // the data centres and not with the VMs. A VM that has nothing fresh, from the store or the VM that
-// it follows, asks any other VM, and the store from time to time; while nobody has anything fresh the
-// store is asked by each VM about once a second, and not watched.
+// it follows, asks any other VM, and the store from time to time; while nobody has anything fresh
+// the store is asked by each VM about once a second, and not watched.
 //
 //     StoreAccess access(options);
 //     access.start();
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -38,7 +38,9 @@
     , m_store(store)
     , m_options(std::move(options))
 {
-    m_own = {.vm = m_options.vm, .dataCentre = m_options.dataCentre, .peers = m_options.peers,
+    m_own = {.vm = m_options.vm,
+             .dataCentre = m_options.dataCentre,
+             .peers = m_options.peers,
              .relay = m_options.relay};
     const ProxyContext &context = m_upstreams.context();
     m_succession = std::make_unique<Succession>(
@@ -48,21 +50,28 @@
                               .view = m_upstreams.leadership(),
                               .self = m_options.vm,
                               .incarnation = m_options.incarnation},
-            SuccessionPorts{
-                    .groups = [this] { return groups(); },
-                    .databases = [this](const GroupId &group) { return candidates(group); },
-                    .command =
-                            [this](const DatabaseId &database, const Statement &statement,
-                                   Duration timeout, Upstreams::CommandDone done) {
-                                m_upstreams.command(database, statement, timeout, std::move(done));
-                            },
-                    .write =
-                            [this](const ObjectWrite &write, ObjectStore::WriteDone done) {
-                                m_store.write(write, writeTimeout, std::move(done));
-                            },
-                    .order = m_options.order,
-                    .refresh = [this] { leadershipChanged(); },
-                    .rank = [this] { return m_vms.rank(m_options.vm, now()); }});
+            SuccessionPorts{.groups = [this] { return groups(); },
+                            .databases = [this](const GroupId &group) { return candidates(group); },
+                            .groupSize =
+                                    [this](const GroupId &group) {
+                                        return m_upstreams.directory().groupSize(group, now());
+                                    },
+                            .command =
+                                    [this](const DatabaseId &database, const Statement &statement,
+                                           Duration timeout, Upstreams::CommandDone done) {
+                                        m_upstreams.command(database, statement, timeout,
+                                                            std::move(done));
+                                    },
+                            .write =
+                                    [this](const ObjectWrite &write, ObjectStore::WriteDone done) {
+                                        m_store.write(write, writeTimeout, std::move(done));
+                                    },
+                            .order = m_options.order,
+                            .refresh = [this] { leadershipChanged(); },
+                            .rank =
+                                    [this] {
+                                        return m_vms.rank(m_options.vm, now());
+                                    }});
 }
 
 Coordinator::~Coordinator()
@@ -135,11 +144,11 @@
         return;
     m_polledAt = now();
     ++m_pollsOut;
-    m_options.readRecords([this, alive = std::weak_ptr(m_alive)](
-                                  const Result<DatedRecords> &records) {
-        if (!alive.expired())
-            polled(records);
-    });
+    m_options.readRecords(
+            [this, alive = std::weak_ptr(m_alive)](const Result<DatedRecords> &records) {
+                if (!alive.expired())
+                    polled(records);
+            });
 }
 
 void Coordinator::polled(const Result<DatedRecords> &records)
@@ -162,8 +171,8 @@
     if (records)
         return;
     m_upstreams.context()
-            .counters.counter("fescuespring_store_failures_total", "reason",
-                              toString(records.error().code))
+            .counters
+            .counter("fescuespring_store_failures_total", "reason", toString(records.error().code))
             .add();
     if (wasReachable)
         log.warning("store-lost", {{"reason", records.error().message}});
@@ -325,8 +334,8 @@
         const bool isPrimary = believed && believed->database == database;
         const Duration quiet = now() - seen.lastHeard;
         const Duration silence = seen.silentSince ? now() - *seen.silentSince : Duration(0);
-        const bool mustAsk = quiet > quietPrimary
-                             || (isOthersSuspect(database) && quiet > suspectedQuiet);
+        const bool mustAsk =
+                quiet > quietPrimary || (isOthersSuspect(database) && quiet > suspectedQuiet);
         if (isPrimary && mustAsk)
             m_upstreams.probeOwn(database);
         if (isPrimary && silence > silentAfter)
@@ -334,9 +343,9 @@
     }
     if (silent == m_own.silentDatabases)
         return;
-    m_upstreams.context().log.info("silent-primaries-changed",
-                                   {{"count", silent.size()},
-                                    {"first", silent.empty() ? DatabaseId() : *silent.begin()}});
+    m_upstreams.context().log.info(
+            "silent-primaries-changed",
+            {{"count", silent.size()}, {"first", silent.empty() ? DatabaseId() : *silent.begin()}});
     m_own.silentDatabases = silent;
     writeOwnRecord();
 }
--- a/libs/coordination/src/storeaccess.cpp
+++ b/libs/coordination/src/storeaccess.cpp
@@ -51,18 +51,16 @@
 std::vector<VmRecord> StoreAccess::nearVms(const std::vector<VmRecord> &vms) const
 {
     std::vector<VmRecord> near = vms;
-    std::erase_if(near, [this](const VmRecord &vm) {
-        return vm.dataCentre != m_options.dataCentre;
-    });
+    std::erase_if(near,
+                  [this](const VmRecord &vm) { return vm.dataCentre != m_options.dataCentre; });
     return near;
 }
 
 bool StoreAccess::isReader(const std::vector<VmRecord> &vms) const
 {
     const std::vector<VmRecord> near = nearVms(vms);
-    const auto self = std::find_if(near.begin(), near.end(), [this](const VmRecord &vm) {
-        return vm.vm == m_options.self;
-    });
+    const auto self = std::find_if(near.begin(), near.end(),
+                                   [this](const VmRecord &vm) { return vm.vm == m_options.self; });
     const auto rank = static_cast<std::size_t>(self - near.begin());
     return self == near.end() || rank < storeReaderCount(near.size());
 }
@@ -73,13 +71,11 @@
     const std::vector<VmRecord> near = nearVms(vms);
     const std::size_t attempt = m_attempts++;
     const bool anyVm = m_mode == Mode::Seeking && attempt % 2 == 0;
-    const VmRecord &chosen
-            = anyVm || near.empty()
-                      ? vms[m_random() % vms.size()]
-                      : near[(attempt / 2) % storeReaderCount(near.size())];
-    const auto found = std::find_if(vms.begin(), vms.end(), [&chosen](const VmRecord &vm) {
-        return vm.vm == chosen.vm;
-    });
+    const VmRecord &chosen = anyVm || near.empty()
+                                     ? vms[m_random() % vms.size()]
+                                     : near[(attempt / 2) % storeReaderCount(near.size())];
+    const auto found = std::find_if(vms.begin(), vms.end(),
+                                    [&chosen](const VmRecord &vm) { return vm.vm == chosen.vm; });
     m_isStopgap = anyVm || near.empty();
     return found->vm == m_options.self ? nullptr : &*found;
 }
@@ -118,24 +114,26 @@
                                   .localIp = m_options.localIp,
                                   .mirror = m_options.mirror,
                                   .onNudge = m_options.onNudge,
-                                  .onLost = [this](const Error &error) { seek(error.message); }});
+                                  .onLost = [this](const Error &error) {
+                                      seek(error.message);
+                                  }});
     askFollowed([](const Result<DatedRecords> &) {});
 }
 
 void StoreAccess::askFollowed(ReadDone done)
 {
-    m_follower->ask(askTimeout, [this, done = std::move(done)](
-                                        const Result<DatedRecords> &records) {
-        if (!m_follower)
-            return;
-        const Instant now = m_options.timers.now();
-        const bool isFresh = records && now - records.value().askedAt <= oldestRecords;
-        if (!isFresh)
-            seek(records ? "it is behind" : records.error().message);
-        else if (m_mode != Mode::Following)
-            follow();
-        done(records);
-    });
+    m_follower->ask(
+            askTimeout, [this, done = std::move(done)](const Result<DatedRecords> &records) {
+                if (!m_follower)
+                    return;
+                const Instant now = m_options.timers.now();
+                const bool isFresh = records && now - records.value().askedAt <= oldestRecords;
+                if (!isFresh)
+                    seek(records ? "it is behind" : records.error().message);
+                else if (m_mode != Mode::Following)
+                    follow();
+                done(records);
+            });
 }
 
 void StoreAccess::follow()
@@ -153,8 +151,8 @@
 {
     dropFollower();
     // A VM that reads the store is none the worse for one that it could not follow.
-    const bool isServed
-            = m_mode == Mode::Direct && m_options.timers.now() - m_lastAnswer <= oldestRecords;
+    const bool isServed =
+            m_mode == Mode::Direct && m_options.timers.now() - m_lastAnswer <= oldestRecords;
     if (isServed || m_mode == Mode::Seeking)
         return;
     m_options.log.info("store-sought", {{"vm", m_followed}, {"reason", reason}});
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -14,6 +14,10 @@
 // are back within two seconds of its return.
 inline constexpr Duration missingEntryGrace = std::chrono::milliseconds(2300);
 
+// Time for which a database that is gone still counts as one of its group, unless it had said that
+// it leaves: it may live on where the store does not see it.
+inline constexpr Duration goneDatabaseCounts = std::chrono::seconds(15);
+
 // A database as it announces itself.
 struct UpstreamEntry
 {
@@ -65,6 +69,9 @@
     std::vector<UpstreamEntry> group(const GroupId &group) const;
     std::vector<UpstreamEntry> all() const;
 
+    // How many databases the group has, those that were lost lately among them.
+    std::size_t groupSize(const GroupId &group, Instant now) const;
+
 private:
     struct Known
     {
@@ -73,7 +80,14 @@
     };
 
     Hooks m_hooks;
+    struct Lost
+    {
+        GroupId group;
+        Instant at;
+    };
+
     std::map<DatabaseId, Known> m_entries;
+    std::map<DatabaseId, Lost> m_lost;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -1,5 +1,6 @@
 #include "directory/upstreamdirectory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -15,10 +16,10 @@
     bool isNewLife = true;
     if (found != m_entries.end()) {
         const UpstreamEntry &old = found->second.entry;
-        isNewLife = old.startedAt != entry.startedAt
-                    || old.target.endpoint != entry.target.endpoint
+        isNewLife = old.startedAt != entry.startedAt || old.target.endpoint != entry.target.endpoint
                     || old.target.group != entry.target.group;
     }
+    m_lost.erase(entry.target.database);
     m_entries[entry.target.database] = {.entry = entry, .missingSince = {}};
     m_hooks.onEntry(entry, isNewLife);
 }
@@ -53,6 +54,8 @@
         }
         const UpstreamEntry gone = known->second.entry;
         known = m_entries.erase(known);
+        if (!gone.isDraining)
+            m_lost[gone.target.database] = {gone.target.group, now};
         m_hooks.onGone(gone);
     }
 }
@@ -73,6 +76,14 @@
     return entries;
 }
 
+std::size_t UpstreamDirectory::groupSize(const GroupId &group, Instant now) const
+{
+    const auto lost = std::count_if(m_lost.begin(), m_lost.end(), [&](const auto &entry) {
+        return entry.second.group == group && now < entry.second.at + goneDatabaseCounts;
+    });
+    return this->group(group).size() + static_cast<std::size_t>(lost);
+}
+
 std::vector<UpstreamEntry> UpstreamDirectory::all() const
 {
     std::vector<UpstreamEntry> entries;
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -52,6 +52,9 @@
     std::function<std::vector<GroupId>()> groups;
     std::function<std::vector<SuccessionCandidate>(const GroupId &)> databases;
 
+    // How many databases the group has, those that were lost lately among them.
+    std::function<std::size_t(const GroupId &)> groupSize;
+
     // Sends a statement to a database; nothing where no answer came in time.
     std::function<void(const DatabaseId &, const Statement &, Duration timeout,
                        std::function<void(const std::optional<StatementReply> &)>)>
@@ -93,7 +96,9 @@
 //
 // 1. the holder writes that a change of the group begins;
 // 2. it waits until whoever has not read that cannot trust what it read before;
-// 3. it stops the old primary where that can be reached, and the replicas from receiving from it;
+// 3. it stops the old primary where that can be reached, and has a majority of the databases hold
+// for
+//    a later term, so that nobody can show any more that the old primary leads;
 // 4. it orders the promotion of the furthest log, under the version of the duty as fencing token;
 // 5. when the database says that it leads, it writes that down.
 //
--- a/libs/leadership/include/leadership/termevidence.h
+++ b/libs/leadership/include/leadership/termevidence.h
@@ -10,9 +10,10 @@
 
 namespace fescuespring {
 
-// Shows by the databases themselves that a primary had not been replaced: after its answer, every
-// other database of the group says that it knows of no later term. Serves where the store's records
-// cannot be read. One round of questions serves all that wait when it begins.
+// Shows by the databases themselves that a primary had not been replaced: after its answer, a
+// majority of the group says that it knows of no later term. No order to promote goes out before a
+// majority holds for a later term, and any two majorities share a database. Serves where the
+// store's records cannot be read. One round of questions serves all that wait when it begins.
 //
 //     evidence.confirm(term, [](const TermEvidence::Outcome &outcome) {...});
 //
@@ -33,6 +34,26 @@
         // Where the primary was at some moment after askedAt; nothing as above.
         std::optional<LogPoint> primaryPosition = {};
     };
+
+    // A database that is asked.
+    struct Voter
+    {
+        DatabaseId database;
+
+        // One that is leaving counts as one of the group and vouches for nothing.
+        bool mayVouch = true;
+    };
+
+    // Who is asked, and how many databases there are, those among them that cannot be asked.
+    struct Electorate
+    {
+        std::vector<Voter> voters;
+        std::size_t size = 0;
+
+        // Every database must vouch, as what is known of the group is too old.
+        bool needsAll = false;
+    };
+
     using Done = std::function<void(const Outcome &)>;
     using StatusDone = std::function<void(const std::optional<UpstreamStatus> &)>;
 
@@ -40,8 +61,8 @@
     {
         Timers &timers;
 
-        // The databases of the group that could lead, the primary among them.
-        std::function<std::vector<DatabaseId>()> databases;
+        // The databases of the group, the primary among them.
+        std::function<Electorate()> electorate;
 
         // Asks one database; answers once, with nothing where it failed.
         std::function<void(const DatabaseId &, StatusDone)> askStatus;
@@ -66,7 +87,7 @@
     };
     struct Answer
     {
-        DatabaseId database;
+        Voter voter;
         std::optional<UpstreamStatus> status;
     };
     struct Round;
@@ -74,6 +95,7 @@
     void begin();
     void answered(const std::shared_ptr<Round> &round, Answer answer);
     void end(const std::shared_ptr<Round> &round);
+    static bool vouches(const Answer &answer, const DatabaseId &primary, Term term);
     static Outcome judge(const Round &round, const Request &request);
 
     Options m_options;
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -122,24 +122,23 @@
     }
     record.isMoving = true;
     record.term = m_oldTerm;
-    m_owner->m_ports.write(
-            {leadershipKey(m_group), encodeLeadership(record), record.version},
-            [weak = weak_from_this(), record](const Result<WriteAnswer> &answer) {
-                const auto self = weak.lock();
-                if (!self || !self->goesOn())
-                    return;
-                if (answer && answer.value().written) {
-                    self->m_record = record;
-                    self->m_record.version = answer.value().version;
-                    self->m_owner->m_options.view.learn(self->m_record);
-                    self->m_owner->m_ports.refresh();
-                    self->announced();
-                    return;
-                }
-                // Another writer, or an answer lost: what was read next tells.
-                self->m_owner->m_ports.refresh();
-                self->after(stepRetry * 2, &LeadershipChange::announce);
-            });
+    m_owner->m_ports.write({leadershipKey(m_group), encodeLeadership(record), record.version},
+                           [weak = weak_from_this(), record](const Result<WriteAnswer> &answer) {
+                               const auto self = weak.lock();
+                               if (!self || !self->goesOn())
+                                   return;
+                               if (answer && answer.value().written) {
+                                   self->m_record = record;
+                                   self->m_record.version = answer.value().version;
+                                   self->m_owner->m_options.view.learn(self->m_record);
+                                   self->m_owner->m_ports.refresh();
+                                   self->announced();
+                                   return;
+                               }
+                               // Another writer, or an answer lost: what was read next tells.
+                               self->m_owner->m_ports.refresh();
+                               self->after(stepRetry * 2, &LeadershipChange::announce);
+                           });
 }
 
 void LeadershipChange::announced()
@@ -186,8 +185,9 @@
         return;
     }
     const auto answers = std::make_shared<std::vector<Answer>>();
-    // Without the old primary's word, its commits must not go on arriving at some replica only.
-    const bool mustPause = !m_oldPosition;
+    // Replicas go on receiving until one has what the stopped primary had; if that does not answer,
+    // its commits must not go on arriving at some replica only.
+    const bool mustPause = !m_oldPosition || m_isCaughtUp;
     for (const SuccessionCandidate &candidate : candidates) {
         Statement statement{.kind = StatementKind::Status};
         if (mustPause && candidate.database != m_record.primary)
@@ -199,9 +199,9 @@
                     const auto self = weak.lock();
                     if (!self || !self->goesOn())
                         return;
-                    self->answered(answers, asked,
-                                   {database, reply && reply->isSuccess() ? reply->status
-                                                                          : std::nullopt});
+                    self->answered(
+                            answers, asked,
+                            {database, reply && reply->isSuccess() ? reply->status : std::nullopt});
                 });
     }
 }
@@ -223,8 +223,7 @@
     return true;
 }
 
-const LeadershipChange::Answer *
-LeadershipChange::furthest(const std::vector<Answer> &answers) const
+const LeadershipChange::Answer *LeadershipChange::furthest(const std::vector<Answer> &answers) const
 {
     const Answer *best = nullptr;
     for (const Answer &answer : answers) {
@@ -263,9 +262,33 @@
         after(stepRetry / 2, &LeadershipChange::askAll);
         return;
     }
+    if (m_oldPosition && !m_isCaughtUp) {
+        m_isCaughtUp = true;
+        askAll();
+        return;
+    }
+    if (!isMajorityHeld(answers)) {
+        m_owner->m_options.counters.counter("fescuespring_changes_without_majority_total").add();
+        after(stepRetry, &LeadershipChange::askAll);
+        return;
+    }
     order(best->database);
 }
 
+bool LeadershipChange::isMajorityHeld(const std::vector<Answer> &answers) const
+{
+    std::size_t held = 0;
+    for (const Answer &answer : answers) {
+        if (!answer.status)
+            continue;
+        const bool isStopped =
+                answer.database == m_record.primary && answer.status->role == Role::Replica;
+        if (isStopped || answer.status->heldTerm > m_oldTerm)
+            ++held;
+    }
+    return held * 2 > m_owner->m_ports.groupSize(m_group);
+}
+
 void LeadershipChange::order(const DatabaseId &database)
 {
     if (!m_owner->mayOrder()) {
@@ -291,9 +314,9 @@
 
 void LeadershipChange::ordered(PromotionOrderEnd end)
 {
-    m_owner->m_options.log.info("promotion-answered", {{"group", m_group},
-                                                       {"database", m_chosen},
-                                                       {"outcome", toString(end)}});
+    m_owner->m_options.log.info(
+            "promotion-answered",
+            {{"group", m_group}, {"database", m_chosen}, {"outcome", toString(end)}});
     if (end == PromotionOrderEnd::Refused) {
         m_refused.insert(m_chosen);
         after(stepRetry, &LeadershipChange::askAll);
@@ -309,27 +332,27 @@
 void LeadershipChange::verify()
 {
     if (now() - m_orderedAt > promotionTime) {
-        m_owner->m_options.log.warning("promotion-not-seen", {{"group", m_group},
-                                                              {"database", m_chosen},
-                                                              {"seen", m_lastSeen}});
+        m_owner->m_options.log.warning(
+                "promotion-not-seen",
+                {{"group", m_group}, {"database", m_chosen}, {"seen", m_lastSeen}});
         after(Duration(0), &LeadershipChange::askAll);
         return;
     }
-    m_owner->m_ports.command(
-            m_chosen, {.kind = StatementKind::Status}, commandTimeout,
-            [weak = weak_from_this()](const std::optional<StatementReply> &reply) {
-                const auto self = weak.lock();
-                if (!self || !self->goesOn())
-                    return;
-                if (reply && !reply->rows.empty())
-                    self->m_lastSeen = reply->rows.front();
-                const bool leads = reply && reply->status && reply->status->role == Role::Primary
-                                   && reply->status->term > self->m_oldTerm;
-                if (leads)
-                    self->recordNew(self->m_chosen, reply->status->term);
-                else
-                    self->after(stepRetry / 2, &LeadershipChange::verify);
-            });
+    m_owner->m_ports.command(m_chosen, {.kind = StatementKind::Status}, commandTimeout,
+                             [weak = weak_from_this()](const std::optional<StatementReply> &reply) {
+                                 const auto self = weak.lock();
+                                 if (!self || !self->goesOn())
+                                     return;
+                                 if (reply && !reply->rows.empty())
+                                     self->m_lastSeen = reply->rows.front();
+                                 const bool leads = reply && reply->status
+                                                    && reply->status->role == Role::Primary
+                                                    && reply->status->term > self->m_oldTerm;
+                                 if (leads)
+                                     self->recordNew(self->m_chosen, reply->status->term);
+                                 else
+                                     self->after(stepRetry / 2, &LeadershipChange::verify);
+                             });
 }
 
 void LeadershipChange::recordNew(const DatabaseId &database, Term term)
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -40,6 +40,7 @@
     void choose(const std::vector<Answer> &answers);
     const Answer *furthest(const std::vector<Answer> &answers) const;
     bool isDraining(const DatabaseId &database) const;
+    bool isMajorityHeld(const std::vector<Answer> &answers) const;
     void order(const DatabaseId &database);
     void ordered(PromotionOrderEnd end);
     void verify();
@@ -56,6 +57,7 @@
     bool m_isTermLearnt = false;
     std::optional<LogPoint> m_oldPosition;
     Instant m_catchUpUntil;
+    bool m_isCaughtUp = false;
     DatabaseId m_chosen;
     Instant m_orderedAt;
 
--- a/libs/leadership/src/leadershiprecord.cpp
+++ b/libs/leadership/src/leadershiprecord.cpp
@@ -67,8 +67,8 @@
 
 std::string encodeDuty(const DutyRecord &record)
 {
-    return json::serialize(json::object{{"holder", record.holder.value()},
-                                        {"incarnation", record.incarnation}});
+    return json::serialize(
+            json::object{{"holder", record.holder.value()}, {"incarnation", record.incarnation}});
 }
 
 Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects)
@@ -79,8 +79,8 @@
         const json::value value = json::parse(object.value, error);
         if (error || !value.is_object() || !object.key.starts_with(leadershipKeyPrefix))
             return unreadable(object);
-        const std::string_view name
-                = std::string_view(object.key).substr(leadershipKeyPrefix.size());
+        const std::string_view name =
+                std::string_view(object.key).substr(leadershipKeyPrefix.size());
         if (name == dutyName) {
             snapshot.duty = decodeDuty(value.get_object(), object.version);
             if (!snapshot.duty)
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -98,8 +98,8 @@
         takeDuty(since, needed == Need::Unfinished);
         return;
     }
-    const auto change = std::make_shared<detail::LeadershipChange>(*this, group,
-                                                                   needed == Need::Planned);
+    const auto change =
+            std::make_shared<detail::LeadershipChange>(*this, group, needed == Need::Planned);
     m_changes[group] = change;
     change->start();
 }
@@ -137,19 +137,19 @@
     m_isTaking = true;
     const DutyRecord duty{.holder = m_options.self, .incarnation = m_options.incarnation};
     const ObjectVersion before = former ? former->version : ObjectVersion();
-    m_ports.write({dutyKey(), encodeDuty(duty), before},
-                  [this, hadFormer = isHeld](const Result<WriteAnswer> &answer) {
-                      m_isTaking = false;
-                      m_ports.refresh();
-                      if (!answer || !answer.value().written)
-                          return;
-                      m_dutyVersion = answer.value().version;
-                      m_mayOrderFrom = m_options.timers.now();
-                      if (hadFormer)
-                          m_mayOrderFrom += leadershipLease + leadershipMargin + formerCallTime;
-                      m_options.log.info("duty-taken", {{"token", m_dutyVersion},
-                                                        {"had-former", hadFormer}});
-                  });
+    m_ports.write({dutyKey(), encodeDuty(duty), before}, [this, hadFormer = isHeld](
+                                                                 const Result<WriteAnswer>
+                                                                         &answer) {
+        m_isTaking = false;
+        m_ports.refresh();
+        if (!answer || !answer.value().written)
+            return;
+        m_dutyVersion = answer.value().version;
+        m_mayOrderFrom = m_options.timers.now();
+        if (hadFormer)
+            m_mayOrderFrom += leadershipLease + leadershipMargin + formerCallTime;
+        m_options.log.info("duty-taken", {{"token", m_dutyVersion}, {"had-former", hadFormer}});
+    });
 }
 
 void Succession::release()
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -1,5 +1,6 @@
 #include "leadership/termevidence.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuespring {
@@ -7,7 +8,7 @@
 struct TermEvidence::Round
 {
     Instant askedAt;
-    std::size_t asked = 0;
+    Electorate electorate;
     std::vector<Request> requests;
     std::vector<Answer> answers;
     bool isEnded = false;
@@ -35,15 +36,15 @@
     m_round = round;
     round->askedAt = m_options.timers.now();
     round->requests = std::exchange(m_waiting, {});
-    const std::vector<DatabaseId> databases = m_options.databases();
-    round->asked = databases.size();
-    m_timer = m_options.timers.after(databases.empty() ? Duration(0) : m_options.timeout,
+    round->electorate = m_options.electorate();
+    const std::vector<Voter> voters = round->electorate.voters;
+    m_timer = m_options.timers.after(voters.empty() ? Duration(0) : m_options.timeout,
                                      [this, round] { end(round); });
-    for (const DatabaseId &database : databases) {
-        m_options.askStatus(database, [this, database, weak = std::weak_ptr(round)](
-                                              const std::optional<UpstreamStatus> &status) {
+    for (const Voter &voter : voters) {
+        m_options.askStatus(voter.database, [this, voter, weak = std::weak_ptr(round)](
+                                                    const std::optional<UpstreamStatus> &status) {
             if (const auto asked = weak.lock(); asked && !asked->isEnded)
-                answered(asked, {database, status});
+                answered(asked, {voter, status});
         });
     }
 }
@@ -51,35 +52,48 @@
 void TermEvidence::answered(const std::shared_ptr<Round> &round, Answer answer)
 {
     round->answers.push_back(std::move(answer));
-    if (round->answers.size() == round->asked)
+    const bool isSettled = std::all_of(
+            round->requests.begin(), round->requests.end(),
+            [&round](const Request &request) { return judge(*round, request).isConfirmed; });
+    if (isSettled || round->answers.size() == round->electorate.voters.size())
         end(round);
 }
 
+// The primary vouches by leading still, another database by knowing of no later term.
+bool TermEvidence::vouches(const Answer &answer, const DatabaseId &primary, Term term)
+{
+    if (!answer.status || !answer.voter.mayVouch)
+        return false;
+    const UpstreamStatus &status = *answer.status;
+    if (answer.voter.database == primary)
+        return status.role == Role::Primary && status.term == term;
+    return status.term <= term && status.heldTerm <= term;
+}
+
 TermEvidence::Outcome TermEvidence::judge(const Round &round, const Request &request)
 {
     Outcome outcome{.askedAt = round.askedAt};
     for (const Answer &answer : round.answers) {
-        const bool isLeader = answer.database == request.primary && answer.status
-                           && answer.status->role == Role::Primary;
+        const bool isLeader = answer.voter.database == request.primary && answer.status
+                              && answer.status->role == Role::Primary;
         if (isLeader) {
             outcome.primaryPosition = answer.status->received;
             outcome.primaryTerm = answer.status->term;
         }
     }
-    const Term term = request.term == Term() ? outcome.primaryTerm : request.term;
-    std::size_t others = 0;
-    std::size_t quiet = 0;
+    const bool needsLeader = request.term == Term();
+    if (needsLeader && !outcome.primaryPosition)
+        return outcome;
+    const Term term = needsLeader ? outcome.primaryTerm : request.term;
+    std::size_t vouching = 0;
+    bool isOvertaken = false;
     for (const Answer &answer : round.answers) {
-        if (answer.database == request.primary)
-            continue;
-        ++others;
-        const bool knowsNoLater = answer.status && answer.status->term <= term
-                                  && answer.status->heldTerm <= term;
-        if (knowsNoLater)
-            ++quiet;
+        vouching += vouches(answer, request.primary, term) ? 1 : 0;
+        isOvertaken = isOvertaken || (answer.status && answer.status->term > term);
     }
-    const bool allAnswered = round.answers.size() == round.asked;
-    outcome.isConfirmed = allAnswered && others > 0 && quiet == others;
+    const std::size_t size = round.electorate.size;
+    const std::size_t needed = round.electorate.needsAll ? size : size / 2 + 1;
+    outcome.isConfirmed = !isOvertaken && size > 1 && vouching >= needed;
     return outcome;
 }
 
--- a/libs/net/src/tcpstream.cpp
+++ b/libs/net/src/tcpstream.cpp
@@ -104,12 +104,12 @@
         if (isReading || isPaused || isEnded)
             return;
         isReading = true;
-        socket.async_read_some(asio::buffer(buffer),
-                               [weak = weak_from_this()](const ErrorCodeOfBoost &error,
-                                                         std::size_t size) {
-                                   if (const auto self = weak.lock())
-                                       self->readDone(error, size);
-                               });
+        socket.async_read_some(
+                asio::buffer(buffer),
+                [weak = weak_from_this()](const ErrorCodeOfBoost &error, std::size_t size) {
+                    if (const auto self = weak.lock())
+                        self->readDone(error, size);
+                });
     }
 
     void readDone(const ErrorCodeOfBoost &error, std::size_t size)
@@ -134,8 +134,8 @@
             return;
         }
         ErrorCodeOfBoost error;
-        const std::size_t written
-                = socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+        const std::size_t written =
+                socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
         if (error && error != asio::error::would_block && error != asio::error::try_again)
             return; // The read that is under way ends with the error and reports it.
         if (written == bytes.size())
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -14,7 +14,8 @@
 // transaction until it is given back, and gives everything back when the other VM is gone.
 //
 //     auto server = RelayServer::listen(loop, endpoint, timers, counters,
-//                                       [&](const DatabaseId &database) { return pool(database); });
+//                                       [&](const DatabaseId &database) { return pool(database);
+//                                       });
 //
 // Loop thread only.
 class RelayServer
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -62,7 +62,8 @@
     shares.owners = std::clamp<std::size_t>(enough, 1, all);
     shares.kept = part(connections, keptShare, shares.owners);
     shares.maximum = part(connections, usableShare, shares.owners);
-    shares.fewestStatements = std::max(1.0, slots * statementsPerSlot / static_cast<double>(shares.owners));
+    shares.fewestStatements =
+            std::max(1.0, slots * statementsPerSlot / static_cast<double>(shares.owners));
     return shares;
 }
 
@@ -77,14 +78,13 @@
         members = Placement(members).owners("connections " + database.value(), members.size());
     const std::vector<VmId> owners = inTurn(orders, count);
     // Who asks draws an order of its own, so that the askers spread.
-    const std::vector<VmId> spread
-            = Placement(owners).owners("asks " + self.value() + ' ' + database.value(), count);
+    const std::vector<VmId> spread =
+            Placement(owners).owners("asks " + self.value() + ' ' + database.value(), count);
     std::vector<VmRecord> ordered;
     for (const VmId &vm : spread)
         ordered.push_back(recordOf(vms, vm));
-    std::stable_partition(ordered.begin(), ordered.end(), [&](const VmRecord &record) {
-        return record.dataCentre == dataCentre;
-    });
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [&](const VmRecord &record) { return record.dataCentre == dataCentre; });
     return ordered;
 }
 
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -95,8 +95,8 @@
     {
         const json::value *value = find(name);
         const json::array *parts = value ? value->if_array() : nullptr;
-        const bool isWhole = parts && parts->size() == 2 && parts->at(0).is_int64()
-                             && parts->at(1).is_int64();
+        const bool isWhole =
+                parts && parts->size() == 2 && parts->at(0).is_int64() && parts->at(1).is_int64();
         if (!isWhole) {
             refuse(name);
             return {};
--- a/libs/relay/src/relaypeer.cpp
+++ b/libs/relay/src/relaypeer.cpp
@@ -37,15 +37,17 @@
 
     void connect(EventLoop &loop)
     {
-        stream = TcpStream::connect(
-                loop,
-                {.endpoint = options.endpoint,
-                 .localIp = options.localIp,
-                 .connectTimeout = connectTimeout,
-                 .unacknowledgedTimeout = unacknowledgedTimeout},
-                {.onBytes = [this](std::string_view bytes) { received(bytes); },
-                 .onClosed = [this](const Error &error) { lost(error); },
-                 .onConnected = [this] { isConnected = true; }});
+        stream = TcpStream::connect(loop,
+                                    {.endpoint = options.endpoint,
+                                     .localIp = options.localIp,
+                                     .connectTimeout = connectTimeout,
+                                     .unacknowledgedTimeout = unacknowledgedTimeout},
+                                    {.onBytes = [this](std::string_view bytes) { received(bytes); },
+                                     .onClosed = [this](const Error &error) { lost(error); },
+                                     .onConnected =
+                                             [this] {
+                                                 isConnected = true;
+                                             }});
     }
 
     void run(const RelayMessage &request, Done done)
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -46,7 +46,10 @@
         , m_stream(std::move(stream))
     {
         m_stream->setHandlers({.onBytes = [this](std::string_view bytes) { received(bytes); },
-                               .onClosed = [this](const Error &) { m_server.drop(m_number); }});
+                               .onClosed =
+                                       [this](const Error &) {
+                                           m_server.drop(m_number);
+                                       }});
     }
 
     ~Peer()
@@ -132,8 +135,8 @@
             start(loan);
             return;
         }
-        loan->patience = m_server.timers.after(
-                loan->request.patience, [this, weak = std::weak_ptr(loan)] {
+        loan->patience =
+                m_server.timers.after(loan->request.patience, [this, weak = std::weak_ptr(loan)] {
                     const auto late = weak.lock();
                     if (!late)
                         return;
@@ -174,8 +177,7 @@
     void refuse(const std::shared_ptr<Loan> &loan, const std::string &reason)
     {
         m_server.notLent.add();
-        answer(loan->request.lease,
-               {.end = LinkEnd::NotSent, .reply = {.message = reason}});
+        answer(loan->request.lease, {.end = LinkEnd::NotSent, .reply = {.message = reason}});
     }
 
     void answer(std::uint64_t lease, const LinkOutcome &outcome)
@@ -241,12 +243,12 @@
                                                          PoolOf poolOf)
 {
     auto data = std::make_shared<Data>(timers, counters, std::move(poolOf));
-    Result<std::unique_ptr<TcpListener>> listener
-            = TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
-                                  [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
-                                      if (const auto server = weak.lock())
-                                          server->accepted(std::move(stream));
-                                  });
+    Result<std::unique_ptr<TcpListener>> listener =
+            TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
+                                [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
+                                    if (const auto server = weak.lock())
+                                        server->accepted(std::move(stream));
+                                });
     if (!listener)
         return listener.error();
     data->listener = std::move(listener.value());
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -44,9 +44,9 @@
     LogOptions logging;
 };
 
-using StatementSettingsResult
-        = boost::outcome_v2::basic_result<StatementVmSettings, std::vector<Error>,
-                                          boost::outcome_v2::policy::terminate>;
+using StatementSettingsResult =
+        boost::outcome_v2::basic_result<StatementVmSettings, std::vector<Error>,
+                                        boost::outcome_v2::policy::terminate>;
 
 // Checked settings, or every error of the text in the order of its lines. Neither throws.
 StatementSettingsResult parseStatementSettings(std::string_view yaml);
--- a/libs/settings/src/settingsfile.h
+++ b/libs/settings/src/settingsfile.h
@@ -46,12 +46,10 @@
                                                          boost::outcome_v2::policy::terminate>;
 
 template <typename Settings>
-SettingsOrErrors<Settings> parseSettings(std::string_view yaml,
-                                         void (*read)(Section &, Settings &))
+SettingsOrErrors<Settings> parseSettings(std::string_view yaml, void (*read)(Section &, Settings &))
 {
     Settings settings;
-    std::vector<Error> errors
-            = readYaml(yaml, [&](Section &section) { read(section, settings); });
+    std::vector<Error> errors = readYaml(yaml, [&](Section &section) { read(section, settings); });
     if (!errors.empty())
         return errors;
     return settings;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -160,6 +160,7 @@
     const Access *access(const DatabaseId &database) const;
     Duration silence(const LinkPool &pool) const;
     void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
+    TermEvidence::Electorate electorate(const GroupId &group) const;
     TermEvidence &evidence(const GroupId &group);
     void askOthers(const GroupId &group, const DatabaseId &database, Term term,
                    Confirmed confirmed);
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -272,8 +272,8 @@
 {
     if (m_hedgeTimer != 0)
         return;
-    const Duration delay = std::clamp(Duration(m_route.latencyTarget) / hedgeShare, earliestHedge,
-                                      latestHedge);
+    const Duration delay =
+            std::clamp(Duration(m_route.latencyTarget) / hedgeShare, earliestHedge, latestHedge);
     m_hedgeTimer = upstreams().context().timers.after(delay, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self || !self->m_session)
@@ -504,12 +504,11 @@
         return;
     }
     // Evidence of any later moment will do, so it is asked for until the deadline.
-    upstreams().context().timers.after(evidenceRetry,
-                                       [weak = weak_from_this(), attempt, reply] {
-                                           const auto self = weak.lock();
-                                           if (self && self->m_session)
-                                               self->confirm(attempt, reply);
-                                       });
+    upstreams().context().timers.after(evidenceRetry, [weak = weak_from_this(), attempt, reply] {
+        const auto self = weak.lock();
+        if (self && self->m_session)
+            self->confirm(attempt, reply);
+    });
 }
 
 void StatementRun::deadlinePassed()
@@ -521,11 +520,11 @@
         scheduleDeadline(m_deadline);
         return;
     }
-    const bool isOut = m_isConfirming
-                       || std::any_of(m_attempts.begin(), m_attempts.end(),
-                                      [](const AttemptPtr &attempt) {
-                                          return attempt->isSent && !attempt->isEnded;
-                                      });
+    const bool isOut =
+            m_isConfirming
+            || std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPtr &attempt) {
+                   return attempt->isSent && !attempt->isEnded;
+               });
     if (commitsWrites() && isOut) {
         giveUp(StatementFailure::InDoubt, "no answer within the timeout");
         return;
@@ -596,16 +595,15 @@
     }
     counters.counter("fescuespring_statements_refused_total", "reason", toString(reply.failure))
             .add();
-    upstreams().context().log.info("statement-failed",
-                                   {{"id", m_id},
-                                    {"kind", toString(m_statement.kind)},
-                                    {"group", m_route.group},
-                                    {"route", m_route.name},
-                                    {"reason", toString(reply.failure)},
-                                    {"message", reply.message},
-                                    {"tries", m_tries},
-                                    {"transaction", isInTransaction()},
-                                    {"age", now() - m_startedAt}});
+    upstreams().context().log.info("statement-failed", {{"id", m_id},
+                                                        {"kind", toString(m_statement.kind)},
+                                                        {"group", m_route.group},
+                                                        {"route", m_route.name},
+                                                        {"reason", toString(reply.failure)},
+                                                        {"message", reply.message},
+                                                        {"tries", m_tries},
+                                                        {"transaction", isInTransaction()},
+                                                        {"age", now() - m_startedAt}});
 }
 
 } // namespace fescuespring::detail
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -28,8 +28,8 @@
 void StatementSession::handle(const RequestId &id, const Statement &statement)
 {
     m_options.upstreams.context().timers.cancel(std::exchange(m_idleTimer, 0));
-    const bool endsTransaction
-            = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    const bool endsTransaction =
+            statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     if (m_phase == SessionPhase::Failed && !endsTransaction) {
         refuse(StatementFailure::Malformed, "the transaction has failed");
         return;
@@ -160,7 +160,9 @@
     const Duration timeout = m_options.routes.configuration().idleTransactionTimeout;
     m_idleTimer = m_options.upstreams.context().timers.after(timeout, [this] {
         m_idleTimer = 0;
-        m_options.upstreams.context().counters.counter("fescuespring_idle_transactions_total").add();
+        m_options.upstreams.context()
+                .counters.counter("fescuespring_idle_transactions_total")
+                .add();
         abortTransaction();
     });
 }
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -33,6 +33,10 @@
 // Connections of a VM that is to hold none, for when no other VM can be asked.
 constexpr std::uint32_t emergencyConnections = 1;
 
+// Knowledge of the databases that is older may miss one that has left: a database says that it
+// leaves longer than this before it goes.
+constexpr Duration oldestDirectory = std::chrono::seconds(5);
+
 // Longest time that a primary which is leaving gets new statements while no successor leads.
 constexpr Duration drainingUse = std::chrono::milliseconds(5500);
 
@@ -68,7 +72,10 @@
     : m_context(std::move(context))
     , m_directory({.onEntry = [this](const UpstreamEntry &entry,
                                      bool isNewLife) { entryChanged(entry, isNewLife); },
-                   .onGone = [this](const UpstreamEntry &entry) { entryGone(entry); }})
+                   .onGone =
+                           [this](const UpstreamEntry &entry) {
+                               entryGone(entry);
+                           }})
 {}
 
 Upstreams::~Upstreams() = default;
@@ -127,11 +134,12 @@
         if (known)
             known->own->close();
         known = std::make_unique<Access>();
-        known->own = DatabasePool::make(m_context.timers, m_context.connect,
-                                        {.target = entry.target});
-        known->byOthers = RelayPool::make({.timers = m_context.timers,
-                                           .database = database,
-                                           .peer = [this, database] { return peerFor(database); }});
+        known->own =
+                DatabasePool::make(m_context.timers, m_context.connect, {.target = entry.target});
+        known->byOthers = RelayPool::make(
+                {.timers = m_context.timers, .database = database, .peer = [this, database] {
+                     return peerFor(database);
+                 }});
         shareOut(database, *known);
         m_context.log.info("database-found", {{"database", database},
                                               {"group", entry.target.group},
@@ -148,8 +156,8 @@
 
 void Upstreams::entryGone(const UpstreamEntry &entry)
 {
-    m_context.log.info("database-gone", {{"database", entry.target.database},
-                                         {"group", entry.target.group}});
+    m_context.log.info("database-gone",
+                       {{"database", entry.target.database}, {"group", entry.target.group}});
     const auto found = m_accesses.find(entry.target.database);
     if (found == m_accesses.end())
         return;
@@ -162,8 +170,8 @@
     const GroupId &group = target.group;
     const UpstreamEntry *entry = m_directory.find(target.database);
     const auto limits = m_limits.find(group);
-    const std::uint32_t granted
-            = limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
+    const std::uint32_t granted =
+            limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
     return fescuespring::shareOut(granted, entry ? entry->slots : 1, m_vms.size());
 }
 
@@ -174,11 +182,12 @@
     access.otherOwners.clear();
     access.owners = shares.owners;
     if (m_context.connectPeer && m_areVmsKnown) {
-        access.otherOwners = databaseOwners(m_vms, database, shares.owners, m_context.vm,
-                                            m_context.dataCentre);
-        access.isOwner = std::erase_if(access.otherOwners, [this](const VmRecord &record) {
-                             return record.vm == m_context.vm;
-                         }) > 0;
+        access.otherOwners =
+                databaseOwners(m_vms, database, shares.owners, m_context.vm, m_context.dataCentre);
+        access.isOwner =
+                std::erase_if(access.otherOwners,
+                              [this](const VmRecord &record) { return record.vm == m_context.vm; })
+                > 0;
     }
     if (!m_areVmsKnown)
         access.own->setLimits(0, emergencyConnections, 1);
@@ -188,8 +197,8 @@
         access.own->setLimits(0, emergencyConnections, 1);
 }
 
-void Upstreams::shareConnections(const RouteConfiguration &configuration,
-                                 std::vector<VmRecord> vms, bool areAllKnown)
+void Upstreams::shareConnections(const RouteConfiguration &configuration, std::vector<VmRecord> vms,
+                                 bool areAllKnown)
 {
     m_limits = configuration.groups;
     m_vms = std::move(vms);
@@ -252,7 +261,8 @@
     const auto believed = m_leadership.primary(group);
     if (!believed)
         return std::nullopt;
-    // Until the change takes effect the old primary serves, if it can, under evidence of the others.
+    // Until the change takes effect the old primary serves, if it can, under evidence of the
+    // others.
     if (believed->isMoving && !isResponsive(believed->database))
         return std::nullopt;
     const UpstreamEntry *entry = m_directory.find(believed->database);
@@ -358,13 +368,13 @@
     });
     const auto run = [call, statement, finish](LinkLease lease) {
         call->lease = std::move(lease);
-        call->lease->run({.command = {.statement = statement}}, [call, finish](
-                                                                        const LinkOutcome &end) {
-            if (end.end == LinkEnd::Answered)
-                finish(call, end.reply);
-            else
-                finish(call, std::nullopt);
-        });
+        call->lease->run({.command = {.statement = statement}},
+                         [call, finish](const LinkOutcome &end) {
+                             if (end.end == LinkEnd::Answered)
+                                 finish(call, end.reply);
+                             else
+                                 finish(call, std::nullopt);
+                         });
     };
     if (LinkLease lease = known->tryAcquire(nullptr))
         run(std::move(lease));
@@ -408,6 +418,17 @@
     }
 }
 
+TermEvidence::Electorate Upstreams::electorate(const GroupId &group) const
+{
+    const Instant now = m_context.timers.now();
+    const auto askedAt = m_leadership.askedAt();
+    TermEvidence::Electorate electorate{.size = m_directory.groupSize(group, now),
+                                        .needsAll = !askedAt || now - *askedAt > oldestDirectory};
+    for (const UpstreamEntry &entry : m_directory.group(group))
+        electorate.voters.push_back({entry.target.database, !entry.isDraining});
+    return electorate;
+}
+
 TermEvidence &Upstreams::evidence(const GroupId &group)
 {
     std::unique_ptr<TermEvidence> &known = m_evidence[group];
@@ -415,15 +436,11 @@
         return *known;
     known = std::make_unique<TermEvidence>(TermEvidence::Options{
             .timers = m_context.timers,
-            .databases =
-                    [this, group] {
-                        std::vector<DatabaseId> databases;
-                        for (const UpstreamEntry &entry : m_directory.group(group))
-                            databases.push_back(entry.target.database);
-                        return databases;
-                    },
-            .askStatus = [this](const DatabaseId &database,
-                                TermEvidence::StatusDone done) { askStatus(database, done); }});
+            .electorate = [this, group] { return electorate(group); },
+            .askStatus =
+                    [this](const DatabaseId &database, TermEvidence::StatusDone done) {
+                        askStatus(database, done);
+                    }});
     return *known;
 }
 
@@ -451,13 +468,13 @@
                           Confirmed confirmed)
 {
     m_context.counters.counter("fescuespring_evidence_rounds_total").add();
-    evidence(group).confirm(database, term,
-                            [this, group, isCommit = term != Term(),
-                             confirmed = std::move(confirmed)](
-                                    const TermEvidence::Outcome &outcome) {
-                                const bool leads = takeEvidence(group, outcome);
-                                confirmed(isCommit ? outcome.isConfirmed : leads);
-                            });
+    evidence(group).confirm(
+            database, term,
+            [this, group, isCommit = term != Term(),
+             confirmed = std::move(confirmed)](const TermEvidence::Outcome &outcome) {
+                const bool leads = takeEvidence(group, outcome);
+                confirmed(isCommit ? outcome.isConfirmed : leads);
+            });
 }
 
 bool Upstreams::takeEvidence(const GroupId &group, const TermEvidence::Outcome &outcome)
@@ -488,9 +505,8 @@
         return;
     const auto believed = m_leadership.primary(group);
     if (!believed) {
-        m_context.timers.after(std::chrono::milliseconds(30), [this, group] {
-            floorAnswered(group);
-        });
+        m_context.timers.after(std::chrono::milliseconds(30),
+                               [this, group] { floorAnswered(group); });
         return;
     }
     const Instant askedAt = m_context.timers.now();
@@ -498,8 +514,7 @@
         askStatus(believed->database, [this, group, database = believed->database,
                                        askedAt](const std::optional<UpstreamStatus> &status) {
             const bool leads = status && status->role == Role::Primary
-                               && m_leadership.isLeading(group, database,
-                                                         m_context.timers.now());
+                               && m_leadership.isLeading(group, database, m_context.timers.now());
             if (leads)
                 m_leadership.primaryShowed(group, status->received, askedAt);
             floorAnswered(group);
--- a/libs/statements/src/statement.cpp
+++ b/libs/statements/src/statement.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-constexpr std::array kindNames{"begin",      "begin-read-only", "commit",  "rollback",  "read",
-                               "write",      "set-value",       "prepare", "execute",   "deallocate",
-                               "reset",      "status",          "pause",   "resume",    "demote"};
-
-constexpr std::array failureNames{
-        "none",           "busy",     "aborted",          "lagging",   "read-only",
-        "wrong-database", "overload", "unknown-prepared", "malformed", "unknown-route",
-        "failed",         "timeout",  "in-doubt"};
+constexpr std::array kindNames{"begin", "begin-read-only", "commit",  "rollback", "read",
+                               "write", "set-value",       "prepare", "execute",  "deallocate",
+                               "reset", "status",          "pause",   "resume",   "demote"};
+
+constexpr std::array failureNames{"none",      "busy",           "aborted",  "lagging",
+                                  "read-only", "wrong-database", "overload", "unknown-prepared",
+                                  "malformed", "unknown-route",  "failed",   "timeout",
+                                  "in-doubt"};
 
 } // namespace
 
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -29,14 +29,16 @@
 
     void connect(EventLoop &loop)
     {
-        stream = TcpStream::connect(
-                loop,
-                {.endpoint = options.reader,
-                 .localIp = options.localIp,
-                 .connectTimeout = connectTimeout,
-                 .unacknowledgedTimeout = unacknowledgedTimeout},
-                {.onBytes = [this](std::string_view bytes) { received(bytes); },
-                 .onClosed = [this](const Error &error) { lost(error); }});
+        stream = TcpStream::connect(loop,
+                                    {.endpoint = options.reader,
+                                     .localIp = options.localIp,
+                                     .connectTimeout = connectTimeout,
+                                     .unacknowledgedTimeout = unacknowledgedTimeout},
+                                    {.onBytes = [this](std::string_view bytes) { received(bytes); },
+                                     .onClosed =
+                                             [this](const Error &error) {
+                                                 lost(error);
+                                             }});
     }
 
     void received(std::string_view bytes)
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -35,7 +35,10 @@
         const std::uint64_t number = ++lastNumber;
         stream->setHandlers(
                 {.onBytes = [this, number](std::string_view bytes) { received(number, bytes); },
-                 .onClosed = [this, number](const Error &) { drop(number); }});
+                 .onClosed =
+                         [this, number](const Error &) {
+                             drop(number);
+                         }});
         Follower &follower = followers[number];
         follower.stream = std::move(stream);
         for (const std::string &kind : mirror.kinds()) {
@@ -122,12 +125,12 @@
                    std::function<std::optional<DatedRecords>()> records)
 {
     auto data = std::make_shared<Data>(timers, mirror, std::move(records));
-    Result<std::unique_ptr<TcpListener>> listener
-            = TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
-                                  [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
-                                      if (const auto reader = weak.lock())
-                                          reader->accepted(std::move(stream));
-                                  });
+    Result<std::unique_ptr<TcpListener>> listener =
+            TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
+                                [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
+                                    if (const auto reader = weak.lock())
+                                        reader->accepted(std::move(stream));
+                                });
     if (!listener)
         return listener.error();
     data->listener = std::move(listener.value());
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -12,7 +12,10 @@
     m_channel = connect(m_options.target,
                         {.onOpened = [this](const StatementReply &reply) { opened(reply); },
                          .onReply = [this](StatementReply reply) { replied(std::move(reply)); },
-                         .onClosed = [this](const Error &error) { breakOff(error); }});
+                         .onClosed =
+                                 [this](const Error &error) {
+                                     breakOff(error);
+                                 }});
 }
 
 DatabaseLink::~DatabaseLink()
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -128,10 +128,16 @@
                                      m_observer.heard(reply, time, m_timers.now());
                                  }},
             .gate = {.enter = [this](std::function<bool()> go) { enterGate(std::move(go)); },
-                     .leave = [this](Duration time) { leaveGate(time); }},
+                     .leave =
+                             [this](Duration time) {
+                                 leaveGate(time);
+                             }},
             .onOpened = [this](DatabaseLink &link,
                                const StatementReply &reply) { opened(link, reply); },
-            .onBroken = [this](DatabaseLink &link, const Error &error) { broken(link, error); }};
+            .onBroken =
+                    [this](DatabaseLink &link, const Error &error) {
+                        broken(link, error);
+                    }};
     m_links.push_back(
             {.link = std::make_shared<DatabaseLink>(m_timers, m_connect, std::move(options))});
 }
@@ -222,10 +228,12 @@
 
 void DatabasePool::rollBack(const std::shared_ptr<DatabaseLink> &link)
 {
-    const Timers::Id timer = m_timers.after(m_options.rollbackTimeout, [weak = std::weak_ptr(link)] {
-        if (const auto late = weak.lock())
-            late->breakOff({.code = ErrorCode::Timeout, .message = "no answer to a rollback"});
-    });
+    const Timers::Id timer =
+            m_timers.after(m_options.rollbackTimeout, [weak = std::weak_ptr(link)] {
+                if (const auto late = weak.lock())
+                    late->breakOff(
+                            {.code = ErrorCode::Timeout, .message = "no answer to a rollback"});
+            });
     link->run({.command = {.statement = {.kind = StatementKind::Rollback}}},
               [this, timer, weak = std::weak_ptr(link)](const LinkOutcome &outcome) {
                   m_timers.cancel(timer);
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -45,18 +45,19 @@
     const json::value *stopping = fields.if_contains("stopping");
     const json::value *silent = fields.if_contains("silent");
     const bool isWhole = dataCentre && dataCentre->is_string() && ip && ip->is_string() && port
-                         && port->is_int64() && relayPort && relayPort->is_int64() && renewal && renewal->is_int64() && stopping
-                         && stopping->is_bool() && silent && silent->is_array();
+                         && port->is_int64() && relayPort && relayPort->is_int64() && renewal
+                         && renewal->is_int64() && stopping && stopping->is_bool() && silent
+                         && silent->is_array();
     if (!isWhole)
         return unreadable;
-    VmRecord record{.vm = VmId(std::string(key.substr(vmKeyPrefix.size()))),
-                    .dataCentre = DataCentreId(std::string(dataCentre->get_string())),
-                    .peers = {std::string(ip->get_string()),
-                              static_cast<std::uint16_t>(port->get_int64())},
-                    .relay = {std::string(ip->get_string()),
-                              static_cast<std::uint16_t>(relayPort->get_int64())},
-                    .renewal = static_cast<std::uint64_t>(renewal->get_int64()),
-                    .isStopping = stopping->get_bool()};
+    VmRecord record{
+            .vm = VmId(std::string(key.substr(vmKeyPrefix.size()))),
+            .dataCentre = DataCentreId(std::string(dataCentre->get_string())),
+            .peers = {std::string(ip->get_string()), static_cast<std::uint16_t>(port->get_int64())},
+            .relay = {std::string(ip->get_string()),
+                      static_cast<std::uint16_t>(relayPort->get_int64())},
+            .renewal = static_cast<std::uint64_t>(renewal->get_int64()),
+            .isStopping = stopping->get_bool()};
     for (const json::value &database : silent->get_array()) {
         if (!database.is_string())
             return unreadable;
