--- a/libs/logging/include/logging/log.h
+++ b/libs/logging/include/logging/log.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <memory>
 #include <optional>
@@ -32,9 +33,17 @@
     // Lines below this level are dropped.
     LogLevel level = LogLevel::Info;
 
-    // File that lines are appended to; empty for the standard error stream.
+    // File that lines are appended to; empty for a standard stream.
     std::string file = {};
 
+    // Without a file: the standard output, which is never waited for, and not the standard error
+    // stream.
+    bool standardOutput = false;
+
+    // Bound of the lines a second of each event; 0 for none. A line says how many of its event were
+    // left out before it.
+    std::uint32_t linesPerSecond = 0;
+
     // Pattern of a log4cplus PatternLayout: %D{..} the time in UTC, %p the level, %m the line.
     std::string layout = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p %m%n";
 };
--- a/libs/logging/src/log.cpp
+++ b/libs/logging/src/log.cpp
@@ -1,6 +1,8 @@
 #include "logging/log.h"
 
 #include "base/enumnames.h"
+#include "linebudget.h"
+#include "pipeappender.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -11,6 +13,9 @@
 
 #include <array>
 #include <fstream>
+#include <mutex>
+
+#include <unistd.h>
 
 namespace fescuespring {
 
@@ -88,7 +93,9 @@
 log4cplus::SharedAppenderPtr makeAppender(const LogOptions &options)
 {
     log4cplus::SharedAppenderPtr appender;
-    if (options.file.empty())
+    if (options.file.empty() && options.standardOutput)
+        appender = new detail::PipeAppender(STDOUT_FILENO);
+    else if (options.file.empty())
         appender = new log4cplus::ConsoleAppender(true, true);
     else
         appender = new log4cplus::FileAppender(options.file, std::ios::app, true);
@@ -123,8 +130,14 @@
 
 struct Log::Data
 {
+    explicit Data(std::uint32_t linesPerSecond)
+        : budget(linesPerSecond)
+    {}
+
     log4cplus::Hierarchy hierarchy;
     log4cplus::Logger logger = hierarchy.getRoot();
+    std::mutex mutex;
+    detail::LineBudget budget;
 
     ~Data()
     {
@@ -147,7 +160,7 @@
                      .message = "cannot append to '" + options.file + "'",
                      .field = "logging.file"};
     }
-    auto data = std::make_unique<Data>();
+    auto data = std::make_unique<Data>(options.linesPerSecond);
     data->logger.addAppender(makeAppender(options));
     data->logger.setLogLevel(libraryLevel(options.level));
     return Log(std::move(data));
@@ -176,8 +189,19 @@
 void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     const log4cplus::LogLevel wanted = libraryLevel(level);
-    if (m_data->logger.isEnabledFor(wanted))
-        m_data->logger.forcedLog(wanted, logLine(event, fields));
+    if (!m_data->logger.isEnabledFor(wanted))
+        return;
+    std::optional<std::uint64_t> leftOut;
+    {
+        const std::lock_guard lock(m_data->mutex);
+        leftOut = m_data->budget.take(event, detail::LineBudget::Clock::now());
+    }
+    if (!leftOut)
+        return;
+    std::string line = logLine(event, fields);
+    if (*leftOut > 0)
+        line += " left-out=" + std::to_string(*leftOut);
+    m_data->logger.forcedLog(wanted, line);
 }
 
 } // namespace fescuespring
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -28,6 +28,9 @@
                                                        PoolOf poolOf);
     ~RelayServer();
 
+    // Where it listens, with the port that the system chose.
+    Endpoint endpoint() const;
+
 private:
     struct Data;
     explicit RelayServer(std::shared_ptr<Data> data);
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -255,4 +255,9 @@
     return std::unique_ptr<RelayServer>(new RelayServer(std::move(data)));
 }
 
+Endpoint RelayServer::endpoint() const
+{
+    return m_data->listener->endpoint();
+}
+
 } // namespace fescuespring
--- /dev/null
+++ b/libs/relay/tests/relaytest.cpp
@@ -0,0 +1,248 @@
+#include "net/looptimers.h"
+#include "relay/relaypool.h"
+#include "relay/relayserver.h"
+#include "upstreampool/databasepool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A connection of the lending VM that answers when it is told to.
+class ManualLink : public StatementLink
+{
+public:
+    void run(const LinkCommand &command, Done done) override
+    {
+        lastId = command.command.id;
+        values = command.context ? command.context->values() : std::map<std::string, std::string>();
+        m_done = std::move(done);
+    }
+    bool isBroken() const override
+    {
+        return false;
+    }
+    bool isBusy() const override
+    {
+        return static_cast<bool>(m_done);
+    }
+    SessionPhase phase() const override
+    {
+        return SessionPhase::Idle;
+    }
+    void answer(const StatementReply &reply)
+    {
+        const Done done = std::exchange(m_done, nullptr);
+        done({.end = LinkEnd::Answered, .reply = reply});
+    }
+
+    RequestId lastId;
+    std::map<std::string, std::string> values;
+
+private:
+    Done m_done;
+};
+
+class ManualPool : public LinkPool, public std::enable_shared_from_this<ManualPool>
+{
+public:
+    LinkLease tryAcquire(const SessionContext *) override
+    {
+        if (free == 0)
+            return {};
+        --free;
+        return {shared_from_this(), link};
+    }
+    TicketId wait(const SessionContext *, std::uint32_t priority, Granted) override
+    {
+        lastPriority = priority;
+        return ++waits;
+    }
+    void cancel(TicketId) override
+    {
+        ++cancelled;
+    }
+    const DatabaseObservation &observation() const override
+    {
+        return m_observation;
+    }
+    std::size_t load() const override
+    {
+        return 0;
+    }
+
+    std::shared_ptr<ManualLink> link = std::make_shared<ManualLink>();
+    std::size_t free = 1;
+    std::size_t givenBack = 0;
+    std::uint64_t waits = 0;
+    std::size_t cancelled = 0;
+    std::uint32_t lastPriority = 0;
+
+private:
+    void giveBack(const std::shared_ptr<StatementLink> &) override
+    {
+        ++givenBack;
+        ++free;
+    }
+    DatabaseObservation m_observation;
+};
+
+// A VM that lends and one that borrows, on one loop.
+struct Pair
+{
+    Pair()
+    {
+        auto listening = RelayServer::listen(loop, {"127.0.0.1", 0}, timers, counters,
+                                             [this](const DatabaseId &) { return pool; });
+        CPPUNIT_ASSERT(listening);
+        server = std::move(listening.value());
+        peer = std::make_shared<RelayPeer>(
+                loop, timers,
+                RelayPeer::Options{.endpoint = server->endpoint(), .onLost = [this](const Error &) {
+                                       isLost = true;
+                                   }});
+        borrowed =
+                RelayPool::make({.timers = timers, .database = DatabaseId("i-1"), .peer = [this] {
+                                     return peer;
+                                 }});
+    }
+
+    // Runs the loop until condition holds, or 5 s are over.
+    void until(const std::function<bool()> &condition)
+    {
+        const Instant end = timers.now() + 5s;
+        while (!condition() && timers.now() < end) {
+            loop.after(2ms, [this] { loop.stop(); });
+            loop.run();
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+    EventLoop loop;
+    LoopTimers timers{loop};
+    Counters counters;
+    std::shared_ptr<ManualPool> pool = std::make_shared<ManualPool>();
+    std::unique_ptr<RelayServer> server;
+    std::shared_ptr<RelayPeer> peer;
+    std::shared_ptr<RelayPool> borrowed;
+    bool isLost = false;
+};
+
+} // namespace
+
+class RelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(statementRunsWithTheSessionsValues);
+    CPPUNIT_TEST(connectionIsGivenBackWithTheLease);
+    CPPUNIT_TEST(waitThatIsTooLongIsNotSent);
+    CPPUNIT_TEST(lossOfTheLenderIsLossOfWhatWasSent);
+    CPPUNIT_TEST(lossOfTheBorrowerGivesBack);
+    CPPUNIT_TEST(withoutAPeerNothingIsSent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void statementRunsWithTheSessionsValues()
+    {
+        Pair pair;
+        const SessionContext context(std::map<std::string, std::string>{{"zone", "kst"}});
+        std::optional<LinkOutcome> end;
+        LinkLease lease = run(pair, context, end);
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        CPPUNIT_ASSERT(pair.pool->link->lastId == RequestId("id-1"));
+        CPPUNIT_ASSERT(pair.pool->link->values == context.values());
+        pair.pool->link->answer({.signature = "signed", .phase = SessionPhase::InTransaction});
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->end == LinkEnd::Answered && end->reply.signature == "signed");
+        CPPUNIT_ASSERT(lease->phase() == SessionPhase::InTransaction);
+        CPPUNIT_ASSERT(!pair.borrowed->observation().silentSince);
+    }
+
+    void connectionIsGivenBackWithTheLease()
+    {
+        Pair pair;
+        std::optional<LinkOutcome> end;
+        LinkLease lease = run(pair, SessionContext(), end);
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        pair.pool->link->answer({});
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.pool->givenBack);
+        lease.release();
+        pair.until([&] { return pair.pool->givenBack == 1; });
+    }
+
+    void waitThatIsTooLongIsNotSent()
+    {
+        Pair pair;
+        pair.pool->free = 0;
+        std::optional<LinkOutcome> end;
+        const LinkLease lease = run(pair, SessionContext(), end);
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->end == LinkEnd::NotSent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pair.pool->waits);
+        CPPUNIT_ASSERT_EQUAL(7U, pair.pool->lastPriority);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.pool->cancelled);
+        CPPUNIT_ASSERT(lease->isBroken());
+    }
+
+    void lossOfTheLenderIsLossOfWhatWasSent()
+    {
+        Pair pair;
+        std::optional<LinkOutcome> end;
+        const LinkLease lease = run(pair, SessionContext(), end);
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        pair.server.reset();
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->end == LinkEnd::Lost);
+        CPPUNIT_ASSERT(pair.isLost && lease->isBroken());
+        CPPUNIT_ASSERT(pair.borrowed->observation().silentSince);
+    }
+
+    void lossOfTheBorrowerGivesBack()
+    {
+        Pair pair;
+        std::optional<LinkOutcome> end;
+        LinkLease lease = run(pair, SessionContext(), end);
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        pair.pool->link->answer({});
+        pair.until([&] { return end.has_value(); });
+        lease = {};
+        pair.until([&] { return pair.pool->givenBack == 1; });
+        lease = run(pair, SessionContext(), end);
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        pair.pool->link->answer({});
+        pair.peer.reset();
+        lease = {};
+        pair.borrowed.reset();
+        pair.until([&] { return pair.pool->givenBack == 2; });
+    }
+
+    void withoutAPeerNothingIsSent()
+    {
+        Pair pair;
+        pair.peer.reset();
+        std::optional<LinkOutcome> end;
+        const LinkLease lease = run(pair, SessionContext(), end);
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->end == LinkEnd::NotSent);
+        CPPUNIT_ASSERT(pair.borrowed->observation().silentSince);
+    }
+
+private:
+    static LinkLease run(Pair &pair, const SessionContext &context, std::optional<LinkOutcome> &end)
+    {
+        end = std::nullopt;
+        LinkLease lease = pair.borrowed->tryAcquire(&context);
+        lease->run({.command = {.id = RequestId("id-1")},
+                    .context = &context,
+                    .priority = 7,
+                    .patience = 50ms},
+                   [&end](const LinkOutcome &outcome) { end = outcome; });
+        return lease;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -41,7 +41,8 @@
     // Connections of callers held open at once.
     std::uint32_t maxCallerConnections = 3000;
 
-    LogOptions logging;
+    // On the standard output, bounded, unless a file is named.
+    LogOptions logging{.standardOutput = true, .linesPerSecond = 20};
 };
 
 using StatementSettingsResult =
--- a/libs/settings/src/settingsfile.cpp
+++ b/libs/settings/src/settingsfile.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t maximumPathBytes = 4096;
 constexpr std::size_t maximumLayoutBytes = 256;
 constexpr std::size_t maximumEndpointBytes = 64;
+constexpr std::uint32_t maximumLinesPerSecond = 100'000;
 
 bool isIp(const std::string &ip)
 {
@@ -82,6 +83,7 @@
 {
     section.choice("level", logging.level, logLevelFromString, "debug, info, warning, error, off");
     section.text("file", logging.file, {0, maximumPathBytes}, Presence::Optional);
+    section.number("linesPerSecond", logging.linesPerSecond, {0, maximumLinesPerSecond});
     section.text("layout", logging.layout, {1, maximumLayoutBytes}, Presence::Optional);
     if (logging.layout.find("%m") == std::string::npos)
         section.refuse("layout", "must hold %m, the line itself");
