--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -94,7 +94,7 @@
                                      Duration timeout,
                                      auto done) { command(database, statement, timeout, done); },
                    .write =
-                           [this](const ObjectWrite &write, ObjectStore::WriteDone done) {
+                           [this](const ObjectWrite &write, const ObjectStore::WriteDone &done) {
                                world.timers.after(5ms, [this, write, done] {
                                    done(world.store.write(write));
                                });
--- a/libs/leadership/tests/termevidencetest.cpp
+++ b/libs/leadership/tests/termevidencetest.cpp
@@ -23,17 +23,17 @@
 struct Group
 {
     Group()
-        : evidence({.timers = timers,
-                    .electorate = [this] { return electorate; },
-                    .askStatus =
-                            [this](const DatabaseId &database, TermEvidence::StatusDone done) {
-                                ++questions;
-                                if (!statuses.contains(database))
-                                    return;
-                                timers.after(1ms, [answer = statuses.at(database), done] {
-                                    done(answer);
-                                });
-                            }})
+        : evidence(
+                {.timers = timers,
+                 .electorate = [this] { return electorate; },
+                 .askStatus =
+                         [this](const DatabaseId &database, const TermEvidence::StatusDone &done) {
+                             ++questions;
+                             if (!statuses.contains(database))
+                                 return;
+                             timers.after(1ms,
+                                          [answer = statuses.at(database), done] { done(answer); });
+                         }})
     {}
 
     TermEvidence::Outcome confirm(Term term)
--- a/libs/logging/tests/boundedlogtest.cpp
+++ b/libs/logging/tests/boundedlogtest.cpp
@@ -100,7 +100,7 @@
         // A pipe holds 64 KiB; nobody reads, and a writer that waits would wait for ever.
         for (int i = 0; i < 5000; ++i)
             logger.forcedLog(log4cplus::INFO_LOG_LEVEL, std::string(100, 'a'));
-        CPPUNIT_ASSERT(pipe.drain().size() <= 1024 * 1024);
+        CPPUNIT_ASSERT(pipe.drain().size() <= std::size_t{1024} * 1024);
         logger.forcedLog(log4cplus::INFO_LOG_LEVEL, "again");
         const std::string text = pipe.drain();
         CPPUNIT_ASSERT(text.starts_with("event=log-lines-lost count="));
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -81,6 +81,7 @@
     const std::vector<VmId> spread =
             Placement(owners).owners("asks " + self.value() + ' ' + database.value(), count);
     std::vector<VmRecord> ordered;
+    ordered.reserve(spread.size());
     for (const VmId &vm : spread)
         ordered.push_back(recordOf(vms, vm));
     std::stable_partition(ordered.begin(), ordered.end(),
--- a/tests/support/fakegroup.h
+++ b/tests/support/fakegroup.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -145,7 +146,7 @@
             return m_group.m_databases[m_id];
         }
 
-        void later(std::function<void()> task)
+        void later(const std::function<void()> &task)
         {
             m_group.m_timers.after(delay, [alive = std::weak_ptr(m_alive), task] {
                 if (!alive.expired())
@@ -240,12 +241,12 @@
         // "kind id name argument {value=...}"
         void note(const UpstreamCommand &command)
         {
-            std::string text = toString(command.statement.kind);
-            text += ' ' + command.id.value() + ' ' + command.statement.name + ' '
-                    + command.statement.argument;
+            std::ostringstream text;
+            text << toString(command.statement.kind) << ' ' << command.id.value() << ' '
+                 << command.statement.name << ' ' << command.statement.argument;
             for (const auto &[name, value] : m_values)
-                text += " {" + name + '=' + value + '}';
-            database().ran.push_back(text);
+                text << " {" << name << '=' << value << '}';
+            database().ran.push_back(text.str());
         }
 
         FakeGroup &m_group;
