--- /dev/null
+++ b/libs/base/include/base/latencyhistogram.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/counters.h"
+#include "base/types.h"
+
+#include <array>
+#include <string_view>
+
+namespace fescuespring {
+
+// Times by size, as counters that scrapers take for a histogram: NAME_bucket with the upper bounds
+// in milliseconds, each counting all that is not larger, and NAME_count.
+//
+//     LatencyHistogram served(counters, "fescuespring_statement_ms");
+//     served.add(time);
+//
+// Any thread may add; the counters must outlive it.
+class LatencyHistogram
+{
+public:
+    LatencyHistogram(Counters &counters, std::string_view name);
+
+    void add(Duration time);
+
+private:
+    // Upper bounds in milliseconds.
+    static constexpr std::array<int, 12> bounds{2,   5,   10,  20,   50,   100,
+                                                150, 250, 500, 1000, 2000, 5000};
+
+    std::array<Counter *, bounds.size()> m_buckets{};
+    Counter &m_all;
+    Counter &m_count;
+};
+
+} // namespace fescuespring
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/counters.h"
+#include "base/latencyhistogram.h"
 #include "base/timers.h"
 #include "directory/routetable.h"
 #include "directory/upstreamdirectory.h"
@@ -152,6 +153,16 @@
     // Closes every connection that is not in use, and opens no more.
     void close();
 
+    // Times that callers saw, and those that a database took, its queue and this VM's included.
+    LatencyHistogram &servedTimes()
+    {
+        return m_servedTimes;
+    }
+    LatencyHistogram &databaseTimes()
+    {
+        return m_databaseTimes;
+    }
+
 private:
     void entryChanged(const UpstreamEntry &entry, bool isNewLife);
     void entryGone(const UpstreamEntry &entry);
@@ -175,6 +186,8 @@
     double readCost(const UpstreamEntry &entry) const;
 
     ProxyContext m_context;
+    LatencyHistogram m_servedTimes{m_context.counters, "fescuespring_statement_ms"};
+    LatencyHistogram m_databaseTimes{m_context.counters, "fescuespring_database_ms"};
     LeadershipView m_leadership;
     UpstreamDirectory m_directory;
     std::map<DatabaseId, std::unique_ptr<Access>> m_accesses;
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -321,8 +321,10 @@
         attempt->lease.release();
         return;
     }
-    if (outcome.end == LinkEnd::Answered)
+    if (outcome.end == LinkEnd::Answered) {
+        upstreams().databaseTimes().add(now() - attempt->sentAt);
         upstreams().noteAnswer(m_route.group, attempt->database, outcome.reply, outcome.sentAt);
+    }
     if (outcome.end == LinkEnd::Lost || outcome.end == LinkEnd::NotSent) {
         lost(attempt, outcome);
         return;
@@ -591,19 +593,30 @@
     Counters &counters = upstreams().context().counters;
     if (reply.isSuccess()) {
         counters.counter("fescuespring_statements_served_total").add();
+        upstreams().servedTimes().add(now() - m_startedAt);
         return;
     }
     counters.counter("fescuespring_statements_refused_total", "reason", toString(reply.failure))
             .add();
-    upstreams().context().log.info("statement-failed", {{"id", m_id},
-                                                        {"kind", toString(m_statement.kind)},
-                                                        {"group", m_route.group},
-                                                        {"route", m_route.name},
-                                                        {"reason", toString(reply.failure)},
-                                                        {"message", reply.message},
-                                                        {"tries", m_tries},
-                                                        {"transaction", isInTransaction()},
-                                                        {"age", now() - m_startedAt}});
+    const LeadershipView &leadership = upstreams().leadership();
+    const auto believed = leadership.primary(m_route.group);
+    const auto askedAt = leadership.askedAt();
+    upstreams().context().log.info(
+            "statement-failed",
+            {{"id", m_id},
+             {"kind", toString(m_statement.kind)},
+             {"group", m_route.group},
+             {"route", m_route.name},
+             {"reason", toString(reply.failure)},
+             {"message", reply.message},
+             {"database", m_attempts.empty() ? DatabaseId() : m_attempts.back()->database},
+             {"tries", m_tries},
+             {"transaction", isInTransaction()},
+             {"primary", believed ? believed->database : DatabaseId()},
+             {"term", leadership.knownTerm(m_route.group)},
+             {"moving", believed && believed->isMoving},
+             {"records-age", askedAt ? now() - *askedAt : Duration(-1)},
+             {"age", now() - m_startedAt}});
 }
 
 } // namespace fescuespring::detail
