Do not send what could not be acknowledged; a follower that was let go may still send

Now a round of statuses that failed within 0.5 s refuses at once, truthfully, and the caller may go elsewhere. Test: writeThatCouldNotBeShownIsNotSent, red before. Cause 2: bytes of a follower that had been let go ended the process (map::at). Test: followerThatSendsGarbageIsLetGo, red before.

--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -115,6 +115,10 @@
     // be served here.
     bool isCutOff(const GroupId &group) const;
 
+    // Whether an answer of the group's primary could be shown to count: by the store's records, or,
+    // as far as the last attempt told, by the group itself.
+    bool canShowLeading(const GroupId &group) const;
+
     // How the others' word on a database is asked for; false until set.
     void judgeLossBy(std::function<bool(const DatabaseId &)> isLostForMost);
 
@@ -195,6 +199,7 @@
     std::map<VmId, Instant> m_peerLostAt;
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
+    std::map<GroupId, Instant> m_evidenceFailedAt;
     std::map<GroupId, GroupLimits> m_limits;
     std::vector<VmRecord> m_vms;
     bool m_areVmsKnown = false;
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -143,6 +143,10 @@
         giveUp(StatementFailure::Busy, "this VM does not reach the primary");
         return;
     }
+    if (!upstreams().canShowLeading(m_route.group)) {
+        giveUp(StatementFailure::Busy, "the primary cannot be shown to lead");
+        return;
+    }
     if (!primary || (m_excluded.contains(*primary) && !upstreams().isResponsive(*primary))) {
         m_lastMessage = "no primary leads the group at present";
         retryAfter(primaryPoll);
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -16,6 +16,10 @@
 // Silence after which a read goes elsewhere if it can.
 constexpr Duration unresponsiveAfter = std::chrono::milliseconds(250);
 
+// Time for which a failed round of statuses keeps statements from being sent that could not be
+// acknowledged.
+constexpr Duration evidenceFailureCounts = std::chrono::milliseconds(500);
+
 // Silence of a primary after which this VM takes itself for cut off from it, unless most VMs hear
 // nothing from it either.
 constexpr Duration cutOffAfter = std::chrono::milliseconds(450);
@@ -295,6 +299,16 @@
     return silentSince && m_context.timers.now() - *silentSince > cutOffAfter;
 }
 
+bool Upstreams::canShowLeading(const GroupId &group) const
+{
+    const Instant now = m_context.timers.now();
+    const auto believed = m_leadership.primary(group);
+    if (believed && m_leadership.isLeading(group, believed->database, now))
+        return true;
+    const auto failedAt = m_evidenceFailedAt.find(group);
+    return failedAt == m_evidenceFailedAt.end() || now - failedAt->second > evidenceFailureCounts;
+}
+
 double Upstreams::readCost(const UpstreamEntry &entry) const
 {
     const auto known = pool(entry.target.database);
@@ -468,13 +482,17 @@
                           Confirmed confirmed)
 {
     m_context.counters.counter("fescuespring_evidence_rounds_total").add();
-    evidence(group).confirm(
-            database, term,
-            [this, group, isCommit = term != Term(),
-             confirmed = std::move(confirmed)](const TermEvidence::Outcome &outcome) {
-                const bool leads = takeEvidence(group, outcome);
-                confirmed(isCommit ? outcome.isConfirmed : leads);
-            });
+    const auto judged = [this, group, isCommit = term != Term(),
+                         confirmed = std::move(confirmed)](const TermEvidence::Outcome &outcome) {
+        const bool leads = takeEvidence(group, outcome);
+        const bool isShown = isCommit ? outcome.isConfirmed : leads;
+        if (isShown)
+            m_evidenceFailedAt.erase(group);
+        else
+            m_evidenceFailedAt[group] = m_context.timers.now();
+        confirmed(isShown);
+    };
+    evidence(group).confirm(database, term, judged);
 }
 
 bool Upstreams::takeEvidence(const GroupId &group, const TermEvidence::Outcome &outcome)
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(commitLostIsInDoubt);
     CPPUNIT_TEST(nothingIsAcknowledgedAfterAReplacement);
     CPPUNIT_TEST(outageOfTheStoreDoesNotStopWrites);
+    CPPUNIT_TEST(writeThatCouldNotBeShownIsNotSent);
     CPPUNIT_TEST(silentPrimaryIsRefusedSoon);
     CPPUNIT_TEST(primaryThatAnswersAgainIsUsedAgain);
     CPPUNIT_TEST(silentReplicaIsHedged);
@@ -349,6 +350,23 @@
         CPPUNIT_ASSERT(reader.failure(readItem) == StatementFailure::None);
     }
 
+    // Neither the store nor the replicas can be reached; the primary answers.
+    void writeThatCouldNotBeShownIsNotSent()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        vm.timers.advance(leadershipLease * 2);
+        vm.databases["b"].isSilent = true;
+        vm.databases["c"].isSilent = true;
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::InDoubt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
+        CPPUNIT_ASSERT_EQUAL(std::string("busy"), std::string(toString(caller.failure(writeItem))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
+        vm.databases["b"].isSilent = false;
+        vm.timers.advance(1s);
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+    }
+
     void silentPrimaryIsRefusedSoon()
     {
         Vm vm;
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -50,7 +50,11 @@
 
     void received(std::uint64_t number, std::string_view bytes)
     {
-        Follower &follower = followers.at(number);
+        // A follower that was let go may still send for a moment.
+        const auto found = followers.find(number);
+        if (found == followers.end())
+            return;
+        Follower &follower = found->second;
         if (!follower.lines.append(bytes)) {
             drop(number);
             return;
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
     CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
     CPPUNIT_TEST(lostReaderIsTold);
+    CPPUNIT_TEST(followerThatSendsGarbageIsLetGo);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,27 @@
         CPPUNIT_ASSERT(isLost);
     }
 
+    // It goes on sending after it was let go.
+    void followerThatSendsGarbageIsLetGo()
+    {
+        Pair pair;
+        bool isClosed = false;
+        const auto stream = TcpStream::connect(pair.loop, {.endpoint = pair.server->endpoint()},
+                                               {.onBytes = [](std::string_view) {},
+                                                .onClosed =
+                                                        [&](const Error &) {
+                                                            isClosed = true;
+                                                            pair.loop.stop();
+                                                        }});
+        std::string garbage;
+        for (int i = 0; i < 20000; ++i)
+            garbage += "no message\n";
+        stream->send(garbage);
+        pair.run(3s);
+        CPPUNIT_ASSERT(isClosed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.server->followerCount());
+    }
+
 private:
     static FeedFollower::Options options(Pair &pair)
     {
