Streams that are given up keep alive whom they call; loops let go of timers safely

Timers that are destroyed with their loop no longer cancel in a map that is going (AddressSanitizer, CoordinatorTest). Red before, green after: relay_tests, coordination_tests under AddressSanitizer.

--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -170,6 +170,14 @@
         timers.advance(3s);
     }
 
+    // Statements that were sent end by their answer or by time.
+    ~Fleet()
+    {
+        timers.advance(5s);
+    }
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
     // A caller that writes every 20 ms by way of the first VM; how long no write was acknowledged.
     Duration longestGap(Duration time)
     {
--- a/libs/net/src/eventloop.cpp
+++ b/libs/net/src/eventloop.cpp
@@ -41,7 +41,12 @@
     : m_data(std::make_unique<Data>())
 {}
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop()
+{
+    // What the tasks hold may cancel timers when it goes.
+    const auto timers = std::move(m_data->timers);
+    m_data->timers.clear();
+}
 
 void EventLoop::run()
 {
--- a/libs/relay/src/relaypeer.cpp
+++ b/libs/relay/src/relaypeer.cpp
@@ -134,9 +134,9 @@
         isLost = true;
         timers.cancel(pingTimer);
         calls.clear();
-        // The stream may be the caller.
+        // The stream may be the caller, and calls this object until it is gone.
         const auto kept = std::make_shared<std::unique_ptr<TcpStream>>(std::move(stream));
-        timers.after(Duration(0), [kept] { kept->reset(); });
+        timers.after(Duration(0), [kept, self = shared_from_this()] { kept->reset(); });
     }
 
     Timers &timers;
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -225,7 +225,7 @@
     // The peer may be the caller.
     const std::shared_ptr<Peer> kept = std::move(found->second);
     peers.erase(found);
-    timers.after(Duration(0), [kept] {});
+    timers.after(Duration(0), [kept, self = shared_from_this()] {});
 }
 
 RelayServer::RelayServer(std::shared_ptr<Data> data)
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -39,6 +39,14 @@
         timers.advance(50ms);
     }
 
+    // Statements that were sent end by their answer or by time.
+    ~Vm()
+    {
+        timers.advance(5s);
+    }
+    Vm(const Vm &) = delete;
+    Vm &operator=(const Vm &) = delete;
+
     UpstreamEntry entry(const DatabaseId &database)
     {
         return {.target = {group, database, {"10.0.0.1", 1}},
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -128,9 +128,9 @@
         for (const auto &[number, question] : questions)
             timers.cancel(question.timer);
         questions.clear();
-        // The stream may be the caller.
+        // The stream may be the caller, and calls this object until it is gone.
         const auto kept = std::make_shared<std::unique_ptr<TcpStream>>(std::move(stream));
-        timers.after(Duration(0), [kept] { kept->reset(); });
+        timers.after(Duration(0), [kept, self = shared_from_this()] { kept->reset(); });
     }
 
     Timers &timers;
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -88,7 +88,7 @@
         // The stream may be the caller.
         const auto kept = std::make_shared<Follower>(std::move(found->second));
         followers.erase(found);
-        timers.after(Duration(0), [kept] {});
+        timers.after(Duration(0), [kept, self = shared_from_this()] {});
     }
 
     void sendToAll(const FeedMessage &message)
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -146,9 +146,9 @@
         return;
     m_isBroken = true;
     m_isOpen = false;
-    // The channel may be the caller, so it is only told to close by being given up later.
+    // The channel may be the caller, so it is given up later; until then it calls this link.
     const auto channel = std::make_shared<std::unique_ptr<UpstreamChannel>>(std::move(m_channel));
-    m_timers.after(Duration(0), [channel] { channel->reset(); });
+    m_timers.after(Duration(0), [channel, self = shared_from_this()] { channel->reset(); });
     leaveGate(Duration(0));
     if (m_done) {
         finish({.end = m_statementSent ? LinkEnd::Lost : LinkEnd::NotSent,
--- a/tests/support/fakegroup.h
+++ b/tests/support/fakegroup.h
@@ -49,14 +49,14 @@
 
     Database &operator[](const std::string &name)
     {
-        return m_databases[DatabaseId(name)];
+        return (*m_databases)[DatabaseId(name)];
     }
 
     // The replicas receive all that the primary has.
     void sync()
     {
-        for (auto &[id, database] : m_databases) {
-            for (const auto &[other, primary] : m_databases) {
+        for (auto &[id, database] : *m_databases) {
+            for (const auto &[other, primary] : *m_databases) {
                 if (primary.role == Role::Primary && database.role == Role::Replica
                     && primary.received > database.received && primary.term >= database.heldTerm) {
                     database.received = primary.received;
@@ -70,9 +70,9 @@
     void promote(const DatabaseId &id)
     {
         Term highest;
-        for (const auto &[other, database] : m_databases)
+        for (const auto &[other, database] : *m_databases)
             highest = std::max(highest, database.term);
-        Database &chosen = m_databases[id];
+        Database &chosen = (*m_databases)[id];
         if (chosen.role == Role::Primary && chosen.term == highest)
             return;
         chosen.role = Role::Primary;
@@ -82,7 +82,7 @@
     std::vector<DatabaseId> names() const
     {
         std::vector<DatabaseId> names;
-        for (const auto &[id, database] : m_databases)
+        for (const auto &[id, database] : *m_databases)
             names.push_back(id);
         return names;
     }
@@ -97,7 +97,7 @@
     // The status that a database tells, and the effect of a command of a VM.
     StatementReply administer(const DatabaseId &id, const Statement &statement)
     {
-        Database &database = m_databases[id];
+        Database &database = (*m_databases)[id];
         if (statement.kind == StatementKind::Pause && database.role == Role::Replica)
             database.heldTerm = std::max(database.heldTerm, statement.term);
         if (statement.kind == StatementKind::Demote && statement.term > database.term)
@@ -114,11 +114,14 @@
     static constexpr Duration delay = std::chrono::milliseconds(1);
 
 private:
+    using Databases = std::map<DatabaseId, Database>;
+
     class Channel : public UpstreamChannel
     {
     public:
         Channel(FakeGroup &group, DatabaseId id, UpstreamChannelHandlers handlers)
             : m_group(group)
+            , m_databases(group.m_databases)
             , m_id(std::move(id))
             , m_handlers(std::move(handlers))
         {
@@ -143,7 +146,7 @@
     private:
         Database &database()
         {
-            return m_group.m_databases[m_id];
+            return (*m_databases)[m_id];
         }
 
         void later(const std::function<void()> &task)
@@ -250,6 +253,7 @@
         }
 
         FakeGroup &m_group;
+        std::shared_ptr<Databases> m_databases;
         DatabaseId m_id;
         UpstreamChannelHandlers m_handlers;
         bool m_isOpen = false;
@@ -260,7 +264,8 @@
     };
 
     VirtualTimers &m_timers;
-    std::map<DatabaseId, Database> m_databases;
+    // Shared with the channels, which may outlive the group in a timer.
+    std::shared_ptr<Databases> m_databases = std::make_shared<Databases>();
 };
 
 } // namespace fescuespring
--- a/tests/support/virtualtimers.h
+++ b/tests/support/virtualtimers.h
@@ -11,6 +11,17 @@
 class VirtualTimers : public Timers
 {
 public:
+    VirtualTimers() = default;
+    VirtualTimers(const VirtualTimers &) = delete;
+    VirtualTimers &operator=(const VirtualTimers &) = delete;
+
+    // What tasks hold may cancel timers when it goes.
+    ~VirtualTimers() override
+    {
+        const auto tasks = std::move(m_tasks);
+        m_tasks.clear();
+    }
+
     Instant now() const override
     {
         return m_now;
