--- /dev/null
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -0,0 +1,325 @@
+#include "statementrun.h"
+
+#include <algorithm>
+#include <utility>
+
+// What becomes of an attempt of a StatementRun, and how the run ends.
+
+namespace fescuespring::detail {
+
+namespace {
+
+constexpr Duration evidenceRetry = std::chrono::milliseconds(50);
+constexpr Duration busyRetry = std::chrono::milliseconds(15);
+
+// Time that an attempt gets beyond the statement's timeout before its connection is closed.
+constexpr Duration lingerTime = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void StatementRun::ended(const AttemptPtr &attempt, const LinkOutcome &outcome)
+{
+    attempt->isEnded = true;
+    if (!m_session) {
+        attempt->lease.release();
+        return;
+    }
+    if (outcome.end == LinkEnd::Answered) {
+        upstreams().databaseTimes().add(now() - attempt->sentAt);
+        upstreams().noteAnswer(m_route.group, attempt->database, outcome.reply, outcome.sentAt);
+    }
+    if (outcome.end == LinkEnd::Lost || outcome.end == LinkEnd::NotSent) {
+        lost(attempt, outcome);
+        return;
+    }
+    if (outcome.end == LinkEnd::Answered && outcome.reply.isSuccess()) {
+        succeeded(attempt, outcome.reply);
+        return;
+    }
+    refused(attempt, outcome.reply);
+}
+
+void StatementRun::lost(const AttemptPtr &attempt, const LinkOutcome &outcome)
+{
+    const bool isPinned = attempt->pool == nullptr;
+    attempt->lease.release();
+    m_lastMessage = "connection to the database lost: " + outcome.reply.message;
+    if (outcome.end == LinkEnd::Lost && commitsWrites()) {
+        giveUp(StatementFailure::InDoubt, m_lastMessage);
+        return;
+    }
+    if (isPinned) {
+        failedInTransaction({.failure = StatementFailure::Aborted, .message = m_lastMessage});
+        return;
+    }
+    m_lastFailure = StatementFailure::Busy;
+    m_excluded.insert(attempt->database);
+    if (m_retryTimer == 0)
+        retryAfter(needsPrimary() ? primaryPoll : Duration(0));
+}
+
+void StatementRun::refused(const AttemptPtr &attempt, const StatementReply &reply)
+{
+    const bool isPinned = attempt->pool == nullptr;
+    if (isPinned) {
+        const bool mayRepeat = reply.failure == StatementFailure::Busy
+                               && reply.phase == SessionPhase::InTransaction
+                               && now() + busyRetry < m_deadline;
+        m_session->m_transaction->lease = std::move(attempt->lease);
+        if (mayRepeat)
+            retryAfter(busyRetry);
+        else
+            failedInTransaction(reply);
+        return;
+    }
+    attempt->lease.release();
+    const bool readFailed = isReadOnly() && reply.failure == StatementFailure::Failed;
+    if (!meansNotRun(reply.failure) && !readFailed) {
+        giveUp(reply.failure, reply.message);
+        return;
+    }
+    m_lastFailure = reply.failure;
+    m_lastMessage = reply.message;
+    if (reply.failure == StatementFailure::Lagging)
+        noteLagging(attempt, reply);
+    else if (!needsPrimary())
+        m_excluded.insert(attempt->database);
+    if (m_retryTimer == 0 && !m_isWaiting)
+        retryAfter(needsPrimary() ? busyRetry : Duration(0));
+}
+
+void StatementRun::noteLagging(const AttemptPtr &attempt, const StatementReply &reply)
+{
+    m_excluded.insert(attempt->database);
+    const auto primary = upstreams().usablePrimary(m_route.group);
+    const bool byPrimary = primary == attempt->database
+                           && upstreams().leadership().isLeading(m_route.group, *primary, now());
+    if (!byPrimary || !reply.position)
+        return;
+    // A commit that the primary itself lacks was discarded by a change of primary.
+    if (m_session->m_lastCommit && *m_session->m_lastCommit > *reply.position)
+        m_session->m_lastCommit.reset();
+    if (m_session->m_lastCommit && m_session->m_lastCommit->term < reply.position->term)
+        m_session->m_lastCommit.reset();
+}
+
+void StatementRun::failedInTransaction(const StatementReply &reply)
+{
+    StatementReply answer = reply;
+    const bool ended = m_statement.kind == StatementKind::Commit
+                       && (reply.phase == SessionPhase::Idle || !m_session->m_transaction->lease);
+    answer.phase = ended ? SessionPhase::Idle : SessionPhase::Failed;
+    if (answer.failure == StatementFailure::Failed && reply.phase == SessionPhase::InTransaction)
+        answer.phase = SessionPhase::InTransaction;
+    if (answer.phase != SessionPhase::InTransaction)
+        m_session->m_transaction->lease.release();
+    finish(answer);
+}
+
+void StatementRun::succeeded(const AttemptPtr &attempt, const StatementReply &reply)
+{
+    m_servedBy = attempt->database;
+    if (m_isConfirming) {
+        attempt->lease.release();
+        return;
+    }
+    const bool isPinned = attempt->pool == nullptr;
+    if (isPinned && m_statement.kind != StatementKind::Commit) {
+        m_session->m_transaction->hasWritten |= isWrite();
+        m_session->m_transaction->lease = std::move(attempt->lease);
+        deliver(reply);
+        return;
+    }
+    if (commitsWrites()) {
+        m_session->m_lastCommit = reply.position;
+        confirmThenDeliver(attempt, reply);
+        return;
+    }
+    if (isPinned) {
+        deliver(reply);
+        return;
+    }
+    if (needsPrimary())
+        confirmThenDeliver(attempt, reply);
+    else {
+        keepLink(attempt);
+        deliver(reply);
+    }
+}
+
+void StatementRun::keepLink(const AttemptPtr &attempt)
+{
+    const bool staysOpen = isInTransaction() && m_statement.kind != StatementKind::Commit;
+    if (!staysOpen) {
+        attempt->lease.release();
+        return;
+    }
+    m_session->m_transaction->hasWritten |= isWrite();
+    m_session->m_transaction->database = attempt->database;
+    m_session->m_transaction->lease = std::move(attempt->lease);
+}
+
+bool StatementRun::commitsWrites() const
+{
+    if (m_statement.kind == StatementKind::Commit)
+        return m_session->m_transaction->hasWritten;
+    return isWrite() && !isInTransaction();
+}
+
+void StatementRun::confirmThenDeliver(const AttemptPtr &attempt, const StatementReply &reply)
+{
+    m_isConfirming = true;
+    if (commitsWrites())
+        attempt->lease.release();
+    confirm(attempt, reply);
+}
+
+void StatementRun::confirm(const AttemptPtr &attempt, const StatementReply &reply)
+{
+    const auto done = [weak = weak_from_this(), attempt, reply](bool isConfirmed) {
+        const auto self = weak.lock();
+        if (self && self->m_session)
+            self->confirmed(attempt, reply, isConfirmed);
+        else
+            attempt->lease.release();
+    };
+    // A commit shows that the database led under the term of its position; a read shows nothing.
+    if (commitsWrites() && reply.position)
+        upstreams().confirmCommit(m_route.group, attempt->database, reply.position->term, done);
+    else
+        upstreams().confirmLeading(m_route.group, attempt->database, done);
+}
+
+void StatementRun::confirmed(const AttemptPtr &attempt, const StatementReply &reply,
+                             bool isConfirmed)
+{
+    const bool commits = commitsWrites();
+    if (isConfirmed) {
+        m_isConfirming = false;
+        if (!commits)
+            keepLink(attempt);
+        deliver(reply);
+        return;
+    }
+    if (!commits) {
+        m_isConfirming = false;
+        attempt->lease.release();
+        m_lastMessage = "the primary could not be shown to lead";
+        retryAfter(primaryPoll);
+        return;
+    }
+    // Evidence of any later moment will do, so it is asked for until the deadline.
+    upstreams().context().timers.after(evidenceRetry, [weak = weak_from_this(), attempt, reply] {
+        const auto self = weak.lock();
+        if (self && self->m_session)
+            self->confirm(attempt, reply);
+    });
+}
+
+void StatementRun::deadlinePassed()
+{
+    m_deadlineTimer = 0;
+    if (!m_session)
+        return;
+    if (m_wasSent && now() < m_deadline) {
+        scheduleDeadline(m_deadline);
+        return;
+    }
+    const bool isOut =
+            m_isConfirming
+            || std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPtr &attempt) {
+                   return attempt->isSent && !attempt->isEnded;
+               });
+    if (commitsWrites() && isOut) {
+        giveUp(StatementFailure::InDoubt, "no answer within the timeout");
+        return;
+    }
+    if (isInTransaction() && !isFirstOfTransaction()) {
+        giveUp(m_lastFailure, m_lastMessage);
+        return;
+    }
+    giveUp(isOut ? StatementFailure::TimedOut : m_lastFailure,
+           isOut ? "no answer within the timeout" : m_lastMessage);
+}
+
+void StatementRun::giveUp(StatementFailure failure, const std::string &message)
+{
+    const bool isCommit = m_statement.kind == StatementKind::Commit;
+    const bool failsTransaction = isInTransaction() && !isCommit;
+    finish({.failure = failure,
+            .message = message,
+            .phase = failsTransaction ? SessionPhase::Failed : SessionPhase::Idle});
+}
+
+void StatementRun::deliver(const StatementReply &reply)
+{
+    StatementReply answer = reply;
+    const bool staysOpen = isInTransaction() && m_statement.kind != StatementKind::Commit;
+    answer.phase = staysOpen ? SessionPhase::InTransaction : SessionPhase::Idle;
+    finish(answer);
+}
+
+void StatementRun::finish(StatementReply reply)
+{
+    const auto self = shared_from_this();
+    StatementSession *session = m_session;
+    logEnd(reply);
+    abandon();
+    if (reply.phase == SessionPhase::Idle)
+        session->m_transaction.reset();
+    session->m_phase = reply.phase;
+    session->m_run.reset();
+    session->reply(std::move(reply));
+}
+
+void StatementRun::abandon()
+{
+    Timers &timers = upstreams().context().timers;
+    timers.cancel(std::exchange(m_deadlineTimer, 0));
+    timers.cancel(std::exchange(m_retryTimer, 0));
+    timers.cancel(std::exchange(m_hedgeTimer, 0));
+    dropWaitingAttempts();
+    for (const AttemptPtr &attempt : m_attempts) {
+        if (!attempt->isSent || attempt->isEnded)
+            continue;
+        // The database is still at work; its answer frees the connection, or time does.
+        timers.after(lingerTime, [weak = std::weak_ptr(attempt)] {
+            if (const auto late = weak.lock())
+                late->lease.release();
+        });
+    }
+    m_session = nullptr;
+}
+
+void StatementRun::logEnd(const StatementReply &reply) const
+{
+    Counters &counters = upstreams().context().counters;
+    if (reply.isSuccess()) {
+        counters.counter("fescuespring_statements_served_total").add();
+        upstreams().servedTimes().add(now() - m_startedAt);
+        return;
+    }
+    counters.counter("fescuespring_statements_refused_total", "reason", toString(reply.failure))
+            .add();
+    const LeadershipView &leadership = upstreams().leadership();
+    const auto believed = leadership.primary(m_route.group);
+    const auto askedAt = leadership.askedAt();
+    upstreams().context().log.info(
+            "statement-failed",
+            {{"id", m_id},
+             {"kind", toString(m_statement.kind)},
+             {"group", m_route.group},
+             {"route", m_route.name},
+             {"reason", toString(reply.failure)},
+             {"message", reply.message},
+             {"database", m_attempts.empty() ? DatabaseId() : m_attempts.back()->database},
+             {"tries", m_tries},
+             {"transaction", isInTransaction()},
+             {"primary", believed ? believed->database : DatabaseId()},
+             {"term", leadership.knownTerm(m_route.group)},
+             {"moving", believed && believed->isMoving},
+             {"records-age", askedAt ? now() - *askedAt : Duration(-1)},
+             {"age", now() - m_startedAt}});
+}
+
+} // namespace fescuespring::detail
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -10,6 +10,9 @@
 
 namespace fescuespring::detail {
 
+// Pause before a primary that cannot take a statement now is tried again.
+inline constexpr Duration primaryPoll = std::chrono::milliseconds(25);
+
 // One statement on its way: chooses a database, waits for a connection, tries again where nothing
 // has run, asks a second database where a read is late, gathers the evidence that an answer needs,
 // and answers the session once. Attempts that are still out when the session has its answer end by
