--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -85,7 +85,7 @@
     void commitFailed();
     void rollBack();
     void runOn(const RequestId &id, const Statement &statement);
-    void reply(StatementReply reply);
+    void reply(const StatementReply &reply);
     void refuse(StatementFailure failure, const std::string &message);
     void watchIdleTransaction();
     std::optional<Route> currentRoute() const;
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -259,7 +259,7 @@
     finish(answer);
 }
 
-void StatementRun::finish(StatementReply reply)
+void StatementRun::finish(const StatementReply &reply)
 {
     const auto self = shared_from_this();
     StatementSession *session = m_session;
@@ -269,7 +269,7 @@
         session->m_transaction.reset();
     session->m_phase = reply.phase;
     session->m_run.reset();
-    session->reply(std::move(reply));
+    session->reply(reply);
 }
 
 void StatementRun::abandon()
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -82,7 +82,7 @@
     void deadlinePassed();
     void giveUp(StatementFailure failure, const std::string &message);
     void deliver(const StatementReply &reply);
-    void finish(StatementReply reply);
+    void finish(const StatementReply &reply);
     void dropWaitingAttempts();
     void logEnd(const StatementReply &reply) const;
 
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -139,7 +139,7 @@
     m_run->start();
 }
 
-void StatementSession::reply(StatementReply reply)
+void StatementSession::reply(const StatementReply &reply)
 {
     watchIdleTransaction();
     m_options.onReply(reply);
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -35,7 +35,7 @@
             .electorate = [this, group] { return electorate(group); },
             .askStatus =
                     [this](const DatabaseId &database, TermEvidence::StatusDone done) {
-                        askStatus(database, done);
+                        askStatus(database, std::move(done));
                     }});
     return *known;
 }
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -189,9 +189,7 @@
                               [this](const VmRecord &record) { return record.vm == m_context.vm; })
                 > 0;
     }
-    if (!m_areVmsKnown)
-        access.own->setLimits(0, emergencyConnections, 1);
-    else if (access.isOwner)
+    if (m_areVmsKnown && access.isOwner)
         access.own->setLimits(shares.kept, shares.maximum, shares.fewestStatements);
     else
         access.own->setLimits(0, emergencyConnections, 1);
@@ -244,7 +242,7 @@
         const bool wasLost = lostAt != m_peerLostAt.end();
         if (wasLost && now - lostAt->second <= peerRest)
             continue;
-        const std::shared_ptr<RelayPeer> candidate = peer(record);
+        std::shared_ptr<RelayPeer> candidate = peer(record);
         if (candidate->isConnected()) {
             if (wasLost)
                 m_peerLostAt.erase(lostAt);
--- a/libs/upstreampool/include/upstreampool/databaselink.h
+++ b/libs/upstreampool/include/upstreampool/databaselink.h
@@ -91,7 +91,7 @@
     void leaveGate(Duration time);
     void sendStatement();
     void prologueReplied(const StatementReply &reply);
-    void finish(LinkOutcome outcome);
+    void finish(const LinkOutcome &outcome);
 
     Timers &m_timers;
     Options m_options;
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -133,7 +133,7 @@
     breakOff({.code = ErrorCode::Refused, .message = "values or prepared statement refused"});
 }
 
-void DatabaseLink::finish(LinkOutcome outcome)
+void DatabaseLink::finish(const LinkOutcome &outcome)
 {
     leaveGate(Duration(0));
     const Done done = std::exchange(m_done, nullptr);
