A restarted VM does not take news of its earlier life for an order to leave

Every life began with incarnation 0, so the VM could not tell the news from an order and stopped itself. The test then asked a VM that was gone. Ruled out: the numbers of ended processes in stopAll of another test (a trial did not get a number back within a minute; stopAll signals only running jobs of its own shell now, all the same), and load (the log has the refutation's path step by step). Change: MembershipOptions::firstIncarnation, from the clock in the daemon. A clock that was set back gives a lower number; then the news is of a higher incarnation and is refuted as before. Test: membership, restartedMemberIsNotToldToLeave: red before (toldToLeave), green after. planned-stop says now which VM did not come back, instead of passing over the wait.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -27,6 +27,11 @@
     // Seed of the random choices.
     std::uint64_t randomSeed = 1;
 
+    // Incarnation that this life of the VM begins with. It must differ from those of earlier lives:
+    // what others still tell of an earlier one, such as that it is leaving, would else be taken for
+    // news of this one.
+    Incarnation firstIncarnation = {};
+
     // Each period, the next member of a ring and a random one are probed.
     std::chrono::milliseconds period{250};
 
--- a/libs/membership/src/membershipdata.h
+++ b/libs/membership/src/membershipdata.h
@@ -68,6 +68,7 @@
         , m_random(m_options.randomSeed)
         , m_list(m_options.self)
         , m_probes(m_options)
+        , m_incarnation(m_options.firstIncarnation)
     {}
 
     void tick(Instant now);
--- a/libs/membership/tests/membershiptest.cpp
+++ b/libs/membership/tests/membershiptest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(restartedVmIsTakenBack);
     CPPUNIT_TEST(laggingListMakesNobodyAliveOrDead);
     CPPUNIT_TEST(listSaysWhoIsLeaving);
+    CPPUNIT_TEST(restartedMemberIsNotToldToLeave);
     CPPUNIT_TEST(badDatagramsChangeNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -183,6 +184,22 @@
         CPPUNIT_ASSERT(network.allCount(9));
     }
 
+    // The datagrams that say that it has left are lost; others still hold it for leaving.
+    void restartedMemberIsNotToldToLeave()
+    {
+        MemberNetwork network({.count = 3, .seed = 14});
+        network.run(3s);
+        network.apply(0, network[0].announceLeaving(network.now()));
+        network.run(100ms);
+        network.crash(0);
+        network.run(25ms);
+        network.restart(0);
+        network.run(5s);
+        CPPUNIT_ASSERT(!network.toldToLeave(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), network[1].activeMembers().size());
+        CPPUNIT_ASSERT(network.allCount(3));
+    }
+
     void badDatagramsChangeNothing()
     {
         MemberNetwork network({.count = 3, .seed = 13});
--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -29,6 +29,15 @@
     return "groups/" + group.value();
 }
 
+// Differs from life to life. A clock that was set back gives a lower number than an earlier life
+// had; the VM then refutes what is told of that life.
+Incarnation incarnationFromClock()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    return Incarnation(static_cast<std::uint64_t>(count));
+}
+
 MembershipOptions membershipOptions(const DaemonSettings &settings, std::uint64_t seed)
 {
     return {.self = settings.vm,
@@ -37,7 +46,8 @@
                           .callers = settings.callerEndpoint,
                           .peers = settings.peerEndpoint},
             .seeds = settings.seeds,
-            .randomSeed = seed};
+            .randomSeed = seed,
+            .firstIncarnation = incarnationFromClock()};
 }
 
 } // namespace
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -8,7 +8,6 @@
 platform=$base
 platformControl=$((base + 1))
 work=$(mktemp -d)
-declare -a pids=()
 declare -A pidOf=()
 failures=0
 token=""
@@ -17,9 +16,12 @@
 # Data centres of the VMs and databases, by number; those not named are in andong.
 declare -A placeOfVm=() placeOfDatabase=()
 
+# Ends what this shell started and what still runs: the number of a process that has ended may
+# belong to somebody else by now.
 stopAll() {
-    for pid in "${pids[@]}"; do kill -CONT "$pid" 2> /dev/null; kill "$pid" 2> /dev/null; done
-    for pid in "${pids[@]}"; do wait "$pid" 2> /dev/null; done
+    local pid
+    for pid in $(jobs -rp); do kill -CONT "$pid" 2> /dev/null; kill "$pid" 2> /dev/null; done
+    wait 2> /dev/null
     rm -rf "$work"
 }
 trap stopAll EXIT
@@ -30,7 +32,6 @@
     shift
     "$@" >> "$work/$name.log" 2>&1 &
     pidOf[$name]=$!
-    pids+=($!)
 }
 # killHard NAME: kill -9, without the shell's own message.
 killHard() {
--- a/tests/process/planned-stop.test.sh
+++ b/tests/process/planned-stop.test.sh
@@ -34,8 +34,8 @@
     wait "${pidOf[vm-$vm]}"
     expect "stop $((stop + 1)): vm-$vm exits with 0" '^0$' "$?"
     startVm $vm
-    waitFor 10 serving $vm
-    waitFor 10 hasMembers $vm 3
+    waitFor 10 serving $vm || expect "vm-$vm serves again" '"serving":true' "$(vmStatus $vm)"
+    waitFor 10 hasMembers $vm 3 || expect "vm-$vm has its members" '.{99999}' "$(vmStatus $vm)"
 done
 touch "$work/end"
 wait "${callers[@]}"
--- a/tests/support/membernetwork.h
+++ b/tests/support/membernetwork.h
@@ -239,7 +239,9 @@
                                   .dataCentre = DataCentreId("north"),
                                   .endpoints = {heartbeatOf(index), callers, peers},
                                   .seeds = {heartbeatOf(0), heartbeatOf(1), heartbeatOf(2)},
-                                  .randomSeed = m_options.seed * 1000 + index},
+                                  .randomSeed = m_options.seed * 1000 + index,
+                                  .firstIncarnation = Incarnation(static_cast<std::uint64_t>(
+                                          1 + m_now.time_since_epoch().count()))},
                 *node.counters);
         node.isUp = true;
     }
