Control work of a VM no longer grows with databases times VMs

Databases grow with the VMs there. Found by reading what a tick of 100 ms does: votes on each database were counted over copies of all VM records, the databases of each group were sought among all entries (also by each statement), owners were worked out by sorting all VMs for each database, and each follower got all leadership records 2.5 times a second and parsed them. Ruled out: the store (config acknowledged in 1 s at 100 VMs, rates not reached), memory. Tests: answersFollowEachChange, unchangedRecordsAreNotSentAgain (10 answers took 10 times the records before, less than one time now); the tests of owners, directory, coordination unchanged and green.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -94,6 +94,7 @@
     void renew();
     void writeOwnRecord();
     void ownRecordWritten(const Result<WriteAnswer> &answer);
+    bool hearsNothing(const UpstreamEntry &entry);
     void watchDatabases();
     bool isLostForMost(const DatabaseId &database) const;
     bool isOthersSuspect(const DatabaseId &database) const;
@@ -118,7 +119,8 @@
     std::optional<DatedRecords> m_records;
     bool m_isReachable = false;
     std::optional<RouteConfiguration> m_configuration;
-    std::vector<VmId> m_sharedAmong;
+    // The living VMs among whom connections were shared out last.
+    std::optional<std::uint64_t> m_sharedVersion;
     bool m_wasSettled = false;
     bool m_isRestart = false;
     Instant m_startedAt;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -184,15 +184,20 @@
 void Coordinator::take(const DatedRecords &records)
 {
     Log &log = m_upstreams.context().log;
+    const bool isNewer = !m_records || records.askedAt > m_records->askedAt;
+    if (!isNewer)
+        return;
+    const bool differs = !m_records || records.objects != m_records->objects;
+    if (!differs) {
+        m_records->askedAt = records.askedAt;
+        m_upstreams.leadership().confirmed(records.askedAt);
+        return;
+    }
     const Result<LeadershipSnapshot> snapshot = decodeSnapshot(records.objects);
     if (!snapshot) {
         log.error("leadership-unreadable", {{"error", describe(snapshot.error())}});
         return;
     }
-    const bool isNewer = !m_records || records.askedAt > m_records->askedAt;
-    const bool differs = !m_records || records.objects != m_records->objects;
-    if (!isNewer)
-        return;
     for (const LeadershipRecord &record : snapshot.value().records) {
         const LeadershipRecord before = m_upstreams.leadership().record(record.group);
         if (before.version == record.version)
@@ -206,8 +211,6 @@
     }
     m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
     m_records = records;
-    if (!differs)
-        return;
     if (m_options.onRecordsChanged)
         m_options.onRecordsChanged();
     if (!m_isStopping)
@@ -281,7 +284,7 @@
 void Coordinator::configurationChanged(const RouteConfiguration &configuration)
 {
     m_configuration = configuration;
-    m_sharedAmong.clear();
+    m_sharedVersion.reset();
     shareConnections();
 }
 
@@ -289,25 +292,18 @@
 {
     if (!m_configuration)
         return;
-    const std::vector<VmRecord> vms = m_vms.living(now());
+    const std::uint64_t version = m_vms.livingVersion(now());
     const bool isSettled = m_isRestart || now() - m_startedAt > settlingTime;
-    std::vector<VmId> names;
-    names.reserve(vms.size());
-    for (const VmRecord &record : vms)
-        names.push_back(record.vm);
-    if (names == m_sharedAmong && isSettled == m_wasSettled)
+    if (version == m_sharedVersion && isSettled == m_wasSettled)
         return;
-    m_sharedAmong = std::move(names);
+    m_sharedVersion = version;
     m_wasSettled = isSettled;
-    m_upstreams.shareConnections(*m_configuration, vms, isSettled);
+    m_upstreams.shareConnections(*m_configuration, m_vms.living(now()), isSettled);
 }
 
 std::vector<GroupId> Coordinator::groups() const
 {
-    std::set<GroupId> groups;
-    for (const UpstreamEntry &entry : m_upstreams.directory().all())
-        groups.insert(entry.target.group);
-    return {groups.begin(), groups.end()};
+    return m_upstreams.directory().groups();
 }
 
 std::vector<SuccessionCandidate> Coordinator::candidates(const GroupId &group) const
@@ -328,29 +324,33 @@
     return m_vms.silentCount(database, now()) > 0;
 }
 
+// Whether a primary is silent here; asks it where it has been quiet. The word on a database is with
+// those VMs that hold connections to it.
+bool Coordinator::hearsNothing(const UpstreamEntry &entry)
+{
+    const DatabaseId &database = entry.target.database;
+    const auto believed = m_upstreams.leadership().primary(entry.target.group);
+    if (!believed || believed->database != database)
+        return false;
+    const auto seen = m_upstreams.ownObservation(database);
+    if (!seen)
+        return false;
+    const bool isSuspect = isOthersSuspect(database);
+    const Duration quiet = now() - seen->lastHeard;
+    if (quiet > quietPrimary || (isSuspect && quiet > suspectedQuiet))
+        m_upstreams.probeOwn(database);
+    const Duration silence = seen->silentSince ? now() - *seen->silentSince : Duration(0);
+    return silence > (isSuspect ? suspectedSilentAfter : silentAfter);
+}
+
 void Coordinator::watchDatabases()
 {
     m_upstreams.probeSilent();
     std::set<DatabaseId> silent;
-    for (const UpstreamEntry &entry : m_upstreams.directory().all()) {
-        const DatabaseId &database = entry.target.database;
-        // The word on a database is with those VMs that hold connections to it.
-        const auto own = m_upstreams.ownObservation(database);
-        if (!own)
-            continue;
-        const DatabaseObservation &seen = *own;
-        const auto believed = m_upstreams.leadership().primary(entry.target.group);
-        const bool isPrimary = believed && believed->database == database;
-        const Duration quiet = now() - seen.lastHeard;
-        const Duration silence = seen.silentSince ? now() - *seen.silentSince : Duration(0);
-        const bool mustAsk =
-                quiet > quietPrimary || (isOthersSuspect(database) && quiet > suspectedQuiet);
-        if (isPrimary && mustAsk)
-            m_upstreams.probeOwn(database);
-        const Duration limit = isOthersSuspect(database) ? suspectedSilentAfter : silentAfter;
-        if (isPrimary && silence > limit)
-            silent.insert(database);
-    }
+    m_upstreams.directory().forEach([this, &silent](const UpstreamEntry &entry) {
+        if (hearsNothing(entry))
+            silent.insert(entry.target.database);
+    });
     if (silent == m_own.silentDatabases)
         return;
     m_upstreams.context().log.info(
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace fescuespring {
@@ -69,6 +70,17 @@
     std::vector<UpstreamEntry> group(const GroupId &group) const;
     std::vector<UpstreamEntry> all() const;
 
+    // Groups that have a database, ordered by name.
+    std::vector<GroupId> groups() const;
+
+    bool isEmpty() const
+    {
+        return m_entries.empty();
+    }
+
+    // Calls visit for each entry, ordered by name; visit must not change the directory.
+    void forEach(const std::function<void(const UpstreamEntry &)> &visit) const;
+
     // How many databases the group has, those that were lost lately among them.
     std::size_t groupSize(const GroupId &group, Instant now) const;
 
@@ -86,7 +98,10 @@
         Instant at;
     };
 
+    void leaveGroup(const UpstreamEntry &entry);
+
     std::map<DatabaseId, Known> m_entries;
+    std::map<GroupId, std::set<DatabaseId>> m_groups;
     std::map<DatabaseId, Lost> m_lost;
 };
 
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -18,12 +18,24 @@
         const UpstreamEntry &old = found->second.entry;
         isNewLife = old.startedAt != entry.startedAt || old.target.endpoint != entry.target.endpoint
                     || old.target.group != entry.target.group;
+        leaveGroup(old);
     }
     m_lost.erase(entry.target.database);
+    m_groups[entry.target.group].insert(entry.target.database);
     m_entries[entry.target.database] = {.entry = entry, .missingSince = {}};
     m_hooks.onEntry(entry, isNewLife);
 }
 
+void UpstreamDirectory::leaveGroup(const UpstreamEntry &entry)
+{
+    const auto members = m_groups.find(entry.target.group);
+    if (members == m_groups.end())
+        return;
+    members->second.erase(entry.target.database);
+    if (members->second.empty())
+        m_groups.erase(members);
+}
+
 void UpstreamDirectory::vanished(const DatabaseId &database, Instant now)
 {
     const auto found = m_entries.find(database);
@@ -54,6 +66,7 @@
         }
         const UpstreamEntry gone = known->second.entry;
         known = m_entries.erase(known);
+        leaveGroup(gone);
         if (!gone.isDraining)
             m_lost[gone.target.database] = {gone.target.group, now};
         m_hooks.onGone(gone);
@@ -69,19 +82,38 @@
 std::vector<UpstreamEntry> UpstreamDirectory::group(const GroupId &group) const
 {
     std::vector<UpstreamEntry> entries;
-    for (const auto &[database, known] : m_entries) {
-        if (known.entry.target.group == group)
-            entries.push_back(known.entry);
-    }
+    const auto members = m_groups.find(group);
+    if (members == m_groups.end())
+        return entries;
+    entries.reserve(members->second.size());
+    for (const DatabaseId &database : members->second)
+        entries.push_back(m_entries.at(database).entry);
     return entries;
 }
 
+std::vector<GroupId> UpstreamDirectory::groups() const
+{
+    std::vector<GroupId> groups;
+    groups.reserve(m_groups.size());
+    for (const auto &[group, members] : m_groups)
+        groups.push_back(group);
+    return groups;
+}
+
+void UpstreamDirectory::forEach(const std::function<void(const UpstreamEntry &)> &visit) const
+{
+    for (const auto &[database, known] : m_entries)
+        visit(known.entry);
+}
+
 std::size_t UpstreamDirectory::groupSize(const GroupId &group, Instant now) const
 {
     const auto lost = std::count_if(m_lost.begin(), m_lost.end(), [&](const auto &entry) {
         return entry.second.group == group && now < entry.second.at + goneDatabaseCounts;
     });
-    return this->group(group).size() + static_cast<std::size_t>(lost);
+    const auto members = m_groups.find(group);
+    const std::size_t present = members == m_groups.end() ? 0 : members->second.size();
+    return present + static_cast<std::size_t>(lost);
 }
 
 std::vector<UpstreamEntry> UpstreamDirectory::all() const
--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -43,6 +43,9 @@
     // Takes over the records as they were at some moment after askedAt.
     void snapshot(const LeadershipSnapshot &snapshot, Instant askedAt);
 
+    // The records of the last snapshot still stood at some moment after askedAt.
+    void confirmed(Instant askedAt);
+
     // A record that was written or read by itself; no evidence of anything at a later moment.
     void learn(const LeadershipRecord &record);
 
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -28,6 +28,12 @@
         learn(record);
 }
 
+void LeadershipView::confirmed(Instant askedAt)
+{
+    if (m_askedAt && askedAt > *m_askedAt)
+        m_askedAt = askedAt;
+}
+
 void LeadershipView::learn(const LeadershipRecord &record)
 {
     Group &group = m_groups[record.group];
--- a/libs/relay/include/relay/ownership.h
+++ b/libs/relay/include/relay/ownership.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/types.h"
+#include "placement/placement.h"
 #include "vmregistry/vmregistry.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace fescuespring {
@@ -28,11 +30,33 @@
 // that together they never ask for more than the database bears.
 ConnectionShares shareOut(std::uint32_t connections, std::uint32_t slots, std::size_t vms);
 
-// The VMs that hold connections to a database, in the order in which self is to try them: those of
-// its own data centre first, spread over the VMs that ask. Spread over data centres, and every VM
-// that knows the same VMs comes to the same set.
-std::vector<VmRecord> databaseOwners(const std::vector<VmRecord> &vms, const DatabaseId &database,
-                                     std::size_t count, const VmId &self,
-                                     const DataCentreId &dataCentre);
+// Who holds the connections to each database, among given VMs. Built once for a set of VMs, as the
+// answer is asked for each database; every VM that knows the same VMs comes to the same owners.
+//
+//     const OwnerPlan plan(registry.living(now));
+//     const std::vector<VmRecord> order = plan.owners(database, shares.owners, self, dataCentre);
+class OwnerPlan
+{
+public:
+    OwnerPlan() = default;
+    explicit OwnerPlan(std::vector<VmRecord> vms);
+
+    // The owners of a database, spread over data centres, in the order in which self is to try
+    // them: those of its own data centre first, spread over the VMs that ask.
+    std::vector<VmRecord> owners(const DatabaseId &database, std::size_t count, const VmId &self,
+                                 const DataCentreId &dataCentre) const;
+
+    std::size_t size() const
+    {
+        return m_vms.size();
+    }
+
+private:
+    const VmRecord &record(const VmId &vm) const;
+
+    // Ordered by name.
+    std::vector<VmRecord> m_vms;
+    std::map<DataCentreId, Placement> m_placements;
+};
 
 } // namespace fescuespring
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -1,11 +1,10 @@
 #include "relay/ownership.h"
 
-#include "placement/placement.h"
-
 #include <algorithm>
 #include <cmath>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace fescuespring {
 
@@ -30,12 +29,6 @@
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(each));
 }
 
-const VmRecord &recordOf(const std::vector<VmRecord> &vms, const VmId &vm)
-{
-    return *std::find_if(vms.begin(), vms.end(),
-                         [&vm](const VmRecord &record) { return record.vm == vm; });
-}
-
 // Takes the first VM of each data centre in turn, then the second, and so on.
 std::vector<VmId> inTurn(const std::map<DataCentreId, std::vector<VmId>> &orders, std::size_t count)
 {
@@ -67,25 +60,39 @@
     return shares;
 }
 
-std::vector<VmRecord> databaseOwners(const std::vector<VmRecord> &vms, const DatabaseId &database,
-                                     std::size_t count, const VmId &self,
-                                     const DataCentreId &dataCentre)
+OwnerPlan::OwnerPlan(std::vector<VmRecord> vms)
+    : m_vms(std::move(vms))
+{
+    std::ranges::sort(m_vms, {}, [](const VmRecord &record) { return record.vm; });
+    std::map<DataCentreId, std::vector<VmId>> members;
+    for (const VmRecord &record : m_vms)
+        members[record.dataCentre].push_back(record.vm);
+    for (const auto &[dataCentre, vmsThere] : members)
+        m_placements.emplace(dataCentre, Placement(vmsThere));
+}
+
+const VmRecord &OwnerPlan::record(const VmId &vm) const
+{
+    return *std::ranges::lower_bound(m_vms, vm, {},
+                                     [](const VmRecord &record) { return record.vm; });
+}
+
+std::vector<VmRecord> OwnerPlan::owners(const DatabaseId &database, std::size_t count,
+                                        const VmId &self, const DataCentreId &dataCentre) const
 {
     std::map<DataCentreId, std::vector<VmId>> orders;
-    for (const VmRecord &record : vms)
-        orders[record.dataCentre].push_back(record.vm);
-    for (auto &[place, members] : orders)
-        members = Placement(members).owners("connections " + database.value(), members.size());
-    const std::vector<VmId> owners = inTurn(orders, count);
+    for (const auto &[place, placement] : m_placements)
+        orders[place] = placement.owners("connections " + database.value(), count);
+    const std::vector<VmId> chosen = inTurn(orders, count);
     // Who asks draws an order of its own, so that the askers spread.
     const std::vector<VmId> spread =
-            Placement(owners).owners("asks " + self.value() + ' ' + database.value(), count);
+            Placement(chosen).owners("asks " + self.value() + ' ' + database.value(), count);
     std::vector<VmRecord> ordered;
     ordered.reserve(spread.size());
     for (const VmId &vm : spread)
-        ordered.push_back(recordOf(vms, vm));
-    std::stable_partition(ordered.begin(), ordered.end(),
-                          [&](const VmRecord &record) { return record.dataCentre == dataCentre; });
+        ordered.push_back(record(vm));
+    std::ranges::stable_partition(
+            ordered, [&](const VmRecord &owner) { return owner.dataCentre == dataCentre; });
     return ordered;
 }
 
--- a/libs/relay/tests/ownershiptest.cpp
+++ b/libs/relay/tests/ownershiptest.cpp
@@ -67,9 +67,9 @@
     {
         std::vector<VmRecord> all = vms(3, 10);
         const DatabaseId database("i-1");
-        const auto first = databaseOwners(all, database, 7, all[0].vm, all[0].dataCentre);
+        const auto first = OwnerPlan(all).owners(database, 7, all[0].vm, all[0].dataCentre);
         std::reverse(all.begin(), all.end());
-        const auto second = databaseOwners(all, database, 7, all[0].vm, all[0].dataCentre);
+        const auto second = OwnerPlan(all).owners(database, 7, all[0].vm, all[0].dataCentre);
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, first.size());
         CPPUNIT_ASSERT(names(first) == names(second));
     }
@@ -77,7 +77,7 @@
     void ownersAreSpreadOverDataCentres()
     {
         const auto owners =
-                databaseOwners(vms(3, 10), DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
+                OwnerPlan(vms(3, 10)).owners(DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
         std::map<DataCentreId, int> each;
         for (const VmRecord &record : owners)
             ++each[record.dataCentre];
@@ -88,7 +88,7 @@
     void ownDataCentreIsAskedFirst()
     {
         const auto owners =
-                databaseOwners(vms(3, 10), DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
+                OwnerPlan(vms(3, 10)).owners(DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
         CPPUNIT_ASSERT(owners.front().dataCentre == DataCentreId("dc-1"));
         CPPUNIT_ASSERT(owners.back().dataCentre != DataCentreId("dc-1"));
     }
@@ -101,8 +101,8 @@
         std::erase_if(left, [&lost](const VmRecord &record) { return record.vm == lost; });
         for (int i = 0; i < 50; ++i) {
             const DatabaseId database("i-" + std::to_string(i));
-            const auto before = names(databaseOwners(all, database, 6, VmId("x"), {}));
-            const auto after = names(databaseOwners(left, database, 6, VmId("x"), {}));
+            const auto before = names(OwnerPlan(all).owners(database, 6, VmId("x"), {}));
+            const auto after = names(OwnerPlan(left).owners(database, 6, VmId("x"), {}));
             if (!before.contains(lost))
                 CPPUNIT_ASSERT(before == after);
             std::vector<VmId> kept;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -201,7 +201,7 @@
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
     std::map<GroupId, Instant> m_evidenceFailedAt;
     std::map<GroupId, GroupLimits> m_limits;
-    std::vector<VmRecord> m_vms;
+    OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
     std::function<bool(const DatabaseId &)> m_isLostForMost = [](const DatabaseId &) {
         return false;
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -172,7 +172,7 @@
     const auto limits = m_limits.find(group);
     const std::uint32_t granted =
             limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
-    return fescuespring::shareOut(granted, entry ? entry->slots : 1, m_vms.size());
+    return fescuespring::shareOut(granted, entry ? entry->slots : 1, m_ownerPlan.size());
 }
 
 void Upstreams::shareOut(const DatabaseId &database, Access &access)
@@ -183,7 +183,7 @@
     access.owners = shares.owners;
     if (m_context.connectPeer && m_areVmsKnown) {
         access.otherOwners =
-                databaseOwners(m_vms, database, shares.owners, m_context.vm, m_context.dataCentre);
+                m_ownerPlan.owners(database, shares.owners, m_context.vm, m_context.dataCentre);
         access.isOwner =
                 std::erase_if(access.otherOwners,
                               [this](const VmRecord &record) { return record.vm == m_context.vm; })
@@ -199,7 +199,7 @@
                                  bool areAllKnown)
 {
     m_limits = configuration.groups;
-    m_vms = std::move(vms);
+    m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, known] : m_accesses) {
         shareOut(database, *known);
--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -21,6 +21,9 @@
         // Reader: the answer.
         Answer,
 
+        // Reader: the answer where the records are those that the follower holds.
+        Unchanged,
+
         // Reader: every object of a kind; at the beginning.
         All,
 
@@ -35,10 +38,13 @@
     // Of Question and Answer: pairs them.
     std::uint64_t number = 0;
 
-    // Of Answer: time since the reader asked the store, when it answered; negative where it knows
-    // nothing.
+    // Of Answer and Unchanged: time since the reader asked the store, when it answered; negative
+    // where it knows nothing.
     Duration age{-1};
 
+    // Of Question: digest of the records that the follower holds; 0 if it holds none.
+    std::uint64_t digest = 0;
+
     // Of All and Change: the kind of objects. Of Answer and All: the objects.
     std::string objectKind = {};
     std::vector<StoredObject> objects = {};
@@ -47,6 +53,9 @@
     bool isRemoved = false;
 };
 
+// Tells apart records of different keys or versions; never 0.
+std::uint64_t digestOf(const std::vector<StoredObject> &records);
+
 // Text of a message with its end of line.
 std::string encodeFeedMessage(const FeedMessage &message);
 
--- a/libs/storefeed/include/storefeed/feedreader.h
+++ b/libs/storefeed/include/storefeed/feedreader.h
@@ -30,10 +30,10 @@
 class FeedReader
 {
 public:
-    // records tells what was last read, or nothing.
+    // records gives what was last read, or null; it is not kept beyond the call.
     static Result<std::unique_ptr<FeedReader>>
     listen(EventLoop &loop, const Endpoint &endpoint, Timers &timers, StoreMirror &mirror,
-           std::function<std::optional<DatedRecords>()> records);
+           std::function<const DatedRecords *()> records);
 
     ~FeedReader();
 
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -72,7 +72,16 @@
             options.onNudge();
             break;
         case FeedMessage::Kind::Answer:
-            answer(message);
+            // An answer from before the last one that was taken holds older records.
+            if (message.age >= Duration(0) && message.number > recordsNumber) {
+                records = message.objects;
+                digest = digestOf(records);
+                recordsNumber = message.number;
+            }
+            answer(message, message.objects);
+            break;
+        case FeedMessage::Kind::Unchanged:
+            answer(message, records);
             break;
         case FeedMessage::Kind::Question:
             lost({.code = ErrorCode::Malformed, .message = "a question from a reader"});
@@ -88,10 +97,11 @@
                 self->finish(number, Error{ErrorCode::Timeout, "no answer of the reader"});
         });
         questions[number] = {timers.now(), timer, std::move(answered)};
-        stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Question, .number = number}));
+        stream->send(encodeFeedMessage(
+                {.kind = FeedMessage::Kind::Question, .number = number, .digest = digest}));
     }
 
-    void answer(const FeedMessage &message)
+    void answer(const FeedMessage &message, const std::vector<StoredObject> &objects)
     {
         const auto question = questions.find(message.number);
         if (question == questions.end())
@@ -100,8 +110,7 @@
             finish(message.number, Error{ErrorCode::Unavailable, "the reader knows nothing"});
             return;
         }
-        finish(message.number,
-               DatedRecords{message.objects, question->second.askedAt - message.age});
+        finish(message.number, DatedRecords{objects, question->second.askedAt - message.age});
     }
 
     void finish(std::uint64_t number, const Result<DatedRecords> &end)
@@ -139,6 +148,11 @@
     LineCutter lines;
     std::map<std::uint64_t, Question> questions;
     std::uint64_t lastNumber = 0;
+
+    // What the last full answer held, and to which question; 0 while there was none.
+    std::vector<StoredObject> records;
+    std::uint64_t digest = 0;
+    std::uint64_t recordsNumber = 0;
     bool isEnded = false;
 };
 
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include <array>
+#include <xxhash.h>
 
 namespace json = boost::json;
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr std::array kindNames{"question", "answer", "all", "change", "nudge"};
+constexpr std::array kindNames{"question", "answer", "unchanged", "all", "change", "nudge"};
 
 Error malformed(const char *field)
 {
@@ -55,13 +56,28 @@
 
 } // namespace
 
+std::uint64_t digestOf(const std::vector<StoredObject> &records)
+{
+    std::uint64_t digest = records.size();
+    for (const StoredObject &record : records) {
+        const std::uint64_t version = record.version.value();
+        digest = XXH3_64bits_withSeed(record.key.data(), record.key.size(), digest);
+        digest = XXH3_64bits_withSeed(&version, sizeof version, digest);
+    }
+    return digest == 0 ? 1 : digest;
+}
+
 std::string encodeFeedMessage(const FeedMessage &message)
 {
     json::object fields{{"is", kindNames[static_cast<std::size_t>(message.kind)]}};
     if (message.number != 0)
         fields["number"] = message.number;
-    if (message.kind == FeedMessage::Kind::Answer)
+    const bool isAnswer = message.kind == FeedMessage::Kind::Answer
+                          || message.kind == FeedMessage::Kind::Unchanged;
+    if (isAnswer)
         fields["ageUs"] = message.age.count();
+    if (message.digest != 0)
+        fields["digest"] = static_cast<std::int64_t>(message.digest);
     if (!message.objectKind.empty())
         fields["of"] = message.objectKind;
     if (!message.objects.empty())
@@ -87,6 +103,7 @@
     FeedMessage message{.kind = *kind};
     message.number = static_cast<std::uint64_t>(wholeOr(fields, "number", 0));
     message.age = Duration(wholeOr(fields, "ageUs", -1));
+    message.digest = static_cast<std::uint64_t>(wholeOr(fields, "digest", 0));
     if (const json::value *of = fields.if_contains("of")) {
         if (!of->is_string())
             return malformed("of");
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -23,8 +23,7 @@
         LineCutter lines;
     };
 
-    Data(Timers &vmTimers, StoreMirror &vmMirror,
-         std::function<std::optional<DatedRecords>()> vmRecords)
+    Data(Timers &vmTimers, StoreMirror &vmMirror, std::function<const DatedRecords *()> vmRecords)
         : timers(vmTimers)
         , mirror(vmMirror)
         , records(std::move(vmRecords))
@@ -65,18 +64,21 @@
                 drop(number);
                 return;
             }
-            follower.stream->send(encodeFeedMessage(answer(message.value().number)));
+            follower.stream->send(encodeFeedMessage(answer(message.value())));
         }
     }
 
-    FeedMessage answer(std::uint64_t number) const
+    FeedMessage answer(const FeedMessage &question) const
     {
-        FeedMessage message{.kind = FeedMessage::Kind::Answer, .number = number};
-        std::optional<DatedRecords> known = records();
+        FeedMessage message{.kind = FeedMessage::Kind::Answer, .number = question.number};
+        const DatedRecords *known = records();
         if (!known)
             return message;
         message.age = timers.now() - known->askedAt;
-        message.objects = std::move(known->objects);
+        if (question.digest == digestOf(known->objects))
+            message.kind = FeedMessage::Kind::Unchanged;
+        else
+            message.objects = known->objects;
         return message;
     }
 
@@ -108,7 +110,7 @@
 
     Timers &timers;
     StoreMirror &mirror;
-    std::function<std::optional<DatedRecords>()> records;
+    std::function<const DatedRecords *()> records;
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, Follower> followers;
     std::uint64_t lastNumber = 0;
@@ -126,7 +128,7 @@
 
 Result<std::unique_ptr<FeedReader>>
 FeedReader::listen(EventLoop &loop, const Endpoint &endpoint, Timers &timers, StoreMirror &mirror,
-                   std::function<std::optional<DatedRecords>()> records)
+                   std::function<const DatedRecords *()> records)
 {
     auto data = std::make_shared<Data>(timers, mirror, std::move(records));
     Result<std::unique_ptr<TcpListener>> listener =
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -22,7 +22,7 @@
     {
         reader.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)});
         auto feed = FeedReader::listen(loop, {"127.0.0.1", 0}, timers, reader,
-                                       [this] { return records; });
+                                       [this] { return records ? &*records : nullptr; });
         CPPUNIT_ASSERT(feed);
         server = std::move(feed.value());
     }
@@ -118,6 +118,7 @@
 {
     CPPUNIT_TEST_SUITE(StoreFeedLoopTest);
     CPPUNIT_TEST(followerKnowsWhatTheReaderKnows);
+    CPPUNIT_TEST(unchangedRecordsAreNotSentAgain);
     CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
     CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
     CPPUNIT_TEST(lostReaderIsTold);
@@ -149,6 +150,43 @@
         CPPUNIT_ASSERT(pair.mirror.objects("servers") == pair.reader.objects("servers"));
     }
 
+    // Pattern: hundreds of VMs ask for hundreds of records several times a second.
+    void unchangedRecordsAreNotSentAgain()
+    {
+        Pair pair;
+        const std::string large(20'000, 'x');
+        pair.records = DatedRecords{{object("a/1", 3, large)}, pair.timers.now()};
+        std::size_t received = 0;
+        std::size_t answers = 0;
+        const auto stream = TcpStream::connect(
+                pair.loop, {.endpoint = pair.server->endpoint()},
+                {.onBytes = [&](std::string_view bytes) { received += bytes.size(); },
+                 .onClosed =
+                         [](const Error &) {
+                         }});
+        const std::uint64_t digest = digestOf(pair.records->objects);
+        for (std::uint64_t i = 1; i <= 10; ++i)
+            stream->send(encodeFeedMessage(
+                    {.kind = FeedMessage::Kind::Question, .number = i, .digest = digest}));
+        pair.run(200ms);
+        CPPUNIT_ASSERT(received > 0);
+        CPPUNIT_ASSERT(received < large.size());
+        FeedFollower follower(pair.loop, pair.timers, options(pair));
+        const auto expectRecords = [&](std::uint64_t version) {
+            follower.ask(2s, [&, version](const Result<DatedRecords> &answer) {
+                CPPUNIT_ASSERT(answer && answer.value().objects.size() == 1);
+                CPPUNIT_ASSERT(answer.value().objects[0] == object("a/1", version, large));
+                ++answers;
+            });
+            pair.run(200ms);
+        };
+        expectRecords(3);
+        expectRecords(3);
+        pair.records = DatedRecords{{object("a/1", 4, large)}, pair.timers.now()};
+        expectRecords(4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers);
+    }
+
     // The reader is slow to answer, so that its word is older than it says by then.
     void ageCountsFromTheFollowersQuestion()
     {
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -46,15 +46,20 @@
 std::string encodeVmRecord(const VmRecord &record);
 Result<VmRecord> decodeVmRecord(std::string_view key, std::string_view text);
 
-// The VMs of the installation as their records in the store tell. One thread only, no clock.
+// The VMs of the installation as their records in the store tell. What is asked many times between
+// two changes, such as the living VMs, is worked out once. One thread only, no clock.
 class VmRegistry
 {
 public:
     void update(const VmRecord &record, Instant now);
     void vanished(const VmId &vm);
 
-    // VMs whose record changed lately and that are not about to stop, ordered by name.
-    std::vector<VmRecord> living(Instant now) const;
+    // VMs whose record changed lately and that are not about to stop, ordered by name. Valid until
+    // the next call with a later time or a change.
+    const std::vector<VmRecord> &living(Instant now) const;
+
+    // Rises whenever other VMs are living; of no meaning but to be compared.
+    std::uint64_t livingVersion(Instant now) const;
 
     // How many living VMs hear nothing from a database.
     std::size_t silentCount(const DatabaseId &database, Instant now) const;
@@ -68,7 +73,21 @@
         VmRecord record;
         Instant changedAt;
     };
+
+    // What follows from the records until one changes or falls silent.
+    struct Digest
+    {
+        std::vector<VmRecord> living;
+        std::map<DatabaseId, std::size_t> silent;
+        Instant validUntil;
+        std::uint64_t version = 0;
+    };
+
+    const Digest &digest(Instant now) const;
+
     std::map<VmId, Known> m_vms;
+    mutable Digest m_digest;
+    mutable bool m_isStale = true;
 };
 
 } // namespace fescuespring
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -69,42 +69,60 @@
 void VmRegistry::update(const VmRecord &record, Instant now)
 {
     const auto found = m_vms.find(record.vm);
-    if (found == m_vms.end()) {
-        m_vms.emplace(record.vm, Known{record, now});
+    if (found != m_vms.end() && found->second.record == record)
         return;
-    }
-    if (found->second.record == record)
-        return;
-    found->second = {record, now};
+    m_vms[record.vm] = {record, now};
+    m_isStale = true;
 }
 
 void VmRegistry::vanished(const VmId &vm)
 {
     m_vms.erase(vm);
+    m_isStale = true;
 }
 
-std::vector<VmRecord> VmRegistry::living(Instant now) const
+const VmRegistry::Digest &VmRegistry::digest(Instant now) const
 {
-    std::vector<VmRecord> living;
+    if (!m_isStale && now < m_digest.validUntil)
+        return m_digest;
+    Digest fresh{.validUntil = Instant::max(), .version = m_digest.version};
     for (const auto &[vm, known] : m_vms) {
-        if (!known.record.isStopping && now < known.changedAt + vmSilenceLimit)
-            living.push_back(known.record);
+        const Instant goneAt = known.changedAt + vmSilenceLimit;
+        if (known.record.isStopping || now >= goneAt)
+            continue;
+        fresh.validUntil = std::min(fresh.validUntil, goneAt);
+        fresh.living.push_back(known.record);
+        for (const DatabaseId &database : known.record.silentDatabases)
+            ++fresh.silent[database];
     }
-    return living;
+    const bool isSame =
+            std::ranges::equal(fresh.living, m_digest.living, {}, &VmRecord::vm, &VmRecord::vm);
+    fresh.version += isSame ? 0 : 1;
+    m_digest = std::move(fresh);
+    m_isStale = false;
+    return m_digest;
+}
+
+const std::vector<VmRecord> &VmRegistry::living(Instant now) const
+{
+    return digest(now).living;
+}
+
+std::uint64_t VmRegistry::livingVersion(Instant now) const
+{
+    return digest(now).version;
 }
 
 std::size_t VmRegistry::silentCount(const DatabaseId &database, Instant now) const
 {
-    const std::vector<VmRecord> vms = living(now);
-    return static_cast<std::size_t>(
-            std::count_if(vms.begin(), vms.end(), [&database](const VmRecord &record) {
-                return record.silentDatabases.contains(database);
-            }));
+    const std::map<DatabaseId, std::size_t> &silent = digest(now).silent;
+    const auto found = silent.find(database);
+    return found == silent.end() ? 0 : found->second;
 }
 
 std::size_t VmRegistry::rank(const VmId &vm, Instant now) const
 {
-    const std::vector<VmRecord> vms = living(now);
+    const std::vector<VmRecord> &vms = living(now);
     const auto found = std::find_if(vms.begin(), vms.end(),
                                     [&vm](const VmRecord &record) { return record.vm == vm; });
     return static_cast<std::size_t>(found - vms.begin());
--- a/libs/vmregistry/tests/vmregistrytest.cpp
+++ b/libs/vmregistry/tests/vmregistrytest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(silentVmIsGone);
     CPPUNIT_TEST(stoppingVmDoesNotCount);
     CPPUNIT_TEST(votesAreCounted);
+    CPPUNIT_TEST(answersFollowEachChange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +85,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, registry.silentCount(DatabaseId("a"), start));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.silentCount(DatabaseId("b"), start));
     }
+
+    // What was worked out once is worked out anew after a vote, a stop, a loss and a silence.
+    void answersFollowEachChange()
+    {
+        VmRegistry registry;
+        registry.update(record("one"), start);
+        registry.update(record("two"), start + 1s);
+        const std::uint64_t version = registry.livingVersion(start + 1s);
+        VmRecord vote = record("one", 2);
+        vote.silentDatabases = {DatabaseId("a")};
+        registry.update(vote, start + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.silentCount(DatabaseId("a"), start + 2s));
+        CPPUNIT_ASSERT_EQUAL(version, registry.livingVersion(start + 2s));
+        registry.update(record("one", 3), start + 3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.silentCount(DatabaseId("a"), start + 3s));
+        registry.vanished(VmId("one"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.living(start + 3s).size());
+        CPPUNIT_ASSERT(registry.livingVersion(start + 3s) != version);
+        // Without any call in between.
+        CPPUNIT_ASSERT(registry.living(start + 1s + vmSilenceLimit).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(VmRegistryTest);
