--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/ownobject.h"
 #include "leadership/succession.h"
 #include "statementproxy/upstreams.h"
 #include "storefeed/feedreader.h"
@@ -40,7 +41,8 @@
 //
 //     Coordinator coordinator(upstreams, store, options);
 //     coordinator.start();
-//     coordinator.vmChanged(record);       // from a watch on the records of VMs
+//     coordinator.vmChanged(record);       // as the records of VMs are read
+//     coordinator.noticeChanged(notice);   // from a watch on the notices of VMs
 //     coordinator.leadershipChanged();     // from a watch on the records of leadership
 //
 // One thread only. The store answers on that thread.
@@ -58,6 +60,7 @@
     void announceStop();
 
     void vmChanged(const VmRecord &record);
+    void noticeChanged(const VmNotice &notice);
     void vmVanished(const VmId &vm);
 
     // Something about leadership was written: reads it at once.
@@ -92,8 +95,6 @@
     void noteReachable(const Result<DatedRecords> &records);
     void take(const DatedRecords &records);
     void renew();
-    void writeOwnRecord();
-    void ownRecordWritten(const Result<WriteAnswer> &answer);
     bool hearsNothing(const UpstreamEntry &entry);
     void watchDatabases();
     bool isLostForMost(const DatabaseId &database) const;
@@ -109,9 +110,9 @@
     VmRegistry m_vms;
     std::unique_ptr<Succession> m_succession;
     VmRecord m_own;
-    ObjectVersion m_ownVersion;
-    bool m_isWriting = false;
-    bool m_mustWrite = false;
+    VmNotice m_notice;
+    OwnObject m_ownRecord;
+    OwnObject m_ownNotice;
     Instant m_renewedAt;
     std::size_t m_pollsOut = 0;
     bool m_pollAgain = false;
--- /dev/null
+++ b/libs/coordination/include/coordination/ownobject.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/timers.h"
+#include "store/objectstore.h"
+
+#include <memory>
+#include <string>
+
+namespace fescuespring {
+
+// An object of the store that only this VM writes. One write is under way at a time; the last value
+// wins, whatever was lost or came late, and is tried until it stands.
+//
+//     OwnObject record(store, timers, vmKey(vm));
+//     record.write(encodeVmRecord(own));
+//
+// One thread only. The store answers on that thread.
+class OwnObject
+{
+public:
+    OwnObject(ObjectStore &store, Timers &timers, std::string key);
+    OwnObject(const OwnObject &) = delete;
+    OwnObject &operator=(const OwnObject &) = delete;
+
+    void write(std::string value);
+
+private:
+    void send();
+    void ended(const Result<WriteAnswer> &answer);
+
+    ObjectStore &m_store;
+    Timers &m_timers;
+    std::string m_key;
+    std::string m_value;
+    ObjectVersion m_version;
+    bool m_isWriting = false;
+    bool m_mustWrite = false;
+
+    // Expires with this object; callbacks hold it weakly.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace fescuespring
--- a/libs/coordination/include/coordination/storeaccess.h
+++ b/libs/coordination/include/coordination/storeaccess.h
@@ -17,15 +17,17 @@
 
 namespace fescuespring {
 
-// How many VMs of a data centre with this many VMs read the store themselves: two, so that one may
-// be lost, where there are enough to follow them.
-std::size_t storeReaderCount(std::size_t vms);
+// Place of the VM of a data centre that reads the store for the others, and of its standby, which
+// reads it where the first one has nothing fresh.
+inline constexpr std::size_t readerRank = 0;
+inline constexpr std::size_t standbyRank = 1;
 
 // Decides whether this VM reads the store itself or follows another VM of its data centre, and
-// changes over when the one it follows is lost, falls behind or leaves. Store calls so grow with
-// the data centres and not with the VMs. A VM that has nothing fresh, from the store or the VM that
-// it follows, asks any other VM, and the store from time to time; while nobody has anything fresh
-// the store is asked by each VM about once a second, and not watched.
+// changes over when the one it follows is lost, falls behind or leaves. One VM of a data centre
+// reads, another is its standby, so store calls grow with the data centres and not with the VMs. A
+// VM that has nothing fresh, from the store or the VM that it follows, asks any other VM, and the
+// store from time to time; while nobody has anything fresh the store is asked by each VM about once
+// a second, and not watched.
 //
 //     StoreAccess access(options);
 //     access.start();
@@ -90,8 +92,12 @@
     };
 
     void consider();
+    std::size_t ownRank(const std::vector<VmRecord> &near) const;
     bool isReader(const std::vector<VmRecord> &vms) const;
-    const VmRecord *leaderToFollow(const std::vector<VmRecord> &vms);
+    bool isStandby() const;
+    const VmRecord *leaderToFollow(const std::vector<VmRecord> &vms,
+                                   const std::vector<VmRecord> &near);
+    Duration drawPause(Duration mean);
     std::vector<VmRecord> nearVms(const std::vector<VmRecord> &vms) const;
     void tryFollowing(const VmRecord &vm);
     void follow();
@@ -110,7 +116,10 @@
     // Whether the VM that is followed now is one of the readers; else it is only a stopgap.
     bool m_isStopgap = false;
     Instant m_followedSince;
-    std::size_t m_attempts = 0;
+
+    // Odd at first, so that the reader comes before its standby.
+    std::size_t m_attempts = 1;
+    bool m_isReader = false;
 
     // When the store last answered this VM, and when it is to be asked again while seeking.
     Instant m_lastAnswer;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -20,7 +20,6 @@
 constexpr Duration settlingTime = milliseconds(1200);
 
 constexpr milliseconds writeTimeout{1000};
-constexpr Duration writeRetry = milliseconds(300);
 
 // Silence after which a VM says that it hears nothing from a database.
 constexpr Duration silentAfter = milliseconds(550);
@@ -28,8 +27,11 @@
 // The same where another VM has already said so.
 constexpr Duration suspectedSilentAfter = milliseconds(300);
 
-// A primary that has been quiet for so long is asked.
+// A primary that has been quiet for so long is asked: by few VMs that hold connections to it often,
+// by the others seldom, as they ask at once where one of the few hears nothing.
 constexpr Duration quietPrimary = milliseconds(900);
+constexpr Duration longQuietPrimary = milliseconds(6000);
+constexpr std::size_t frequentAskers = 4;
 
 // The same for one that other VMs hear nothing from.
 constexpr Duration suspectedQuiet = milliseconds(250);
@@ -40,11 +42,15 @@
     : m_upstreams(upstreams)
     , m_store(store)
     , m_options(std::move(options))
+    , m_own{.vm = m_options.vm,
+            .dataCentre = m_options.dataCentre,
+            .peers = m_options.peers,
+            .relay = m_options.relay,
+            .incarnation = m_options.incarnation}
+    , m_notice{.vm = m_options.vm, .incarnation = m_options.incarnation}
+    , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm))
+    , m_ownNotice(store, upstreams.context().timers, noticeKey(m_own.vm))
 {
-    m_own = {.vm = m_options.vm,
-             .dataCentre = m_options.dataCentre,
-             .peers = m_options.peers,
-             .relay = m_options.relay};
     const ProxyContext &context = m_upstreams.context();
     m_succession = std::make_unique<Succession>(
             SuccessionOptions{.timers = context.timers,
@@ -93,7 +99,7 @@
     m_upstreams.judgeLossBy([this](const DatabaseId &database) { return isLostForMost(database); });
     m_startedAt = now();
     poll();
-    writeOwnRecord();
+    renew();
     tick();
 }
 
@@ -221,58 +227,29 @@
 {
     m_renewedAt = now();
     ++m_own.renewal;
-    writeOwnRecord();
+    m_ownRecord.write(encodeVmRecord(m_own));
 }
 
 void Coordinator::announceStop()
 {
     m_isStopping = true;
-    m_own.isStopping = true;
-    writeOwnRecord();
+    m_notice.isStopping = true;
+    m_ownNotice.write(encodeVmNotice(m_notice));
     m_succession->release();
 }
 
-void Coordinator::writeOwnRecord()
-{
-    if (m_isWriting) {
-        m_mustWrite = true;
-        return;
-    }
-    m_isWriting = true;
-    m_mustWrite = false;
-    m_renewedAt = now();
-    m_store.write({vmKey(m_own.vm), encodeVmRecord(m_own), m_ownVersion}, writeTimeout,
-                  [this, alive = std::weak_ptr(m_alive)](const Result<WriteAnswer> &answer) {
-                      if (!alive.expired())
-                          ownRecordWritten(answer);
-                  });
-}
-
-void Coordinator::ownRecordWritten(const Result<WriteAnswer> &answer)
-{
-    m_isWriting = false;
-    if (answer)
-        m_ownVersion = answer.value().version;
-    const bool isWritten = answer && answer.value().written;
-    if (isWritten && !m_mustWrite)
-        return;
-    if (isWritten || answer) {
-        writeOwnRecord();
-        return;
-    }
-    m_upstreams.context().timers.after(writeRetry, [this, alive = std::weak_ptr(m_alive)] {
-        if (!alive.expired())
-            writeOwnRecord();
-    });
-}
-
 void Coordinator::vmChanged(const VmRecord &record)
 {
     // A record of a former life: the others that started with it are on record too.
-    if (record.vm == m_own.vm && record.renewal > m_own.renewal)
+    if (record.vm == m_own.vm && record.incarnation != m_own.incarnation)
         m_isRestart = true;
     m_vms.update(record, now());
-    if (!record.silentDatabases.empty() && !m_isStopping)
+}
+
+void Coordinator::noticeChanged(const VmNotice &notice)
+{
+    m_vms.update(notice);
+    if (!notice.silentDatabases.empty() && !m_isStopping)
         m_succession->tick();
 }
 
@@ -337,7 +314,9 @@
         return false;
     const bool isSuspect = isOthersSuspect(database);
     const Duration quiet = now() - seen->lastHeard;
-    if (quiet > quietPrimary || (isSuspect && quiet > suspectedQuiet))
+    const bool asksOften = m_upstreams.ownerRank(database) < frequentAskers;
+    const Duration patience = asksOften ? quietPrimary : longQuietPrimary;
+    if (quiet > (isSuspect ? suspectedQuiet : patience))
         m_upstreams.probeOwn(database);
     const Duration silence = seen->silentSince ? now() - *seen->silentSince : Duration(0);
     return silence > (isSuspect ? suspectedSilentAfter : silentAfter);
@@ -351,13 +330,13 @@
         if (hearsNothing(entry))
             silent.insert(entry.target.database);
     });
-    if (silent == m_own.silentDatabases)
+    if (silent == m_notice.silentDatabases)
         return;
     m_upstreams.context().log.info(
             "silent-primaries-changed",
             {{"count", silent.size()}, {"first", silent.empty() ? DatabaseId() : *silent.begin()}});
-    m_own.silentDatabases = silent;
-    writeOwnRecord();
+    m_notice.silentDatabases = std::move(silent);
+    m_ownNotice.write(encodeVmNotice(m_notice));
 }
 
 } // namespace fescuespring
--- a/libs/coordination/src/storeaccess.cpp
+++ b/libs/coordination/src/storeaccess.cpp
@@ -10,6 +10,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration considerInterval = milliseconds(250);
+
+// The same while this VM neither follows nor is to read.
+constexpr Duration unsettledInterval = milliseconds(120);
 constexpr Duration askTimeout = milliseconds(300);
 
 // Records that are older are not fresh.
@@ -18,18 +21,15 @@
 // Pause between two questions to the store while it does not answer; spread by half of it.
 constexpr Duration storePause = milliseconds(900);
 
+// Time for which a VM that has lost its reader looks for another before it asks the store; spread
+// by half of it.
+constexpr Duration seekPause = milliseconds(400);
+
 // Time for which a VM that is no reader is followed before a reader, or the store, is tried again.
 constexpr Duration stopgapTime = milliseconds(2500);
 
-constexpr std::size_t vmsForTwoReaders = 5;
-
 } // namespace
 
-std::size_t storeReaderCount(std::size_t vms)
-{
-    return vms >= vmsForTwoReaders ? 2 : 1;
-}
-
 StoreAccess::StoreAccess(Options options)
     : m_options(std::move(options))
     , m_random(m_options.randomSeed)
@@ -42,7 +42,6 @@
 
 void StoreAccess::start()
 {
-    m_attempts = m_random();
     m_lastAnswer = m_options.timers.now();
     m_options.startWatching();
     consider();
@@ -56,44 +55,55 @@
     return near;
 }
 
-bool StoreAccess::isReader(const std::vector<VmRecord> &vms) const
+std::size_t StoreAccess::ownRank(const std::vector<VmRecord> &near) const
 {
-    const std::vector<VmRecord> near = nearVms(vms);
     const auto self = std::find_if(near.begin(), near.end(),
                                    [this](const VmRecord &vm) { return vm.vm == m_options.self; });
-    const auto rank = static_cast<std::size_t>(self - near.begin());
-    return self == near.end() || rank < storeReaderCount(near.size());
+    return static_cast<std::size_t>(self - near.begin());
 }
 
-// A reader of this data centre at first; where that had nothing fresh, any VM.
-const VmRecord *StoreAccess::leaderToFollow(const std::vector<VmRecord> &vms)
+// A VM that is not on record yet reads for itself.
+bool StoreAccess::isReader(const std::vector<VmRecord> &vms) const
 {
     const std::vector<VmRecord> near = nearVms(vms);
+    const std::size_t rank = ownRank(near);
+    return rank == readerRank || rank == near.size();
+}
+
+bool StoreAccess::isStandby() const
+{
+    return ownRank(nearVms(m_options.vms())) == standbyRank;
+}
+
+// The reader of this data centre at first; where that had nothing fresh, its standby and any VM in
+// turn.
+const VmRecord *StoreAccess::leaderToFollow(const std::vector<VmRecord> &vms,
+                                            const std::vector<VmRecord> &near)
+{
     const std::size_t attempt = m_attempts++;
-    const bool anyVm = m_mode == Mode::Seeking && attempt % 2 == 0;
-    const VmRecord &chosen = anyVm || near.empty()
-                                     ? vms[m_random() % vms.size()]
-                                     : near[(attempt / 2) % storeReaderCount(near.size())];
-    const auto found = std::find_if(vms.begin(), vms.end(),
-                                    [&chosen](const VmRecord &vm) { return vm.vm == chosen.vm; });
-    m_isStopgap = anyVm || near.empty();
-    return found->vm == m_options.self ? nullptr : &*found;
+    const bool asksAnybody = near.empty() || (m_mode == Mode::Seeking && attempt % 2 == 1);
+    const std::size_t rank = attempt % 4 == 0 ? standbyRank : readerRank;
+    const VmRecord &chosen =
+            asksAnybody ? vms[m_random() % vms.size()] : near[std::min(rank, near.size() - 1)];
+    m_isStopgap = near.empty() || chosen.vm != near[readerRank].vm;
+    return chosen.vm == m_options.self ? nullptr : &chosen;
 }
 
 void StoreAccess::consider()
 {
-    m_timer = m_options.timers.after(considerInterval, [this] { consider(); });
+    m_options.timers.cancel(m_timer);
+    const bool isSettled = m_mode == Mode::Following || m_isReader;
+    m_timer = m_options.timers.after(isSettled ? considerInterval : unsettledInterval,
+                                     [this] { consider(); });
     const std::vector<VmRecord> vms = m_options.vms();
     if (vms.empty())
         return;
     const Instant now = m_options.timers.now();
-    const bool reads = isReader(vms);
+    const bool reads = m_isReader = isReader(vms);
     if (m_mode == Mode::Following) {
         const bool isOver = (m_isStopgap || reads) && now - m_followedSince > stopgapTime;
-        if (isOver) {
-            m_askStoreFrom = now;
+        if (isOver)
             seek("stopgap is over");
-        }
         return;
     }
     if (m_mode == Mode::Direct && now - m_lastAnswer > oldestRecords)
@@ -101,7 +111,8 @@
     const bool mayFollow = m_mode == Mode::Seeking || !reads;
     if (m_follower || !mayFollow)
         return;
-    if (const VmRecord *vm = leaderToFollow(vms))
+    const std::vector<VmRecord> near = nearVms(vms);
+    if (const VmRecord *vm = leaderToFollow(vms, near))
         tryFollowing(*vm);
 }
 
@@ -160,9 +171,22 @@
     if (m_mode == Mode::Direct)
         m_options.stopWatching();
     m_mode = Mode::Seeking;
+    // The standby reads in the reader's place; the others find it there before they ask themselves.
+    m_askStoreFrom = m_options.timers.now();
+    if (!isStandby())
+        m_askStoreFrom += drawPause(seekPause);
+    m_timer = m_options.timers.after(Duration(0), [this] { consider(); });
     m_options.onNudge();
 }
 
+// Between half of a time and one and a half of it.
+Duration StoreAccess::drawPause(Duration mean)
+{
+    using Count = Duration::rep;
+    return Duration(
+            std::uniform_int_distribution<Count>(mean.count() / 2, mean.count() * 3 / 2)(m_random));
+}
+
 void StoreAccess::dropFollower()
 {
     if (!m_follower)
@@ -193,10 +217,7 @@
         });
         return;
     }
-    using Count = Duration::rep;
-    const Duration pause(std::uniform_int_distribution<Count>(
-            storePause.count() / 2, storePause.count() * 3 / 2)(m_random));
-    m_askStoreFrom = now + pause;
+    m_askStoreFrom = now + drawPause(storePause);
     readDirectly(std::move(done));
 }
 
--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -158,9 +158,12 @@
     {
         store.onWritten = [this](const StoredObject &object) {
             const Result<VmRecord> record = decodeVmRecord(object.key, object.value);
+            const Result<VmNotice> notice = decodeVmNotice(object.key, object.value);
             for (const auto &vm : vms) {
                 if (record)
                     vm->coordinator.vmChanged(record.value());
+                else if (notice)
+                    vm->coordinator.noticeChanged(notice.value());
                 else
                     vm->coordinator.leadershipChanged();
             }
@@ -264,7 +267,7 @@
         World world;
         Vm vm(world, "vm-0");
         CPPUNIT_ASSERT(!vm.upstreams.areVmsKnown());
-        vm.coordinator.vmChanged({.vm = VmId("vm-0"), .renewal = 4});
+        vm.coordinator.vmChanged({.vm = VmId("vm-0"), .incarnation = "earlier", .renewal = 4});
         world.timers.advance(150ms);
         CPPUNIT_ASSERT(vm.upstreams.areVmsKnown());
     }
--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -86,6 +86,14 @@
     // since replicas are the likeliest to hold it; nothing if none is known.
     std::optional<LogPoint> floor(const GroupId &group, Duration bound, Instant now) const;
 
+    // The newest such point, with the moment before which it covers every commit.
+    struct DatedPoint
+    {
+        LogPoint point;
+        Instant askedAt;
+    };
+    std::optional<DatedPoint> newestFloor(const GroupId &group) const;
+
     // How old the newest point of a group is; nothing if there is none.
     std::optional<Duration> newestFloorAge(const GroupId &group, Instant now) const;
 
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -123,12 +123,19 @@
     return std::nullopt;
 }
 
-std::optional<Duration> LeadershipView::newestFloorAge(const GroupId &group, Instant now) const
+std::optional<LeadershipView::DatedPoint> LeadershipView::newestFloor(const GroupId &group) const
 {
     const auto found = m_groups.find(group);
     if (found == m_groups.end() || found->second.floors.empty())
         return std::nullopt;
-    return now - found->second.floors.back().askedAt;
+    const Floor &newest = found->second.floors.back();
+    return DatedPoint{newest.point, newest.askedAt};
+}
+
+std::optional<Duration> LeadershipView::newestFloorAge(const GroupId &group, Instant now) const
+{
+    const auto newest = newestFloor(group);
+    return newest ? std::optional(now - newest->askedAt) : std::nullopt;
 }
 
 } // namespace fescuespring
--- a/libs/relay/include/relay/ownership.h
+++ b/libs/relay/include/relay/ownership.h
@@ -46,12 +46,17 @@
     std::vector<VmRecord> owners(const DatabaseId &database, std::size_t count, const VmId &self,
                                  const DataCentreId &dataCentre) const;
 
+    // Place of a VM among the owners of a database, from 0, the same for all who ask; count if it
+    // is none.
+    std::size_t rank(const DatabaseId &database, std::size_t count, const VmId &vm) const;
+
     std::size_t size() const
     {
         return m_vms.size();
     }
 
 private:
+    std::vector<VmId> chosen(const DatabaseId &database, std::size_t count) const;
     const VmRecord &record(const VmId &vm) const;
 
     // Ordered by name.
--- a/libs/relay/include/relay/relaymessages.h
+++ b/libs/relay/include/relay/relaymessages.h
@@ -48,8 +48,13 @@
     std::optional<StatementKind> begin = {};
     std::optional<LogPoint> beginAfter = {};
 
-    // Of Outcome; sentAt is of no meaning at the other VM.
+    // Of Outcome; sentAt and floor are of no meaning at the other VM.
     LinkOutcome outcome = {};
+
+    // Of Outcome: the newest point of the group's primary that the lender knows, and how long ago
+    // it asked for it.
+    std::optional<LogPoint> floor = {};
+    Duration floorAge{0};
 };
 
 // Text of a message with its end of line.
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -14,18 +14,27 @@
 // transaction until it is given back, and gives everything back when the other VM is gone.
 //
 //     auto server = RelayServer::listen(loop, endpoint, timers, counters,
-//                                       [&](const DatabaseId &database) { return pool(database);
-//                                       });
+//                                       {.poolOf = [&](const DatabaseId &database) {
+//                                            return pool(database);
+//                                        }});
 //
 // Loop thread only.
 class RelayServer
 {
 public:
-    using PoolOf = std::function<std::shared_ptr<LinkPool>(const DatabaseId &)>;
+    struct Hooks
+    {
+        // This VM's own connections to a database; null where it has none.
+        std::function<std::shared_ptr<LinkPool>(const DatabaseId &)> poolOf;
+
+        // The newest point of the primary of a database's group, which answers carry along so that
+        // the borrower need not ask. May be empty.
+        std::function<std::optional<PrimaryFloor>(const DatabaseId &)> floorOf = {};
+    };
 
     static Result<std::unique_ptr<RelayServer>> listen(EventLoop &loop, const Endpoint &endpoint,
                                                        Timers &timers, Counters &counters,
-                                                       PoolOf poolOf);
+                                                       Hooks hooks);
     ~RelayServer();
 
     // Where it listens, with the port that the system chose.
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -77,16 +77,28 @@
                                      [](const VmRecord &record) { return record.vm; });
 }
 
-std::vector<VmRecord> OwnerPlan::owners(const DatabaseId &database, std::size_t count,
-                                        const VmId &self, const DataCentreId &dataCentre) const
+std::vector<VmId> OwnerPlan::chosen(const DatabaseId &database, std::size_t count) const
 {
     std::map<DataCentreId, std::vector<VmId>> orders;
     for (const auto &[place, placement] : m_placements)
         orders[place] = placement.owners("connections " + database.value(), count);
-    const std::vector<VmId> chosen = inTurn(orders, count);
+    return inTurn(orders, count);
+}
+
+std::size_t OwnerPlan::rank(const DatabaseId &database, std::size_t count, const VmId &vm) const
+{
+    const std::vector<VmId> owners = chosen(database, count);
+    const auto found = std::ranges::find(owners, vm);
+    return found == owners.end() ? count : static_cast<std::size_t>(found - owners.begin());
+}
+
+std::vector<VmRecord> OwnerPlan::owners(const DatabaseId &database, std::size_t count,
+                                        const VmId &self, const DataCentreId &dataCentre) const
+{
     // Who asks draws an order of its own, so that the askers spread.
     const std::vector<VmId> spread =
-            Placement(chosen).owners("asks " + self.value() + ' ' + database.value(), count);
+            Placement(chosen(database, count))
+                    .owners("asks " + self.value() + ' ' + database.value(), count);
     std::vector<VmRecord> ordered;
     ordered.reserve(spread.size());
     for (const VmId &vm : spread)
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -257,6 +257,10 @@
     if (message.kind == RelayMessage::Kind::Outcome) {
         fields["end"] = number(message.outcome.end);
         fields["reply"] = encodeReply(message.outcome.reply);
+        if (message.floor) {
+            fields["floor"] = encodePoint(*message.floor);
+            fields["floorAgeUs"] = message.floorAge.count();
+        }
     }
     fields["is"] = number(message.kind);
     fields["lease"] = message.lease;
@@ -275,6 +279,9 @@
     if (fields.isGood() && message.kind == RelayMessage::Kind::Outcome) {
         message.outcome.end = fields.choice("end", LinkEnd::Lost);
         message.outcome.reply = decodeReply(fields, fields.find("reply"));
+        message.floor = fields.optionalPoint("floor");
+        if (message.floor)
+            message.floorAge = Duration(fields.whole("floorAgeUs"));
     }
     if (!fields.isGood())
         return fields.error();
--- a/libs/relay/src/relaypeer.cpp
+++ b/libs/relay/src/relaypeer.cpp
@@ -101,16 +101,21 @@
                 return;
             }
             if (message.value().kind == RelayMessage::Kind::Outcome)
-                finish(message.value().lease, message.value().outcome);
+                finish(message.value());
         }
     }
 
-    void finish(std::uint64_t lease, LinkOutcome outcome)
+    // The lender stated the age when it answered, so counted from when it was asked the point is
+    // taken for older than it is, never for younger.
+    void finish(const RelayMessage &message)
     {
-        auto node = calls.extract(lease);
+        auto node = calls.extract(message.lease);
         if (node.empty())
             return;
+        LinkOutcome outcome = message.outcome;
         outcome.sentAt = node.mapped().sentAt;
+        if (message.floor)
+            outcome.floor = PrimaryFloor{*message.floor, outcome.sentAt - message.floorAge};
         node.mapped().done(outcome);
     }
 
@@ -124,8 +129,9 @@
         const LinkEnd end = isConnected ? LinkEnd::Lost : LinkEnd::NotSent;
         options.onLost(error);
         while (!calls.empty()) {
-            finish(calls.begin()->first,
-                   {.end = end, .reply = {.message = "by way of another VM: " + error.message}});
+            finish({.lease = calls.begin()->first,
+                    .outcome = {.end = end,
+                                .reply = {.message = "by way of another VM: " + error.message}}});
         }
     }
 
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -2,6 +2,7 @@
 
 #include "net/linecutter.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -17,9 +18,9 @@
 {
     class Peer;
 
-    Data(Timers &vmTimers, Counters &counters, PoolOf vmPoolOf)
+    Data(Timers &vmTimers, Counters &counters, Hooks vmHooks)
         : timers(vmTimers)
-        , poolOf(std::move(vmPoolOf))
+        , hooks(std::move(vmHooks))
         , run(counters.counter("fescuespring_relayed_statements_total"))
         , notLent(counters.counter("fescuespring_relay_refusals_total"))
     {}
@@ -28,7 +29,7 @@
     void drop(std::uint64_t number);
 
     Timers &timers;
-    PoolOf poolOf;
+    Hooks hooks;
     Counter &run;
     Counter &notLent;
     std::unique_ptr<TcpListener> listener;
@@ -124,7 +125,7 @@
 
     void borrow(const std::shared_ptr<Loan> &loan)
     {
-        loan->pool = m_server.poolOf(loan->request.database);
+        loan->pool = m_server.hooks.poolOf(loan->request.database);
         if (!loan->pool) {
             refuse(loan, "this VM has no connections to the database");
             return;
@@ -170,20 +171,27 @@
                           .beginAfter = request.beginAfter},
                          [this, weak = std::weak_ptr(loan)](const LinkOutcome &outcome) {
                              if (const auto ran = weak.lock())
-                                 answer(ran->request.lease, outcome);
+                                 answer(ran->request, outcome);
                          });
     }
 
     void refuse(const std::shared_ptr<Loan> &loan, const std::string &reason)
     {
         m_server.notLent.add();
-        answer(loan->request.lease, {.end = LinkEnd::NotSent, .reply = {.message = reason}});
+        answer(loan->request, {.end = LinkEnd::NotSent, .reply = {.message = reason}});
     }
 
-    void answer(std::uint64_t lease, const LinkOutcome &outcome)
+    void answer(const RelayMessage &request, const LinkOutcome &outcome)
     {
-        m_stream->send(encodeRelayMessage(
-                {.kind = RelayMessage::Kind::Outcome, .lease = lease, .outcome = outcome}));
+        RelayMessage message{
+                .kind = RelayMessage::Kind::Outcome, .lease = request.lease, .outcome = outcome};
+        const auto floor =
+                m_server.hooks.floorOf ? m_server.hooks.floorOf(request.database) : std::nullopt;
+        if (floor) {
+            message.floor = floor->point;
+            message.floorAge = std::max(m_server.timers.now() - floor->askedAt, Duration(0));
+        }
+        m_stream->send(encodeRelayMessage(message));
     }
 
     void release(std::uint64_t lease)
@@ -240,9 +248,9 @@
 
 Result<std::unique_ptr<RelayServer>> RelayServer::listen(EventLoop &loop, const Endpoint &endpoint,
                                                          Timers &timers, Counters &counters,
-                                                         PoolOf poolOf)
+                                                         Hooks hooks)
 {
-    auto data = std::make_shared<Data>(timers, counters, std::move(poolOf));
+    auto data = std::make_shared<Data>(timers, counters, std::move(hooks));
     Result<std::unique_ptr<TcpListener>> listener =
             TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
                                 [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -96,7 +96,11 @@
     Pair()
     {
         auto listening = RelayServer::listen(loop, {"127.0.0.1", 0}, timers, counters,
-                                             [this](const DatabaseId &) { return pool; });
+                                             {.poolOf = [this](const DatabaseId &) { return pool; },
+                                              .floorOf =
+                                                      [this](const DatabaseId &) {
+                                                          return floor;
+                                                      }});
         CPPUNIT_ASSERT(listening);
         server = std::move(listening.value());
         peer = std::make_shared<RelayPeer>(
@@ -125,6 +129,7 @@
     LoopTimers timers{loop};
     Counters counters;
     std::shared_ptr<ManualPool> pool = std::make_shared<ManualPool>();
+    std::optional<PrimaryFloor> floor;
     std::unique_ptr<RelayServer> server;
     std::shared_ptr<RelayPeer> peer;
     std::shared_ptr<RelayPool> borrowed;
@@ -141,6 +146,7 @@
     CPPUNIT_TEST(waitThatIsTooLongIsNotSent);
     CPPUNIT_TEST(lossOfTheLenderIsLossOfWhatWasSent);
     CPPUNIT_TEST(lossOfTheBorrowerGivesBack);
+    CPPUNIT_TEST(answerCarriesTheLendersFloor);
     CPPUNIT_TEST(withoutAPeerNothingIsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -220,6 +226,25 @@
         pair.until([&] { return pair.pool->givenBack == 2; });
     }
 
+    // Pattern: many VMs that hold no connections need to know where the primary is.
+    void answerCarriesTheLendersFloor()
+    {
+        Pair pair;
+        std::optional<LinkOutcome> end;
+        LinkLease lease = run(pair, SessionContext(), end);
+        const Instant askedAt = pair.timers.now();
+        pair.until([&] { return pair.pool->link->isBusy(); });
+        pair.floor = PrimaryFloor{{Term(3), LogPosition(70)}, askedAt - 400ms};
+        pair.pool->link->answer({.signature = "signed"});
+        pair.until([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->floor);
+        CPPUNIT_ASSERT((end->floor->point == LogPoint{Term(3), LogPosition(70)}));
+        // Never younger than it is at the lender.
+        CPPUNIT_ASSERT(end->floor->askedAt <= pair.floor->askedAt);
+        CPPUNIT_ASSERT(end->floor->askedAt > askedAt - 2s);
+        lease = {};
+    }
+
     void withoutAPeerNothingIsSent()
     {
         Pair pair;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -86,6 +86,9 @@
     // What this VM's own connections say of a database; nothing where it is to hold none.
     std::optional<DatabaseObservation> ownObservation(const DatabaseId &database) const;
 
+    // This VM's place among those that hold connections to a database, the same for all who ask.
+    std::size_t ownerRank(const DatabaseId &database) const;
+
     // VMs that hold connections to a database.
     std::size_t ownerCount(const DatabaseId &database) const;
 
@@ -137,6 +140,13 @@
     // Whether database, which has answered a read, leads its group; shown in the same way.
     void confirmLeading(const GroupId &group, const DatabaseId &database, Confirmed confirmed);
 
+    // The newest point of the primary of a database's group, if it is young enough to be of use to
+    // other VMs.
+    std::optional<PrimaryFloor> floorToShare(const DatabaseId &database) const;
+
+    // What a lender knows of a group's primary.
+    void noteSharedFloor(const GroupId &group, const PrimaryFloor &floor);
+
     // An answer of a database to something sent at sentAt; raises what is known of its group.
     void noteAnswer(const GroupId &group, const DatabaseId &database, const StatementReply &reply,
                     Instant sentAt);
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -28,6 +28,8 @@
         upstreams().databaseTimes().add(now() - attempt->sentAt);
         upstreams().noteAnswer(m_route.group, attempt->database, outcome.reply, outcome.sentAt);
     }
+    if (outcome.floor)
+        upstreams().noteSharedFloor(m_route.group, *outcome.floor);
     if (outcome.end == LinkEnd::Lost || outcome.end == LinkEnd::NotSent) {
         lost(attempt, outcome);
         return;
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -12,6 +12,9 @@
 // leaves longer than this before it goes.
 constexpr Duration oldestDirectory = std::chrono::seconds(5);
 
+// Points of a primary that are older are not handed to other VMs.
+constexpr Duration oldestSharedFloor = std::chrono::milliseconds(1200);
+
 } // namespace
 
 TermEvidence::Electorate Upstreams::electorate(const GroupId &group) const
@@ -97,6 +100,23 @@
     m_leadership.primaryShowed(group, *reply.position, sentAt);
 }
 
+std::optional<PrimaryFloor> Upstreams::floorToShare(const DatabaseId &database) const
+{
+    const UpstreamEntry *entry = m_directory.find(database);
+    const auto newest = entry ? m_leadership.newestFloor(entry->target.group) : std::nullopt;
+    if (!newest || m_context.timers.now() - newest->askedAt > oldestSharedFloor)
+        return std::nullopt;
+    return PrimaryFloor{newest->point, newest->askedAt};
+}
+
+// A point of another term than the one known here may never be reached by the group's databases.
+void Upstreams::noteSharedFloor(const GroupId &group, const PrimaryFloor &floor)
+{
+    const Term known = m_leadership.knownTerm(group);
+    if (known == Term() || known == floor.point.term)
+        m_leadership.primaryShowed(group, floor.point, floor.askedAt);
+}
+
 void Upstreams::refreshFloor(const GroupId &group, Refreshed refreshed)
 {
     auto &waiting = m_refreshing[group];
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -61,6 +61,9 @@
     std::vector<VmRecord> otherOwners;
     std::size_t owners = 1;
 
+    // This VM's place among the owners.
+    std::size_t rank = 0;
+
     std::optional<Instant> drainingSince;
 
     // When each way was last probed.
@@ -120,6 +123,12 @@
     return known->own->observation();
 }
 
+std::size_t Upstreams::ownerRank(const DatabaseId &database) const
+{
+    const Access *known = access(database);
+    return known ? known->rank : 0;
+}
+
 std::size_t Upstreams::ownerCount(const DatabaseId &database) const
 {
     const Access *known = access(database);
@@ -181,6 +190,7 @@
     access.isOwner = true;
     access.otherOwners.clear();
     access.owners = shares.owners;
+    access.rank = m_ownerPlan.rank(database, shares.owners, m_context.vm);
     if (m_context.connectPeer && m_areVmsKnown) {
         access.otherOwners =
                 m_ownerPlan.owners(database, shares.owners, m_context.vm, m_context.dataCentre);
--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -24,7 +24,11 @@
         // Reader: the answer where the records are those that the follower holds.
         Unchanged,
 
-        // Reader: every object of a kind; at the beginning.
+        // Follower, at the beginning: what it holds of a kind; one for each, then Begin.
+        Known,
+        Begin,
+
+        // Reader, after Begin: every object of a kind of which the follower lacks some.
         All,
 
         // Reader: one change.
@@ -42,10 +46,14 @@
     // where it knows nothing.
     Duration age{-1};
 
-    // Of Question: digest of the records that the follower holds; 0 if it holds none.
+    // Of Question: digest of the records that the follower holds; 0 if it holds none. Of Known: of
+    // the objects of the kind.
     std::uint64_t digest = 0;
 
-    // Of All and Change: the kind of objects. Of Answer and All: the objects.
+    // Of Known: highest version among the objects.
+    ObjectVersion newest = {};
+
+    // Of Known, All and Change: the kind of objects. Of Answer and All: the objects.
     std::string objectKind = {};
     std::vector<StoredObject> objects = {};
 
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -2,6 +2,7 @@
 
 #include "net/linecutter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuespring {
@@ -39,6 +40,23 @@
                                              [this](const Error &error) {
                                                  lost(error);
                                              }});
+        sayWhatIsKnown();
+    }
+
+    // So that the reader sends only what is missing.
+    void sayWhatIsKnown()
+    {
+        std::string text;
+        for (const std::string &kind : options.mirror.kinds()) {
+            const std::vector<StoredObject> objects = options.mirror.objects(kind);
+            FeedMessage message{.kind = FeedMessage::Kind::Known,
+                                .digest = digestOf(objects),
+                                .objectKind = kind};
+            for (const StoredObject &object : objects)
+                message.newest = std::max(message.newest, object.version);
+            text += encodeFeedMessage(message);
+        }
+        stream->send(text + encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
     }
 
     void received(std::string_view bytes)
@@ -84,7 +102,9 @@
             answer(message, records);
             break;
         case FeedMessage::Kind::Question:
-            lost({.code = ErrorCode::Malformed, .message = "a question from a reader"});
+        case FeedMessage::Kind::Known:
+        case FeedMessage::Kind::Begin:
+            lost({.code = ErrorCode::Malformed, .message = "a follower's message from a reader"});
             break;
         }
     }
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::array kindNames{"question", "answer", "unchanged", "all", "change", "nudge"};
+constexpr std::array kindNames{"question", "answer", "unchanged", "known",
+                               "begin",    "all",    "change",    "nudge"};
 
 Error malformed(const char *field)
 {
@@ -78,6 +79,8 @@
         fields["ageUs"] = message.age.count();
     if (message.digest != 0)
         fields["digest"] = static_cast<std::int64_t>(message.digest);
+    if (message.kind == FeedMessage::Kind::Known)
+        fields["newest"] = message.newest.value();
     if (!message.objectKind.empty())
         fields["of"] = message.objectKind;
     if (!message.objects.empty())
@@ -104,6 +107,7 @@
     message.number = static_cast<std::uint64_t>(wholeOr(fields, "number", 0));
     message.age = Duration(wholeOr(fields, "ageUs", -1));
     message.digest = static_cast<std::uint64_t>(wholeOr(fields, "digest", 0));
+    message.newest = ObjectVersion(static_cast<std::uint64_t>(wholeOr(fields, "newest", 0)));
     if (const json::value *of = fields.if_contains("of")) {
         if (!of->is_string())
             return malformed("of");
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/linecutter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuespring {
@@ -21,6 +22,10 @@
     {
         std::unique_ptr<TcpStream> stream;
         LineCutter lines;
+
+        // What it said that it holds of each kind, and whether it has said all.
+        std::map<std::string, FeedMessage> known;
+        bool hasBegun = false;
     };
 
     Data(Timers &vmTimers, StoreMirror &vmMirror, std::function<const DatedRecords *()> vmRecords)
@@ -38,13 +43,7 @@
                          [this, number](const Error &) {
                              drop(number);
                          }});
-        Follower &follower = followers[number];
-        follower.stream = std::move(stream);
-        for (const std::string &kind : mirror.kinds()) {
-            follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::All,
-                                                     .objectKind = kind,
-                                                     .objects = mirror.objects(kind)}));
-        }
+        followers[number].stream = std::move(stream);
     }
 
     void received(std::uint64_t number, std::string_view bytes)
@@ -60,14 +59,59 @@
         }
         while (const auto line = follower.lines.next()) {
             const Result<FeedMessage> message = decodeFeedMessage(*line);
-            if (!message || message.value().kind != FeedMessage::Kind::Question) {
+            if (!message || !take(follower, message.value())) {
                 drop(number);
                 return;
             }
-            follower.stream->send(encodeFeedMessage(answer(message.value())));
         }
     }
 
+    // False for a message that no follower sends.
+    bool take(Follower &follower, const FeedMessage &message)
+    {
+        switch (message.kind) {
+        case FeedMessage::Kind::Known:
+            follower.known[message.objectKind] = message;
+            return true;
+        case FeedMessage::Kind::Begin:
+            follower.hasBegun = true;
+            for (const std::string &kind : mirror.kinds())
+                sendMissing(follower, kind);
+            follower.known.clear();
+            return true;
+        case FeedMessage::Kind::Question:
+            follower.stream->send(encodeFeedMessage(answer(message)));
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    // Sends what changed since the follower's newest object where it holds all up to that one, else
+    // everything.
+    void sendMissing(Follower &follower, const std::string &kind) const
+    {
+        std::vector<StoredObject> objects = mirror.objects(kind);
+        const auto known = follower.known.find(kind);
+        if (known != follower.known.end()) {
+            const auto newer = std::stable_partition(
+                    objects.begin(), objects.end(), [&known](const StoredObject &object) {
+                        return object.version <= known->second.newest;
+                    });
+            const std::vector<StoredObject> held(objects.begin(), newer);
+            if (digestOf(held) == known->second.digest) {
+                if (newer != objects.end())
+                    follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Change,
+                                                             .objectKind = kind,
+                                                             .objects = {newer, objects.end()}}));
+                return;
+            }
+        }
+        follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::All,
+                                                 .objectKind = kind,
+                                                 .objects = std::move(objects)}));
+    }
+
     FeedMessage answer(const FeedMessage &question) const
     {
         FeedMessage message{.kind = FeedMessage::Kind::Answer, .number = question.number};
@@ -100,6 +144,8 @@
         const std::string text = encodeFeedMessage(message);
         std::vector<std::uint64_t> slow;
         for (auto &[number, follower] : followers) {
+            if (!follower.hasBegun)
+                continue;
             follower.stream->send(text);
             if (follower.stream->queuedBytes() > maximumQueuedBytes)
                 slow.push_back(number);
--- a/libs/storefeed/src/storemirror.cpp
+++ b/libs/storefeed/src/storemirror.cpp
@@ -32,12 +32,14 @@
 
 void StoreMirror::apply(const std::string &kind, const StoreChange &change)
 {
+    auto &objects = m_kinds[kind];
+    const auto known = objects.find(change.object.key);
     if (change.isRemoved) {
-        remove(kind, change.object.key);
+        // A removal that is told late takes no object back that was created after it.
+        if (known != objects.end() && known->second.version <= change.object.version)
+            remove(kind, change.object.key);
         return;
     }
-    auto &objects = m_kinds[kind];
-    const auto known = objects.find(change.object.key);
     if (known != objects.end() && known->second.version >= change.object.version)
         return;
     objects[change.object.key] = change.object;
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -62,6 +62,8 @@
         mirror.apply("servers", {object("servers/a", 4, "old"), false});
         mirror.apply("servers", {object("servers/a", 5, "new"), false});
         CPPUNIT_ASSERT_EQUAL(1, changes);
+        mirror.apply("servers", {object("servers/a", 4), true});
+        CPPUNIT_ASSERT_EQUAL(1, changes);
         CPPUNIT_ASSERT_EQUAL(std::string("new"), mirror.objects("servers").at(0).value);
     }
 
@@ -119,6 +121,7 @@
     CPPUNIT_TEST_SUITE(StoreFeedLoopTest);
     CPPUNIT_TEST(followerKnowsWhatTheReaderKnows);
     CPPUNIT_TEST(unchangedRecordsAreNotSentAgain);
+    CPPUNIT_TEST(followerGetsOnlyWhatItLacks);
     CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
     CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
     CPPUNIT_TEST(lostReaderIsTold);
@@ -187,6 +190,37 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers);
     }
 
+    // Pattern: all VMs start together, read everything from the store and then follow few of them.
+    void followerGetsOnlyWhatItLacks()
+    {
+        Pair pair;
+        const std::string large(20'000, 'x');
+        pair.reader.apply("servers", {object("servers/a", 5, large), false});
+        const std::vector<StoredObject> held = pair.reader.objects("servers");
+        pair.reader.apply("servers", {object("servers/c", 6, "new"), false});
+        std::size_t received = 0;
+        const auto stream = TcpStream::connect(
+                pair.loop, {.endpoint = pair.server->endpoint()},
+                {.onBytes = [&](std::string_view bytes) { received += bytes.size(); },
+                 .onClosed =
+                         [](const Error &) {
+                         }});
+        stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Known,
+                                        .digest = digestOf(held),
+                                        .newest = ObjectVersion(5),
+                                        .objectKind = "servers"})
+                     + encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
+        pair.run(200ms);
+        CPPUNIT_ASSERT(received > 0);
+        CPPUNIT_ASSERT(received < 1000);
+        // One that held an object which has gone since gets all, and drops it.
+        pair.mirror.replaceAll("servers", held);
+        pair.reader.apply("servers", {object("servers/b", 7), true});
+        const FeedFollower follower(pair.loop, pair.timers, options(pair));
+        pair.run(200ms);
+        CPPUNIT_ASSERT(pair.mirror.objects("servers") == pair.reader.objects("servers"));
+    }
+
     // The reader is slow to answer, so that its word is older than it says by then.
     void ageCountsFromTheFollowersQuestion()
     {
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -46,6 +46,14 @@
     Lost,
 };
 
+// A point that the log of a group's primary had reached, which covers every commit acknowledged
+// before askedAt.
+struct PrimaryFloor
+{
+    LogPoint point;
+    Instant askedAt;
+};
+
 struct LinkOutcome
 {
     LinkEnd end = LinkEnd::NotSent;
@@ -55,6 +63,9 @@
 
     // When the statement was sent; with Answered and Lost.
     Instant sentAt = {};
+
+    // What the VM whose connection it is knows of the group's primary. Only where that is another.
+    std::optional<PrimaryFloor> floor = {};
 };
 
 // A connection to a database, own or by way of another VM, that one statement or transaction holds.
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -19,7 +19,8 @@
 // How often a VM renews its record.
 inline constexpr Duration vmRenewal = std::chrono::seconds(10);
 
-// What a VM writes about itself to the store.
+// That a VM is there, as it writes to the store. Renewed all the time by every VM, so it is read
+// now and then and not watched.
 struct VmRecord
 {
     VmId vm;
@@ -29,16 +30,29 @@
     Endpoint peers;
     Endpoint relay;
 
+    // Tells the lives of one VM apart.
+    std::string incarnation = {};
+
     // Rises with each renewal.
     std::uint64_t renewal = 0;
 
+    bool operator==(const VmRecord &) const = default;
+};
+
+// What the others must learn of a VM at once, as it writes to the store. Counts for the life of the
+// VM that wrote it.
+struct VmNotice
+{
+    VmId vm;
+    std::string incarnation = {};
+
     // It is about to stop.
     bool isStopping = false;
 
     // Databases that it hears nothing from.
     std::set<DatabaseId> silentDatabases = {};
 
-    bool operator==(const VmRecord &) const = default;
+    bool operator==(const VmNotice &) const = default;
 };
 
 inline constexpr std::string_view vmKeyPrefix = "fescue-vms/";
@@ -46,12 +60,18 @@
 std::string encodeVmRecord(const VmRecord &record);
 Result<VmRecord> decodeVmRecord(std::string_view key, std::string_view text);
 
+inline constexpr std::string_view noticeKeyPrefix = "fescue-notices/";
+std::string noticeKey(const VmId &vm);
+std::string encodeVmNotice(const VmNotice &notice);
+Result<VmNotice> decodeVmNotice(std::string_view key, std::string_view text);
+
 // The VMs of the installation as their records in the store tell. What is asked many times between
 // two changes, such as the living VMs, is worked out once. One thread only, no clock.
 class VmRegistry
 {
 public:
     void update(const VmRecord &record, Instant now);
+    void update(const VmNotice &notice);
     void vanished(const VmId &vm);
 
     // VMs whose record changed lately and that are not about to stop, ordered by name. Valid until
@@ -84,8 +104,10 @@
     };
 
     const Digest &digest(Instant now) const;
+    const VmNotice *noticeOf(const VmRecord &record) const;
 
     std::map<VmId, Known> m_vms;
+    std::map<VmId, VmNotice> m_notices;
     mutable Digest m_digest;
     mutable bool m_isStale = true;
 };
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -3,69 +3,154 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace json = boost::json;
 
 namespace fescuespring {
 
+namespace {
+
+// The fields of one record; whether all that were asked for were there.
+class Fields
+{
+public:
+    explicit Fields(std::string_view text)
+    {
+        boost::system::error_code error;
+        m_value = json::parse(text, error);
+        m_isWhole = !error && m_value.is_object();
+    }
+
+    std::string text(std::string_view name)
+    {
+        const json::value *value = find(name);
+        if (value && value->is_string())
+            return std::string(value->get_string());
+        m_isWhole = false;
+        return {};
+    }
+
+    std::int64_t whole(std::string_view name)
+    {
+        const json::value *value = find(name);
+        if (value && value->is_int64())
+            return value->get_int64();
+        m_isWhole = false;
+        return 0;
+    }
+
+    bool truth(std::string_view name)
+    {
+        const json::value *value = find(name);
+        if (value && value->is_bool())
+            return value->get_bool();
+        m_isWhole = false;
+        return false;
+    }
+
+    std::set<DatabaseId> databases(std::string_view name)
+    {
+        std::set<DatabaseId> databases;
+        const json::value *value = find(name);
+        m_isWhole = m_isWhole && value && value->is_array();
+        if (!m_isWhole)
+            return databases;
+        for (const json::value &database : value->get_array()) {
+            if (database.is_string())
+                databases.insert(DatabaseId(std::string(database.get_string())));
+            else
+                m_isWhole = false;
+        }
+        return databases;
+    }
+
+    bool isWhole() const
+    {
+        return m_isWhole;
+    }
+
+private:
+    const json::value *find(std::string_view name) const
+    {
+        const json::object *fields = m_value.if_object();
+        return fields ? fields->if_contains(name) : nullptr;
+    }
+
+    json::value m_value;
+    bool m_isWhole = false;
+};
+
+Error unreadable(std::string_view key)
+{
+    return {.code = ErrorCode::Malformed,
+            .message = "unreadable record of a VM",
+            .field = std::string(key)};
+}
+
+} // namespace
+
 std::string vmKey(const VmId &vm)
 {
     return std::string(vmKeyPrefix) + vm.value();
 }
 
+std::string noticeKey(const VmId &vm)
+{
+    return std::string(noticeKeyPrefix) + vm.value();
+}
+
 std::string encodeVmRecord(const VmRecord &record)
 {
-    json::array silent;
-    for (const DatabaseId &database : record.silentDatabases)
-        silent.emplace_back(database.value());
     return json::serialize(json::object{{"dataCentre", record.dataCentre.value()},
                                         {"ip", record.peers.ip},
                                         {"port", record.peers.port},
                                         {"relayPort", record.relay.port},
-                                        {"renewal", record.renewal},
-                                        {"stopping", record.isStopping},
-                                        {"silent", std::move(silent)}});
+                                        {"incarnation", record.incarnation},
+                                        {"renewal", record.renewal}});
 }
 
 Result<VmRecord> decodeVmRecord(std::string_view key, std::string_view text)
 {
-    const Error unreadable{.code = ErrorCode::Malformed,
-                           .message = "unreadable record of a VM",
-                           .field = std::string(key)};
-    boost::system::error_code error;
-    const json::value value = json::parse(text, error);
-    if (error || !value.is_object() || !key.starts_with(vmKeyPrefix))
-        return unreadable;
-    const json::object &fields = value.get_object();
-    const json::value *dataCentre = fields.if_contains("dataCentre");
-    const json::value *ip = fields.if_contains("ip");
-    const json::value *port = fields.if_contains("port");
-    const json::value *relayPort = fields.if_contains("relayPort");
-    const json::value *renewal = fields.if_contains("renewal");
-    const json::value *stopping = fields.if_contains("stopping");
-    const json::value *silent = fields.if_contains("silent");
-    const bool isWhole = dataCentre && dataCentre->is_string() && ip && ip->is_string() && port
-                         && port->is_int64() && relayPort && relayPort->is_int64() && renewal
-                         && renewal->is_int64() && stopping && stopping->is_bool() && silent
-                         && silent->is_array();
-    if (!isWhole)
-        return unreadable;
-    VmRecord record{
-            .vm = VmId(std::string(key.substr(vmKeyPrefix.size()))),
-            .dataCentre = DataCentreId(std::string(dataCentre->get_string())),
-            .peers = {std::string(ip->get_string()), static_cast<std::uint16_t>(port->get_int64())},
-            .relay = {std::string(ip->get_string()),
-                      static_cast<std::uint16_t>(relayPort->get_int64())},
-            .renewal = static_cast<std::uint64_t>(renewal->get_int64()),
-            .isStopping = stopping->get_bool()};
-    for (const json::value &database : silent->get_array()) {
-        if (!database.is_string())
-            return unreadable;
-        record.silentDatabases.insert(DatabaseId(std::string(database.get_string())));
-    }
+    if (!key.starts_with(vmKeyPrefix))
+        return unreadable(key);
+    Fields fields(text);
+    const std::string ip = fields.text("ip");
+    const VmRecord record{.vm = VmId(std::string(key.substr(vmKeyPrefix.size()))),
+                          .dataCentre = DataCentreId(fields.text("dataCentre")),
+                          .peers = {ip, static_cast<std::uint16_t>(fields.whole("port"))},
+                          .relay = {ip, static_cast<std::uint16_t>(fields.whole("relayPort"))},
+                          .incarnation = fields.text("incarnation"),
+                          .renewal = static_cast<std::uint64_t>(fields.whole("renewal"))};
+    if (!fields.isWhole())
+        return unreadable(key);
     return record;
 }
 
+std::string encodeVmNotice(const VmNotice &notice)
+{
+    json::array silent;
+    for (const DatabaseId &database : notice.silentDatabases)
+        silent.emplace_back(database.value());
+    return json::serialize(json::object{{"incarnation", notice.incarnation},
+                                        {"stopping", notice.isStopping},
+                                        {"silent", std::move(silent)}});
+}
+
+Result<VmNotice> decodeVmNotice(std::string_view key, std::string_view text)
+{
+    if (!key.starts_with(noticeKeyPrefix))
+        return unreadable(key);
+    Fields fields(text);
+    VmNotice notice{.vm = VmId(std::string(key.substr(noticeKeyPrefix.size()))),
+                    .incarnation = fields.text("incarnation"),
+                    .isStopping = fields.truth("stopping"),
+                    .silentDatabases = fields.databases("silent")};
+    if (!fields.isWhole())
+        return unreadable(key);
+    return notice;
+}
+
 void VmRegistry::update(const VmRecord &record, Instant now)
 {
     const auto found = m_vms.find(record.vm);
@@ -75,6 +160,21 @@
     m_isStale = true;
 }
 
+void VmRegistry::update(const VmNotice &notice)
+{
+    m_notices[notice.vm] = notice;
+    m_isStale = true;
+}
+
+// What the VM said in the life that its record is of.
+const VmNotice *VmRegistry::noticeOf(const VmRecord &record) const
+{
+    const auto found = m_notices.find(record.vm);
+    const bool isOfThisLife =
+            found != m_notices.end() && found->second.incarnation == record.incarnation;
+    return isOfThisLife ? &found->second : nullptr;
+}
+
 void VmRegistry::vanished(const VmId &vm)
 {
     m_vms.erase(vm);
@@ -88,11 +188,14 @@
     Digest fresh{.validUntil = Instant::max(), .version = m_digest.version};
     for (const auto &[vm, known] : m_vms) {
         const Instant goneAt = known.changedAt + vmSilenceLimit;
-        if (known.record.isStopping || now >= goneAt)
+        const VmNotice *notice = noticeOf(known.record);
+        if (now >= goneAt || (notice && notice->isStopping))
             continue;
         fresh.validUntil = std::min(fresh.validUntil, goneAt);
         fresh.living.push_back(known.record);
-        for (const DatabaseId &database : known.record.silentDatabases)
+        if (!notice)
+            continue;
+        for (const DatabaseId &database : notice->silentDatabases)
             ++fresh.silent[database];
     }
     const bool isSame =
--- a/libs/vmregistry/tests/vmregistrytest.cpp
+++ b/libs/vmregistry/tests/vmregistrytest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(brokenRecordNamesItsKey);
     CPPUNIT_TEST(silentVmIsGone);
     CPPUNIT_TEST(stoppingVmDoesNotCount);
+    CPPUNIT_TEST(noticeOfAnEarlierLifeDoesNotCount);
     CPPUNIT_TEST(votesAreCounted);
     CPPUNIT_TEST(answersFollowEachChange);
     CPPUNIT_TEST_SUITE_END();
@@ -35,18 +36,25 @@
     void recordComesBackFromText()
     {
         VmRecord sent = record("one", 9);
-        sent.isStopping = true;
-        sent.silentDatabases = {DatabaseId("a"), DatabaseId("b")};
+        sent.incarnation = "life-2";
         const auto got = decodeVmRecord(vmKey(sent.vm), encodeVmRecord(sent));
         CPPUNIT_ASSERT(got && got.value() == sent);
+        VmNotice notice{.vm = sent.vm, .incarnation = "life-2", .isStopping = true};
+        notice.silentDatabases = {DatabaseId("a"), DatabaseId("b")};
+        const auto gotNotice = decodeVmNotice(noticeKey(notice.vm), encodeVmNotice(notice));
+        CPPUNIT_ASSERT(gotNotice && gotNotice.value() == notice);
     }
 
     void brokenRecordNamesItsKey()
     {
-        for (const char *text : {"", "{}", "7", R"({"dataCentre":"n","ip":"1","port":"x"})"}) {
+        for (const char *text : {"", "{}", "7", R"({"dataCentre":"n","ip":"1","port":"x"})",
+                                 R"({"incarnation":"a","stopping":false,"silent":[7]})"}) {
             const auto got = decodeVmRecord("fescue-vms/one", text);
             CPPUNIT_ASSERT(!got);
             CPPUNIT_ASSERT_EQUAL(std::string("fescue-vms/one"), got.error().field);
+            const auto gotNotice = decodeVmNotice("fescue-notices/one", text);
+            CPPUNIT_ASSERT(!gotNotice);
+            CPPUNIT_ASSERT_EQUAL(std::string("fescue-notices/one"), gotNotice.error().field);
         }
     }
 
@@ -66,21 +74,38 @@
     void stoppingVmDoesNotCount()
     {
         VmRegistry registry;
-        VmRecord stopping = record("one");
-        stopping.isStopping = true;
-        registry.update(stopping, start);
+        registry.update(record("one"), start);
+        registry.update(VmNotice{.vm = VmId("one"), .isStopping = true});
         registry.update(record("two"), start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.rank(VmId("two"), start));
     }
 
+    // Its word of an earlier life stays in the store until it has another.
+    void noticeOfAnEarlierLifeDoesNotCount()
+    {
+        VmRegistry registry;
+        VmRecord restarted = record("one");
+        restarted.incarnation = "life-2";
+        registry.update(restarted, start);
+        VmNotice notice{.vm = VmId("one"), .incarnation = "life-1", .isStopping = true};
+        notice.silentDatabases = {DatabaseId("a")};
+        registry.update(notice);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.living(start).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.silentCount(DatabaseId("a"), start));
+        notice.incarnation = "life-2";
+        registry.update(notice);
+        CPPUNIT_ASSERT(registry.living(start).empty());
+    }
+
     void votesAreCounted()
     {
         VmRegistry registry;
         for (const char *name : {"one", "two", "three"}) {
-            VmRecord vote = record(name);
+            registry.update(record(name), start);
+            VmNotice vote{.vm = VmId(name)};
             if (vote.vm != VmId("two"))
                 vote.silentDatabases = {DatabaseId("a")};
-            registry.update(vote, start);
+            registry.update(vote);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, registry.silentCount(DatabaseId("a"), start));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.silentCount(DatabaseId("b"), start));
@@ -93,12 +118,13 @@
         registry.update(record("one"), start);
         registry.update(record("two"), start + 1s);
         const std::uint64_t version = registry.livingVersion(start + 1s);
-        VmRecord vote = record("one", 2);
-        vote.silentDatabases = {DatabaseId("a")};
-        registry.update(vote, start + 2s);
+        registry.update(record("one", 2), start + 2s);
+        VmNotice vote{.vm = VmId("one"), .silentDatabases = {DatabaseId("a")}};
+        registry.update(vote);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.silentCount(DatabaseId("a"), start + 2s));
         CPPUNIT_ASSERT_EQUAL(version, registry.livingVersion(start + 2s));
-        registry.update(record("one", 3), start + 3s);
+        vote.silentDatabases.clear();
+        registry.update(vote);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.silentCount(DatabaseId("a"), start + 3s));
         registry.vanished(VmId("one"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.living(start + 3s).size());
--- a/tools/fescuesoak/include/fescuesoak/ledger.h
+++ b/tools/fescuesoak/include/fescuesoak/ledger.h
@@ -113,6 +113,8 @@
                     std::vector<SoakViolation> &found) const;
     void checkRead(const SoakRead &read, const std::vector<TermBeginning> &terms,
                    std::vector<SoakViolation> &found) const;
+    std::string acknowledgedText(const std::string &group, const std::string &item,
+                                 std::uint64_t value) const;
     const Record *recordOf(const std::string &group, const std::string &item,
                            std::uint64_t value) const;
 
--- a/tools/fescuesoak/src/ledger.cpp
+++ b/tools/fescuesoak/src/ledger.cpp
@@ -13,6 +13,12 @@
            + write.id.value();
 }
 
+std::string millisecondsText(Instant at)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
+    return "at " + std::to_string(age.count()) + " ms";
+}
+
 } // namespace
 
 void Ledger::sent(const SoakWrite &write)
@@ -97,7 +103,16 @@
     }
     const std::uint64_t required = requiredValue(read.group, read.item, read.coversUpTo, terms);
     if (read.value < required)
-        found.push_back({"stale", what + ", " + std::to_string(required) + " was acknowledged"});
+        found.push_back({"stale", what + " sent " + millisecondsText(read.sentAt) + ", "
+                                          + std::to_string(required) + " was acknowledged "
+                                          + acknowledgedText(read.group, read.item, required)});
+}
+
+std::string Ledger::acknowledgedText(const std::string &group, const std::string &item,
+                                     std::uint64_t value) const
+{
+    const Record *record = recordOf(group, item, value);
+    return millisecondsText(record->endedAt) + " id " + record->write.id.value();
 }
 
 const Ledger::Record *Ledger::recordOf(const std::string &group, const std::string &item,
--- a/tools/fescuesoak/src/soakcaller.cpp
+++ b/tools/fescuesoak/src/soakcaller.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <deque>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -106,6 +107,10 @@
     std::deque<Step> steps;
     std::optional<Step> asked;
     std::vector<RequestId> openWrites;
+    std::vector<std::string> openItems;
+
+    // Items that the present session has written; a later session need not see them at once.
+    std::set<std::string> writtenItems;
     std::string item;
     std::string pairOne;
     std::string pairTwo;
@@ -160,6 +165,7 @@
     decoder = {};
     isOpen = false;
     ++sessionNumber;
+    writtenItems.clear();
     sessionValue = options.name + 's' + std::to_string(sessionNumber);
     shape = "shape" + sessionValue;
     stream = TcpStream::connect(options.loop, {.endpoint = *vm},
@@ -311,6 +317,7 @@
                              .value = asked->value,
                              .sentAt = askedAt});
         openWrites.push_back(id);
+        openItems.push_back(asked->item);
     }
     stream->send("QUERY " + id.value() + ' ' + asked->text + "\r\n");
     pauseThen([this] { closed(); }, answerTimeout);
@@ -387,8 +394,8 @@
         return;
     }
     const Instant began = isInTransaction ? transactionBegan : askedAt;
-    const bool coversAll =
-            options.route == SoakRoute::Primary || (options.route == SoakRoute::Own && isOwn);
+    const bool coversAll = options.route == SoakRoute::Primary
+                           || (options.route == SoakRoute::Own && writtenItems.contains(step.item));
     options.ledger.read(
             {.group = options.group,
              .item = step.item,
@@ -421,6 +428,9 @@
         options.ledger.ended(id, fate, now);
     if (fate == WriteFate::Unknown && !openWrites.empty())
         renewItems();
+    if (fate == WriteFate::Acknowledged)
+        writtenItems.insert(openItems.begin(), openItems.end());
+    openItems.clear();
     openWrites.clear();
 }
 
