Reads that wait for evidence share rounds of statuses, one each 100 ms

Change: after a round that showed nothing the next one for waiting reads begins 100 ms later. Commits and reads that are already answered still ask at once.

--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -196,6 +196,7 @@
     void askOthers(const GroupId &group, const DatabaseId &database, Term term,
                    Confirmed confirmed);
     bool takeEvidence(const GroupId &group, const TermEvidence::Outcome &outcome);
+    void askForFloor(const GroupId &group);
     void floorAnswered(const GroupId &group);
     double readCost(const UpstreamEntry &entry) const;
 
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -12,6 +12,10 @@
 // leaves longer than this before it goes.
 constexpr Duration oldestDirectory = std::chrono::seconds(5);
 
+// After a round of statuses that showed nothing, the next one for reads that wait begins this much
+// later: all of them wait for the same.
+constexpr Duration evidenceRest = std::chrono::milliseconds(100);
+
 // Points of a primary that are older are not handed to other VMs.
 constexpr Duration oldestSharedFloor = std::chrono::milliseconds(1200);
 
@@ -121,8 +125,12 @@
 {
     auto &waiting = m_refreshing[group];
     waiting.push_back(std::move(refreshed));
-    if (waiting.size() > 1)
-        return;
+    if (waiting.size() == 1)
+        askForFloor(group);
+}
+
+void Upstreams::askForFloor(const GroupId &group)
+{
     const auto believed = m_leadership.primary(group);
     if (!believed) {
         m_context.timers.after(std::chrono::milliseconds(30),
@@ -141,6 +149,14 @@
         });
         return;
     }
+    const auto failedAt = m_evidenceFailedAt.find(group);
+    const Duration rest = failedAt == m_evidenceFailedAt.end()
+                                  ? Duration(0)
+                                  : failedAt->second + evidenceRest - askedAt;
+    if (rest > Duration(0)) {
+        m_context.timers.after(rest, [this, group] { askForFloor(group); });
+        return;
+    }
     askOthers(group, believed->database, Term(), [this, group](bool) { floorAnswered(group); });
 }
 
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(silentReplicaIsHedged);
     CPPUNIT_TEST(unknownRouteIsSaid);
     CPPUNIT_TEST(discardedCommitDoesNotBlockReads);
+    CPPUNIT_TEST(readsThatWaitShareFewRounds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -442,6 +443,26 @@
         const auto reply = caller.ask(readItem);
         CPPUNIT_ASSERT(reply && reply->isSuccess());
     }
+
+    // Pattern: the store is away, the group cannot show who leads, and every read waits for that.
+    void readsThatWaitShareFewRounds()
+    {
+        Vm vm;
+        vm.timers.advance(3s);
+        vm.databases["a"].role = Role::Replica;
+        const Counter &rounds = vm.counters.counter("fescuespring_evidence_rounds_total");
+        const std::uint64_t before = rounds.value();
+        std::deque<Caller> callers;
+        for (int i = 0; i < 15; ++i) {
+            callers.emplace_back(vm, "old").session.handle(RequestId("r" + std::to_string(i)),
+                                                           readItem);
+            vm.timers.advance(7ms);
+        }
+        vm.timers.advance(600ms);
+        // One each 100 ms.
+        CPPUNIT_ASSERT(rounds.value() - before >= 3);
+        CPPUNIT_ASSERT(rounds.value() - before <= 8);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StatementSessionTest);
