Readiness and planned stop are decided in libs/coordination, not in the adapter

Cause: platform/ is to hold translation alone; node.cpp decided when a VM is ready, when a cut-off VM closes its sessions, and the steps of a planned stop. Change: Lifecycle, with hooks for what it acts on; the times are the same. Tests: lifecycle in virtual time (five); statement-session and statement-planned-stop of the processes unchanged and green. No change of behaviour.

--- /dev/null
+++ b/libs/coordination/tests/lifecycletest.cpp
@@ -0,0 +1,121 @@
+#include "coordination/lifecycle.h"
+
+#include "support/virtualtimers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A VM of which only the sessions matter.
+struct World
+{
+    VirtualTimers timers;
+    Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+    bool knowsEnough = true;
+    bool isCutOff = false;
+    bool isClosing = false;
+    bool hasAborted = false;
+    bool isAnnounced = false;
+    std::size_t sessions = 3;
+    std::optional<bool> stoppedClean;
+    Lifecycle lifecycle{{.timers = timers,
+                         .log = log,
+                         .stopDeadline = 4500ms,
+                         .knowsEnough = [this] { return knowsEnough; },
+                         .isCutOff = [this] { return isCutOff; },
+                         .closeResting = [this](bool closing) { isClosing = closing; },
+                         .abortResting = [this] { hasAborted = true; },
+                         .sessionCount = [this] { return sessions; },
+                         .announceStop = [this] { isAnnounced = true; },
+                         .stopped =
+                                 [this](bool isClean) {
+                                     stoppedClean = isClean;
+                                 }}};
+};
+
+} // namespace
+
+class LifecycleTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LifecycleTest);
+    CPPUNIT_TEST(vmThatKnowsTooLittleIsNotReady);
+    CPPUNIT_TEST(stopClosesNothingBeforeTheBalancerNotices);
+    CPPUNIT_TEST(openTransactionsGetTheirTime);
+    CPPUNIT_TEST(stopEndsAtItsDeadline);
+    CPPUNIT_TEST(cutOffVmSendsItsCallersAway);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void vmThatKnowsTooLittleIsNotReady()
+    {
+        World world;
+        world.knowsEnough = false;
+        CPPUNIT_ASSERT(!world.lifecycle.isReady());
+        world.knowsEnough = true;
+        CPPUNIT_ASSERT(world.lifecycle.isReady());
+        world.lifecycle.stop();
+        CPPUNIT_ASSERT(!world.lifecycle.isReady());
+    }
+
+    // The balancer asks once a second and takes a VM out after two refusals.
+    void stopClosesNothingBeforeTheBalancerNotices()
+    {
+        World world;
+        world.sessions = 0;
+        world.lifecycle.start();
+        world.lifecycle.stop();
+        CPPUNIT_ASSERT(world.isAnnounced);
+        world.timers.advance(2000ms);
+        CPPUNIT_ASSERT(!world.isClosing);
+        CPPUNIT_ASSERT(!world.stoppedClean);
+        world.timers.advance(400ms);
+        CPPUNIT_ASSERT(world.stoppedClean == true);
+    }
+
+    // Half of the 6 s that the platform grants.
+    void openTransactionsGetTheirTime()
+    {
+        World world;
+        world.lifecycle.stop();
+        world.timers.advance(2900ms);
+        CPPUNIT_ASSERT(world.isClosing);
+        CPPUNIT_ASSERT(!world.hasAborted);
+        world.timers.advance(200ms);
+        CPPUNIT_ASSERT(world.hasAborted);
+        world.sessions = 0;
+        world.timers.advance(100ms);
+        CPPUNIT_ASSERT(world.stoppedClean == true);
+    }
+
+    void stopEndsAtItsDeadline()
+    {
+        World world;
+        world.lifecycle.stop();
+        world.lifecycle.stop();
+        world.timers.advance(4400ms);
+        CPPUNIT_ASSERT(!world.stoppedClean);
+        world.timers.advance(200ms);
+        CPPUNIT_ASSERT(world.stoppedClean == false);
+    }
+
+    void cutOffVmSendsItsCallersAway()
+    {
+        World world;
+        world.lifecycle.start();
+        world.isCutOff = true;
+        CPPUNIT_ASSERT(!world.lifecycle.isReady());
+        world.timers.advance(1800ms);
+        CPPUNIT_ASSERT(!world.isClosing);
+        world.timers.advance(600ms);
+        CPPUNIT_ASSERT(world.isClosing);
+        world.isCutOff = false;
+        world.timers.advance(300ms);
+        CPPUNIT_ASSERT(!world.isClosing);
+        CPPUNIT_ASSERT(world.lifecycle.isReady());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LifecycleTest);
