--- a/libs/operatortool/src/commands.h
+++ b/libs/operatortool/src/commands.h
@@ -21,6 +21,8 @@
 ToolOutcome runCustomers(const std::vector<std::string> &words, ToolStreams streams);
 ToolOutcome runStatus(const std::vector<std::string> &words, ToolStreams streams);
 ToolOutcome runCounters(const std::vector<std::string> &words, ToolStreams streams);
+ToolOutcome runMetrics(const std::vector<std::string> &words, ToolStreams streams);
+ToolOutcome runExplain(const std::vector<std::string> &words, ToolStreams streams);
 ToolOutcome runRoute(const std::vector<std::string> &words, ToolStreams streams);
 ToolOutcome runDrain(const std::vector<std::string> &words, ToolStreams streams);
 
--- a/libs/operatortool/src/counterscommand.cpp
+++ b/libs/operatortool/src/counterscommand.cpp
@@ -70,11 +70,10 @@
     table.print(out);
 }
 
-} // namespace
-
-ToolOutcome runCounters(const std::vector<std::string> &words, ToolStreams streams)
+// Fetches counters as text from a page of a VM and prints those that are wanted.
+ToolOutcome showCounters(Arguments &arguments, const std::string &page,
+                         const std::vector<std::string> &words, ToolStreams streams)
 {
-    Arguments arguments("counters", "Shows the counters of a VM that are not zero.");
     arguments.flag("all", "shows counters of zero too");
     arguments.option("filter", "shows only counters whose name holds this text");
     addVmOptions(arguments);
@@ -84,8 +83,7 @@
     const Result<VmTarget> vm = vmTarget(arguments);
     if (!vm)
         return usageFault(vm.error(), streams);
-
-    const VmAnswer answer = askVm(vm.value(), {.target = "/v1/counters"}, streams);
+    const VmAnswer answer = askVm(vm.value(), {.target = page}, streams);
     if (answer.outcome != ToolOutcome::Done)
         return answer.outcome;
     const std::vector<CounterLine> counters = wantedCounters(answer.body, arguments);
@@ -96,4 +94,18 @@
     return ToolOutcome::Done;
 }
 
+} // namespace
+
+ToolOutcome runCounters(const std::vector<std::string> &words, ToolStreams streams)
+{
+    Arguments arguments("counters", "Shows the counters of a VM that are not zero.");
+    return showCounters(arguments, "/v1/counters", words, streams);
+}
+
+ToolOutcome runMetrics(const std::vector<std::string> &words, ToolStreams streams)
+{
+    Arguments arguments("metrics", "Shows counters and histograms at a VM's metrics address.");
+    return showCounters(arguments, "/metrics", words, streams);
+}
+
 } // namespace fescuespring
--- a/libs/operatortool/src/operatortool.cpp
+++ b/libs/operatortool/src/operatortool.cpp
@@ -18,6 +18,8 @@
         Command{"customers", "shows and edits which plans customers hold", runCustomers},
         Command{"status", "members, owners, groups and what is in force at a VM", runStatus},
         Command{"counters", "the counters of a VM", runCounters},
+        Command{"metrics", "counters and histograms at a VM's metrics address", runMetrics},
+        Command{"explain", "the story of a failed statement, from the logs of VMs", runExplain},
         Command{"route", "where a request would go now, and why", runRoute},
         Command{"drain", "starts the planned stop of a VM", runDrain},
 };
