A port that closes waits for the first request of a connection that it has just accepted

When the grace of a stop is over, the port takes in what the system has accepted already and closes connections that rest; one whose request was still on its way rested too, and its caller got a close in place of an answer. Ruled out: requests in flight (they are answered), the backlog (it is taken in), load as the cause (it only widens the window: the test has none). Change: a connection that has carried no request yet gets 250 ms for it; it is answered and closed. Test: drainWaitsForTheRequestOfAFreshConnection, red before (closed without an answer), green after.

--- a/libs/net/src/httpserver.cpp
+++ b/libs/net/src/httpserver.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t headerLimitBytes = 8 * 1024;
 constexpr std::size_t readChunkBytes = 4096;
 
+// When the port closes, time for the first request of a connection that was just accepted.
+constexpr std::chrono::milliseconds firstRequestGrace{250};
+
 class Connection;
 
 using SharedPort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -106,10 +109,20 @@
         return detail::fromAsio(m_stream.socket().remote_endpoint(ignored)).ip;
     }
 
+    // A connection that has carried no request yet was opened for one that is on its way.
     void closeIfIdle()
     {
-        if (m_state == State::Idle)
+        if (m_state != State::Idle)
+            return;
+        if (m_exchange > 0) {
             close();
+            return;
+        }
+        m_hooks.loop.after(firstRequestGrace, [weak = weak_from_this()] {
+            const std::shared_ptr<Connection> self = weak.lock();
+            if (self && self->m_state == State::Idle)
+                self->close();
+        });
     }
 
     void close()
--- a/libs/net/tests/httptest.cpp
+++ b/libs/net/tests/httptest.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/tcpstream.h"
 #include "net/udpsocket.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -60,6 +61,7 @@
     CPPUNIT_TEST(oversizedBodyIsRefusedBeforeTheHandler);
     CPPUNIT_TEST(garbageIsRefusedBeforeTheHandler);
     CPPUNIT_TEST(drainWaitsForTheAnswerInFlight);
+    CPPUNIT_TEST(drainWaitsForTheRequestOfAFreshConnection);
     CPPUNIT_TEST(poolBoundsItsConnections);
     CPPUNIT_TEST(idleCloseByServerIsNoticed);
     CPPUNIT_TEST(connectsFromTheLocalIp);
@@ -184,6 +186,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, echo.server->connectionCount());
     }
 
+    // The connection was accepted just before the port closed; its request is on the way.
+    void drainWaitsForTheRequestOfAFreshConnection()
+    {
+        EchoServer echo(m_loop);
+        std::string answer;
+        bool isDrained = false;
+        const auto stream =
+                TcpStream::connect(m_loop, {.endpoint = echo.server->endpoint()},
+                                   {.onBytes = [&](std::string_view bytes) { answer += bytes; },
+                                    .onClosed =
+                                            [](const Error &) {
+                                            }});
+        m_loop.after(20ms, [&] { echo.server->drain(10ms, [&] { isDrained = true; }); });
+        m_loop.after(80ms, [&] {
+            stream->send("POST /echo HTTP/1.1\r\nHost: vm\r\nContent-Length: 2\r\n\r\nhi");
+        });
+        m_loop.after(600ms, [&] { m_loop.stop(); });
+        m_loop.run();
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(isDrained);
+    }
+
     void poolBoundsItsConnections()
     {
         EchoServer echo(m_loop);
