A primary that comes back under another name is kept; its address ends the lost database

The crashed primary is back at 8.4 s with its log, as another database at the same address, which leads term 1. Two holders in a row found no majority that holds: the lost name counted for 15 s beside the new one, so two of four held. The third ordered the furthest log, which is the returned primary, and the platform takes that for done; "promotion-not-seen", four times. The group had no primary from 3.0 to 25.7 s. Ruled out: the takeover itself (7.9 s, as its patience says), the store, the lapse of leases. Change: a database at the address of a missing or lost one of its group ends that one; a change whose round finds the old term's leader under another name, with every database answering and none on a later term, tells the others to receive again and writes it down as the primary, once no order of a former holder can be under way. Tests: primaryThatReturnsUnderAnotherNameIsKept and successorAtTheSameAddressEndsALostDatabase, red before, green after; returnedPrimaryIsNotKeptUnseen. The databases of directorytest have an address each now, as the rule needs.

--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -38,8 +38,8 @@
     std::int64_t startedAt = 0;
 };
 
-// Which databases there are. An entry that vanishes is kept for missingEntryGrace. One thread only,
-// no clock.
+// Which databases there are. An entry that vanishes is kept for missingEntryGrace, unless another
+// database of the group takes its address. One thread only, no clock.
 class UpstreamDirectory
 {
 public:
@@ -95,10 +95,12 @@
     struct Lost
     {
         GroupId group;
+        Endpoint endpoint;
         Instant at;
     };
 
     void leaveGroup(const UpstreamEntry &entry);
+    void dropPredecessors(const UpstreamEntry &entry);
 
     std::map<DatabaseId, Known> m_entries;
     std::map<GroupId, std::set<DatabaseId>> m_groups;
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -21,6 +21,7 @@
         leaveGroup(old);
     }
     m_lost.erase(entry.target.database);
+    dropPredecessors(entry);
     m_groups[entry.target.group].insert(entry.target.database);
     m_entries[entry.target.database] = {.entry = entry, .missingSince = {}};
     m_hooks.onEntry(entry, isNewLife);
@@ -36,6 +37,33 @@
         m_groups.erase(members);
 }
 
+// A database that is missing or lost is gone for good when another one of its group is at its
+// address.
+void UpstreamDirectory::dropPredecessors(const UpstreamEntry &entry)
+{
+    const auto isReplaced = [&entry](const DatabaseId &database, const GroupId &group,
+                                     const Endpoint &endpoint) {
+        return database != entry.target.database && group == entry.target.group
+               && endpoint == entry.target.endpoint;
+    };
+    std::erase_if(m_lost, [&isReplaced](const auto &lost) {
+        return isReplaced(lost.first, lost.second.group, lost.second.endpoint);
+    });
+    for (auto known = m_entries.begin(); known != m_entries.end();) {
+        const UpstreamTarget &target = known->second.entry.target;
+        const bool isGone = known->second.missingSince
+                            && isReplaced(known->first, target.group, target.endpoint);
+        if (!isGone) {
+            ++known;
+            continue;
+        }
+        const UpstreamEntry gone = known->second.entry;
+        known = m_entries.erase(known);
+        leaveGroup(gone);
+        m_hooks.onGone(gone);
+    }
+}
+
 void UpstreamDirectory::vanished(const DatabaseId &database, Instant now)
 {
     const auto found = m_entries.find(database);
@@ -68,7 +96,7 @@
         known = m_entries.erase(known);
         leaveGroup(gone);
         if (!gone.isDraining)
-            m_lost[gone.target.database] = {gone.target.group, now};
+            m_lost[gone.target.database] = {gone.target.group, gone.target.endpoint, now};
         m_hooks.onGone(gone);
     }
 }
--- a/libs/directory/tests/directorytest.cpp
+++ b/libs/directory/tests/directorytest.cpp
@@ -10,9 +10,11 @@
 
 const Instant start{std::chrono::hours(1)};
 
+// Each database has an address of its own.
 UpstreamEntry entry(const std::string &database, std::int64_t startedAt = 1)
 {
-    return {.target = {GroupId("herd"), DatabaseId(database), {"10.0.0.1", 80}},
+    const auto port = static_cast<std::uint16_t>(8000 + database.front());
+    return {.target = {GroupId("herd"), DatabaseId(database), {"10.0.0.1", port}},
             .startedAt = startedAt};
 }
 
@@ -41,6 +43,7 @@
     CPPUNIT_TEST(otherLifeAndOtherAddressAreNew);
     CPPUNIT_TEST(fullListDropsTheOthers);
     CPPUNIT_TEST(lostDatabaseCountsForAWhile);
+    CPPUNIT_TEST(successorAtTheSameAddressEndsALostDatabase);
     CPPUNIT_TEST(configurationsOnlyRise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +109,29 @@
                              seen.directory.groupSize(group, gone + goneDatabaseCounts));
     }
 
+    // Two processes cannot listen at one address, so whoever is lost is gone and not cut off.
+    void successorAtTheSameAddressEndsALostDatabase()
+    {
+        Seen seen;
+        for (const char *name : {"a", "b", "c"})
+            seen.directory.update(entry(name));
+        seen.directory.vanished(DatabaseId("a"), start);
+        UpstreamEntry successor = entry("d");
+        successor.target.endpoint = entry("a").target.endpoint;
+        seen.directory.update(successor);
+        CPPUNIT_ASSERT(!seen.directory.find(DatabaseId("a")));
+        CPPUNIT_ASSERT(seen.gone == std::vector<std::string>{"a"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.directory.groupSize(GroupId("herd"), start));
+        // The same after its grace was over.
+        seen.directory.vanished(DatabaseId("b"), start);
+        seen.directory.expire(start + missingEntryGrace);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.directory.groupSize(GroupId("herd"), start));
+        successor = entry("e");
+        successor.target.endpoint = entry("b").target.endpoint;
+        seen.directory.update(successor);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.directory.groupSize(GroupId("herd"), start));
+    }
+
     void configurationsOnlyRise()
     {
         RouteTable table;
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -178,7 +178,8 @@
     const auto answers = std::make_shared<std::vector<Answer>>();
     // Replicas go on receiving until one has what the stopped primary had; if that does not answer,
     // its commits must not go on arriving at some replica only.
-    const bool mustPause = !m_oldPosition || m_isCaughtUp;
+    const bool mustPause = (!m_oldPosition || m_isCaughtUp) && !m_isKeeping;
+    m_isKeeping = false;
     for (const SuccessionCandidate &candidate : candidates) {
         Statement statement{.kind = StatementKind::Status};
         if (mustPause && candidate.database != m_record.primary)
@@ -231,6 +232,52 @@
     return best;
 }
 
+// The old primary in another life: a database that leads the old term under another name. Only
+// where every database answers and none knows a later term, so that nobody was promoted meanwhile.
+const LeadershipChange::Answer *
+LeadershipChange::returnedPrimary(const std::vector<Answer> &answers) const
+{
+    const Answer *returned = nullptr;
+    for (const Answer &answer : answers) {
+        if (!answer.status || answer.status->term > m_oldTerm)
+            return nullptr;
+        if (answer.status->role == Role::Primary && answer.status->term == m_oldTerm)
+            returned = &answer;
+    }
+    const bool isOther = returned && returned->database != m_record.primary;
+    return isOther && !isDraining(returned->database) ? returned : nullptr;
+}
+
+// It has its log, so nothing is lost, and the platform takes it for the primary still: it is
+// written down as such, once no order of a former holder can be under way and the others receive
+// again.
+void LeadershipChange::keep(const DatabaseId &database, const std::vector<Answer> &answers)
+{
+    if (!m_owner->mayOrder()) {
+        after(stepRetry, &LeadershipChange::askAll);
+        return;
+    }
+    bool isHeld = false;
+    for (const Answer &answer : answers) {
+        if (answer.status->heldTerm <= m_oldTerm)
+            continue;
+        isHeld = true;
+        m_owner->m_ports.command(answer.database, {.kind = StatementKind::Resume}, commandTimeout,
+                                 [](const std::optional<StatementReply> &) {});
+    }
+    m_isKeeping = true;
+    if (isHeld) {
+        after(stepRetry, &LeadershipChange::askAll);
+        return;
+    }
+    m_owner->m_options.log.info("returned-primary-kept", {{"group", m_group},
+                                                          {"database", database},
+                                                          {"term", m_oldTerm},
+                                                          {"former", m_record.primary},
+                                                          {"age", now() - m_startedAt}});
+    recordNew(database, m_oldTerm);
+}
+
 void LeadershipChange::choose(const std::vector<Answer> &answers)
 {
     for (const Answer &answer : answers) {
@@ -241,6 +288,10 @@
             return;
         }
     }
+    if (const Answer *returned = returnedPrimary(answers)) {
+        keep(returned->database, answers);
+        return;
+    }
     const Answer *best = furthest(answers);
     if (!best) {
         m_refused.clear();
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -39,6 +39,8 @@
                   Answer answer);
     void choose(const std::vector<Answer> &answers);
     const Answer *furthest(const std::vector<Answer> &answers) const;
+    const Answer *returnedPrimary(const std::vector<Answer> &answers) const;
+    void keep(const DatabaseId &database, const std::vector<Answer> &answers);
     bool isDraining(const DatabaseId &database) const;
     bool isMajorityHeld(const std::vector<Answer> &answers) const;
     void order(const DatabaseId &database);
@@ -58,6 +60,9 @@
     std::optional<LogPoint> m_oldPosition;
     Instant m_catchUpUntil;
     bool m_isCaughtUp = false;
+
+    // The next round only asks, as the replicas were told to receive again.
+    bool m_isKeeping = false;
     DatabaseId m_chosen;
     Instant m_orderedAt;
 
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -67,6 +67,7 @@
     Store store;
     std::vector<Order> orders;
     std::set<std::string> draining;
+    std::set<std::string> gone;
 
     // VMs of three that hear nothing from the primary a.
     std::size_t silentVms = 0;
@@ -142,6 +143,8 @@
         std::vector<SuccessionCandidate> all;
         for (const DatabaseId &database : world.databases.names()) {
             const bool isPrimary = database == DatabaseId("a");
+            if (world.gone.contains(database.value()))
+                continue;
             all.push_back({.database = database,
                            .isDraining = world.draining.contains(database.value()),
                            .vmsNotReached = isPrimary ? world.silentVms : 0,
@@ -206,6 +209,8 @@
     CPPUNIT_TEST(frozenHolderOrdersNothingWhenItWakes);
     CPPUNIT_TEST(lostAnswersDoNotStopAChange);
     CPPUNIT_TEST(outageOfTheStoreStopsOrders);
+    CPPUNIT_TEST(primaryThatReturnsUnderAnotherNameIsKept);
+    CPPUNIT_TEST(returnedPrimaryIsNotKeptUnseen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -406,6 +411,56 @@
         world.databases["a"].isSilent = true;
         world.silentVms = 3;
     }
+
+    // The primary crashes, the change is announced and its holder frozen, and the primary comes
+    // back with its log as another database: nobody has to be promoted, and nobody could be, as the
+    // platform takes the order for its present primary as done.
+    void primaryThatReturnsUnderAnotherNameIsKept()
+    {
+        World world;
+        Vm first(world, "one", 0);
+        Vm second(world, "two", 1);
+        world.timers.advance(1s);
+        const LogPoint written{Term(1), LogPosition(9)};
+        world.databases["a"].isSilent = true;
+        world.databases["a"].received = written;
+        world.silentVms = 3;
+        world.timers.advance(300ms);
+        CPPUNIT_ASSERT(second.record().isMoving);
+        first.isFrozen = true;
+        FakeGroup::Database returned = world.databases["a"];
+        returned.isSilent = false;
+        world.gone = {"a"};
+        world.databases["a"].role = Role::Replica;
+        world.databases["d"] = returned;
+        world.timers.advance(9s);
+        CPPUNIT_ASSERT(!second.record().isMoving);
+        CPPUNIT_ASSERT(second.record().primary == DatabaseId("d"));
+        CPPUNIT_ASSERT(second.record().term == Term(1));
+        CPPUNIT_ASSERT(world.orders.empty());
+        // The others receive again.
+        CPPUNIT_ASSERT(world.databases["b"].heldTerm == Term());
+        CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term());
+    }
+
+    // One that does not answer may have been promoted meanwhile.
+    void returnedPrimaryIsNotKeptUnseen()
+    {
+        World world;
+        Vm first(world, "one", 0);
+        world.timers.advance(1s);
+        world.databases["a"].isSilent = true;
+        world.silentVms = 3;
+        world.timers.advance(300ms);
+        FakeGroup::Database returned = world.databases["a"];
+        returned.isSilent = false;
+        world.gone = {"a"};
+        world.databases["a"].role = Role::Replica;
+        world.databases["d"] = returned;
+        world.databases["c"].isSilent = true;
+        world.timers.advance(4s);
+        CPPUNIT_ASSERT(first.record().isMoving);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuccessionTest);
--- a/tests/support/fakegroup.h
+++ b/tests/support/fakegroup.h
@@ -100,6 +100,8 @@
         Database &database = (*m_databases)[id];
         if (statement.kind == StatementKind::Pause && database.role == Role::Replica)
             database.heldTerm = std::max(database.heldTerm, statement.term);
+        if (statement.kind == StatementKind::Resume)
+            database.heldTerm = Term();
         if (statement.kind == StatementKind::Demote && statement.term > database.term)
             database.role = Role::Replica;
         return {.rows = {"status"},
