--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -103,8 +103,8 @@
     ordered.reserve(spread.size());
     for (const VmId &vm : spread)
         ordered.push_back(record(vm));
-    std::ranges::stable_partition(
-            ordered, [&](const VmRecord &owner) { return owner.dataCentre == dataCentre; });
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [&](const VmRecord &owner) { return owner.dataCentre == dataCentre; });
     return ordered;
 }
 
--- a/tools/fescuesoak/src/faults.cpp
+++ b/tools/fescuesoak/src/faults.cpp
@@ -191,7 +191,7 @@
 std::string Faults::drawDatabase()
 {
     const std::vector<std::string> groups = m_estate.groups();
-    const std::string group = groups[draw(groups.size())];
+    const std::string &group = groups[draw(groups.size())];
     if (draw(2) == 0)
         return m_estate.primary(group);
     const std::vector<std::string> databases = m_estate.databases(group);
--- a/tools/fescuesoak/src/soak.cpp
+++ b/tools/fescuesoak/src/soak.cpp
@@ -64,7 +64,8 @@
     void mend();
     void countServed();
     void checkServed();
-    void checkPairs();
+    void checkItem(const std::string &group, const std::string &item, const Cells &cells);
+    void checkItems();
     void finish();
 
     EventLoop &loop;
@@ -177,8 +178,29 @@
     loop.after(settleTime, [this] { finish(); });
 }
 
-// Both items of a pair are written in the same transactions.
-void Soak::Data::checkPairs()
+// What an item holds at the end: what was acknowledged last, and the same as the other one of its
+// pair, as both are written in the same transactions.
+void Soak::Data::checkItem(const std::string &group, const std::string &item, const Cells &cells)
+{
+    const auto valueOf = [&cells](const std::string &name) {
+        const auto found = cells.find(name);
+        return found == cells.end() ? std::string("0") : found->second.value;
+    };
+    const std::string where = group + ' ' + item;
+    const std::string value = valueOf(item);
+    if (item.front() == 'p' && value != valueOf('q' + item.substr(1)))
+        ledger.violated("half-a-transaction", where);
+    const std::uint64_t required =
+            ledger.requiredValue(group, item, EventLoop::now(), estate->terms(group));
+    if (std::stoull(value) >= required)
+        return;
+    std::string what = where;
+    what.append(" holds ").append(value);
+    what.append(", acknowledged was ").append(std::to_string(required));
+    ledger.violated("lost", what);
+}
+
+void Soak::Data::checkItems()
 {
     for (const std::string &group : estate->groups()) {
         WireDatabase *primary = estate->find(estate->primary(group));
@@ -187,26 +209,14 @@
             continue;
         }
         const Cells &cells = primary->server().database().cells();
-        const auto valueOf = [&cells](const std::string &item) {
-            const auto found = cells.find(item);
-            return found == cells.end() ? std::string("0") : found->second.value;
-        };
-        const auto terms = estate->terms(group);
-        for (const std::string &item : ledger.items(group)) {
-            if (item.front() == 'p' && valueOf(item) != valueOf('q' + item.substr(1)))
-                ledger.violated("half-a-transaction", group + ' ' + item);
-            const std::uint64_t required =
-                    ledger.requiredValue(group, item, EventLoop::now(), terms);
-            if (std::stoull(valueOf(item)) < required)
-                ledger.violated("lost", group + ' ' + item + " holds " + valueOf(item) + ", "
-                                                + std::to_string(required) + " was acknowledged");
-        }
+        for (const std::string &item : ledger.items(group))
+            checkItem(group, item, cells);
     }
 }
 
 void Soak::Data::finish()
 {
-    checkPairs();
+    checkItems();
     std::size_t changes = 0;
     for (const std::string &group : estate->groups())
         changes += estate->terms(group).size() - 1;
