--- a/tools/fescuesoak/src/soakcaller.cpp
+++ b/tools/fescuesoak/src/soakcaller.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned leaveChance = 4;
 constexpr unsigned transactionChance = 35;
 constexpr unsigned preparedChance = 50;
+constexpr unsigned furtherValueChance = 50;
 
 std::string quoted(const StatementReply &reply)
 {
@@ -115,6 +116,9 @@
     std::string pairOne;
     std::string pairTwo;
     std::string sessionValue;
+
+    // All values that the session has set, as a signature tells them.
+    std::string sessionValues;
     std::string shape;
     std::uint64_t generation = 0;
     std::uint64_t sessionNumber = 0;
@@ -218,6 +222,12 @@
 void SoakCaller::Data::planSetUp()
 {
     steps.push_back({.action = Action::SetUp, .text = "SET tenant " + sessionValue});
+    sessionValues = "tenant=" + sessionValue + ';';
+    // A value that other sessions do not set must not be left to them.
+    if (chance(furtherValueChance)) {
+        steps.push_back({.action = Action::SetUp, .text = "SET extra " + sessionValue});
+        sessionValues = "extra=" + sessionValue + ';' + sessionValues;
+    }
     steps.push_back({.action = Action::SetUp, .text = "PREPARE r READ " + shape + "r"});
     steps.push_back({.action = Action::SetUp, .text = "PREPARE w WRITE " + shape + "w"});
 }
@@ -371,7 +381,7 @@
 // The signature tells the values and the shape that the database ran the statement with.
 void SoakCaller::Data::checkSignature(const Step &step, const StatementReply &reply)
 {
-    const std::string wanted = '/' + step.shape + "/tenant=" + sessionValue + ';';
+    const std::string wanted = '/' + step.shape + '/' + sessionValues;
     const bool isCommit = step.action == Action::Commit;
     const bool holds = isCommit ? reply.signature.starts_with(options.group)
                                 : reply.signature.ends_with(wanted)
