--- a/tools/fescuesoak/src/faults.cpp
+++ b/tools/fescuesoak/src/faults.cpp
@@ -205,7 +205,10 @@
     if (!found || m_crashed.contains(database) || m_slowed.contains(database))
         return;
     const Duration time = drawTime(shortestFault, longestFault);
-    switch (draw(5)) {
+    switch (draw(6)) {
+    case 5:
+        split(database, time);
+        return;
     case 0:
         say("crash " + database);
         m_crashed.insert(database);
@@ -251,6 +254,27 @@
     });
 }
 
+// One VM alone still reaches the database, which neither sends nor receives commits any more.
+void Faults::split(const std::string &database, Duration time)
+{
+    const std::size_t number = m_estate.numberOf(database);
+    const std::string kept = m_options.vms[draw(m_options.vms.size())].name;
+    say("split: only " + kept + " reaches " + database);
+    m_slowed.insert(database);
+    m_estate.setReplicating(database, false);
+    FaultyLink &link = *m_links.databases[number];
+    for (const SoakVm &vm : m_options.vms) {
+        if (vm.name != kept)
+            link.setFault(vm.callers.ip, {.holdsToTarget = true, .holdsToCaller = true});
+    }
+    later(time, [this, database, &link] {
+        m_slowed.erase(database);
+        m_estate.setReplicating(database, true);
+        for (const SoakVm &vm : m_options.vms)
+            link.setFault(vm.callers.ip, {});
+    });
+}
+
 void Faults::mendAll()
 {
     ++m_stage;
--- a/tools/fescuesoak/src/faults.h
+++ b/tools/fescuesoak/src/faults.h
@@ -45,6 +45,7 @@
     void strikeLink();
     void strikeStore();
     void strikeDatabase();
+    void split(const std::string &database, Duration time);
     void startVm(const std::string &vm);
     void mendLinks(const SoakVm &vm);
     void later(Duration delay, const std::function<void()> &task);
