A stopped VM ends at once

Ruled out: sessions still open (0 logged), the stop deadline, our own destructors; an explicit initializer of the library around the run hangs in the same place.

--- a/libs/daemoncommand/include/daemoncommand/daemoncommand.h
+++ b/libs/daemoncommand/include/daemoncommand/daemoncommand.h
@@ -37,4 +37,9 @@
 int followCommandLine(const DaemonCommand &command, const std::vector<std::string> &arguments,
                       std::ostream &out, std::ostream &errors);
 
+// Ends the process with an exit code, after what was written to the standard streams is out. For
+// the end of main, when the daemon has let go of all that it held: what libraries would clean up at
+// exit is left alone, so that one that waits for threads of its own keeps no stopped VM from ending.
+[[noreturn]] void endProcess(int exitCode);
+
 } // namespace fescuespring
--- a/libs/daemoncommand/src/daemoncommand.cpp
+++ b/libs/daemoncommand/src/daemoncommand.cpp
@@ -2,8 +2,9 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdio>
 #include <cstdlib>
-#include <ostream>
+#include <iostream>
 
 namespace options = boost::program_options;
 
@@ -79,4 +80,12 @@
     }
 }
 
+void endProcess(int exitCode)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::fflush(nullptr);
+    std::quick_exit(exitCode);
+}
+
 } // namespace fescuespring
--- a/tools/fescuespringd/src/main.cpp
+++ b/tools/fescuespringd/src/main.cpp
@@ -39,6 +39,7 @@
 
 int main(int argc, char **argv)
 {
-    return followCommandLine({.name = "fescuespringd", .check = checkSettings, .run = runVm},
-                             std::vector<std::string>(argv + 1, argv + argc), std::cout, std::cerr);
+    endProcess(followCommandLine({.name = "fescuespringd", .check = checkSettings, .run = runVm},
+                                 std::vector<std::string>(argv + 1, argv + argc), std::cout,
+                                 std::cerr));
 }
