Few owners where there are many databases, worked out once

Each database had 25 owners whatever their number, so a VM held connections to 325 databases, asked the primaries among them, and each change of the living VMs or of the configuration worked all owners out anew: 8.8 ms at 30 VMs, 46.8 ms at 100, 220 ms at 300 on a whole core (a VM has an eighth of one). Change: shareOut takes the number of databases and gives each at least 5 owners, more while no VM has over 32 to look after; at most 3 connections are kept open by an owner; the owners are worked out as places in a list, and the order in which to try them only when one is asked for. Tests: manyDatabasesMeanFewOwners, fewConnectionsAreKeptOpen (new interface, not seen red).

--- a/libs/placement/include/placement/placement.h
+++ b/libs/placement/include/placement/placement.h
@@ -38,6 +38,9 @@
     // The same for any other job that few VMs of a data centre share, such as watching the plans.
     std::vector<VmId> owners(std::string_view job, std::size_t count) const;
 
+    // Who these are, as places among the members in the order of their names, from 0.
+    std::vector<std::size_t> ownerPlaces(std::string_view job, std::size_t count) const;
+
     std::size_t size() const
     {
         return m_members.size();
@@ -50,6 +53,7 @@
         VmId vm;
     };
 
+    std::vector<std::size_t> bestPlaces(std::uint64_t key, std::size_t count) const;
     std::vector<VmId> bestOf(std::uint64_t key, std::size_t count) const;
 
     std::vector<Member> m_members;
--- a/libs/placement/src/placement.cpp
+++ b/libs/placement/src/placement.cpp
@@ -58,17 +58,30 @@
     return bestOf(hashOf(job), count);
 }
 
+std::vector<std::size_t> Placement::ownerPlaces(std::string_view job, std::size_t count) const
+{
+    return bestPlaces(hashOf(job), count);
+}
+
 std::vector<VmId> Placement::bestOf(std::uint64_t key, std::size_t count) const
+{
+    std::vector<VmId> best;
+    for (const std::size_t place : bestPlaces(key, count))
+        best.push_back(m_members[place].vm);
+    return best;
+}
+
+std::vector<std::size_t> Placement::bestPlaces(std::uint64_t key, std::size_t count) const
 {
     struct Scored
     {
         std::uint64_t score = 0;
-        const Member *member = nullptr;
+        std::size_t place = 0;
     };
     std::vector<Scored> scored;
     scored.reserve(m_members.size());
-    for (const Member &member : m_members)
-        scored.push_back({score(member.hash, key), &member});
+    for (std::size_t place = 0; place < m_members.size(); ++place)
+        scored.push_back({score(m_members[place].hash, key), place});
 
     const std::size_t kept = std::min(count, scored.size());
     const auto middle = scored.begin() + static_cast<std::ptrdiff_t>(kept);
@@ -76,13 +89,13 @@
     std::ranges::partial_sort(scored, middle, [](const Scored &left, const Scored &right) {
         if (left.score != right.score)
             return left.score > right.score;
-        return left.member < right.member;
+        return left.place < right.place;
     });
 
-    std::vector<VmId> best;
+    std::vector<std::size_t> best;
     best.reserve(kept);
     for (auto entry = scored.begin(); entry != middle; ++entry)
-        best.push_back(entry->member->vm);
+        best.push_back(entry->place);
     return best;
 }
 
--- a/libs/relay/include/relay/ownership.h
+++ b/libs/relay/include/relay/ownership.h
@@ -25,10 +25,20 @@
     double fewestStatements = 1;
 };
 
-// Shares out the connections that a database bears among vms VMs: all of them hold some where each
-// gets enough for its own transactions, else fewer hold more. Every owner stays within its part, so
-// that together they never ask for more than the database bears.
-ConnectionShares shareOut(std::uint32_t connections, std::uint32_t slots, std::size_t vms);
+// What is shared out: the connections and slots of one of databases databases, among vms VMs.
+struct ShareRequest
+{
+    std::uint32_t connections = 1;
+    std::uint32_t slots = 1;
+    std::size_t vms = 1;
+    std::size_t databases = 1;
+};
+
+// Shares out the connections that a database bears: all VMs hold some where each gets enough for
+// its own transactions, else fewer hold more. Where there are many databases, each has few owners,
+// so that no VM has to look after more than it can. Every owner stays within its part, so that
+// together they never ask for more than the database bears.
+ConnectionShares shareOut(const ShareRequest &request);
 
 // Who holds the connections to each database, among given VMs. Built once for a set of VMs, as the
 // answer is asked for each database; every VM that knows the same VMs comes to the same owners.
@@ -56,12 +66,18 @@
     }
 
 private:
-    std::vector<VmId> chosen(const DatabaseId &database, std::size_t count) const;
-    const VmRecord &record(const VmId &vm) const;
+    // The VMs of one data centre, as places in m_vms.
+    struct DataCentre
+    {
+        std::vector<std::size_t> vms;
+        Placement placement;
+    };
+
+    std::vector<std::size_t> chosen(const DatabaseId &database, std::size_t count) const;
 
     // Ordered by name.
     std::vector<VmRecord> m_vms;
-    std::map<DataCentreId, Placement> m_placements;
+    std::map<DataCentreId, DataCentre> m_dataCentres;
 };
 
 } // namespace fescuespring
--- a/libs/relay/tests/ownershiptest.cpp
+++ b/libs/relay/tests/ownershiptest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST_SUITE(OwnershipTest);
     CPPUNIT_TEST(ownersTogetherStayWithinTheLimit);
     CPPUNIT_TEST(fewConnectionsMeanFewOwners);
+    CPPUNIT_TEST(manyDatabasesMeanFewOwners);
+    CPPUNIT_TEST(fewConnectionsAreKeptOpen);
     CPPUNIT_TEST(everyoneAgreesOnTheOwners);
     CPPUNIT_TEST(ownersAreSpreadOverDataCentres);
     CPPUNIT_TEST(ownDataCentreIsAskedFirst);
@@ -47,7 +49,7 @@
     {
         for (std::uint32_t connections = 6; connections < 200; connections += 5) {
             for (std::size_t count = 1; count < 400; count += 7) {
-                const ConnectionShares shares = shareOut(connections, 3, count);
+                const ConnectionShares shares = shareOut({connections, 3, count, connections});
                 CPPUNIT_ASSERT(shares.owners >= 1 && shares.owners <= count);
                 CPPUNIT_ASSERT(shares.owners * shares.maximum <= connections);
                 CPPUNIT_ASSERT(shares.kept <= shares.maximum && shares.kept >= 1);
@@ -58,9 +60,28 @@
 
     void fewConnectionsMeanFewOwners()
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, shareOut(23, 3, 9).owners);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, shareOut(38, 3, 6).owners);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, shareOut(46, 4, 70).owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, shareOut({23, 3, 9}).owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, shareOut({38, 3, 6}).owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, shareOut({46, 4, 70}).owners);
+    }
+
+    // Pattern: thousands of databases with little work each before a few hundred VMs.
+    void manyDatabasesMeanFewOwners()
+    {
+        const std::size_t vms = 300;
+        const std::size_t databases = 3750;
+        const ConnectionShares shares = shareOut({161, 4, vms, databases});
+        CPPUNIT_ASSERT(shares.owners * databases / vms <= 64);
+        // Most of the owners are left with two of them gone.
+        CPPUNIT_ASSERT((shares.owners - 2) * 2 > shares.owners);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{25}, shareOut({161, 4, 74, 24}).owners);
+    }
+
+    void fewConnectionsAreKeptOpen()
+    {
+        const ConnectionShares shares = shareOut({161, 4, 300, 3750});
+        CPPUNIT_ASSERT(shares.kept <= 3);
+        CPPUNIT_ASSERT(shares.maximum > 6);
     }
 
     void everyoneAgreesOnTheOwners()
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -184,6 +184,7 @@
 
     void shareOut(const DatabaseId &database, Access &access);
     ConnectionShares sharesOf(const UpstreamTarget &target) const;
+    const std::vector<VmRecord> &otherOwners(const DatabaseId &database, Access &access);
     std::shared_ptr<RelayPeer> peerFor(const DatabaseId &database);
     std::shared_ptr<RelayPeer> peer(const VmRecord &record);
     void commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -56,14 +56,18 @@
     std::shared_ptr<DatabasePool> own;
     std::shared_ptr<RelayPool> byOthers;
 
-    // Whether this VM is to hold connections, and who else is, best first.
+    // Whether this VM is to hold connections, and whether others are.
     bool isOwner = true;
-    std::vector<VmRecord> otherOwners;
+    bool hasOtherOwners = false;
     std::size_t owners = 1;
 
     // This VM's place among the owners.
     std::size_t rank = 0;
 
+    // The other owners, best first; worked out when one is asked for first, as most databases are
+    // never used by way of this VM.
+    std::optional<std::vector<VmRecord>> otherOwners;
+
     std::optional<Instant> drainingSince;
 
     // When each way was last probed.
@@ -94,7 +98,7 @@
     const Access *known = access(database);
     if (!known)
         return nullptr;
-    if (known->otherOwners.empty())
+    if (!known->hasOtherOwners)
         return known->own;
     const bool ownWorks = silence(*known->own) < ownSilence;
     const bool othersWork = silence(*known->byOthers) < othersSilence;
@@ -181,24 +185,22 @@
     const auto limits = m_limits.find(group);
     const std::uint32_t granted =
             limits == m_limits.end() ? GroupLimits().connections : limits->second.connections;
-    return fescuespring::shareOut(granted, entry ? entry->slots : 1, m_ownerPlan.size());
+    return fescuespring::shareOut({.connections = granted,
+                                   .slots = entry ? entry->slots : 1,
+                                   .vms = m_ownerPlan.size(),
+                                   .databases = m_accesses.size()});
 }
 
 void Upstreams::shareOut(const DatabaseId &database, Access &access)
 {
     const ConnectionShares shares = sharesOf(access.own->target());
-    access.isOwner = true;
-    access.otherOwners.clear();
     access.owners = shares.owners;
     access.rank = m_ownerPlan.rank(database, shares.owners, m_context.vm);
-    if (m_context.connectPeer && m_areVmsKnown) {
-        access.otherOwners =
-                m_ownerPlan.owners(database, shares.owners, m_context.vm, m_context.dataCentre);
-        access.isOwner =
-                std::erase_if(access.otherOwners,
-                              [this](const VmRecord &record) { return record.vm == m_context.vm; })
-                > 0;
-    }
+    access.otherOwners.reset();
+    const bool isShared = m_context.connectPeer && m_areVmsKnown;
+    access.isOwner = !isShared || access.rank < shares.owners;
+    access.hasOtherOwners =
+            isShared && std::min(shares.owners, m_ownerPlan.size()) > (access.isOwner ? 1U : 0U);
     if (m_areVmsKnown && access.isOwner)
         access.own->setLimits(shares.kept, shares.maximum, shares.fewestStatements);
     else
@@ -234,20 +236,33 @@
     return known;
 }
 
+const std::vector<VmRecord> &Upstreams::otherOwners(const DatabaseId &database, Access &access)
+{
+    if (!access.otherOwners) {
+        access.otherOwners =
+                m_ownerPlan.owners(database, access.owners, m_context.vm, m_context.dataCentre);
+        std::erase_if(*access.otherOwners,
+                      [this](const VmRecord &record) { return record.vm == m_context.vm; });
+    }
+    return *access.otherOwners;
+}
+
 std::shared_ptr<RelayPeer> Upstreams::peerFor(const DatabaseId &database)
 {
-    const Access *known = access(database);
-    if (!known || known->otherOwners.empty())
+    const auto found = m_accesses.find(database);
+    Access *known = found == m_accesses.end() ? nullptr : found->second.get();
+    if (!known || !known->hasOtherOwners)
         return nullptr;
+    const std::vector<VmRecord> &owners = otherOwners(database, *known);
     const Instant now = m_context.timers.now();
     const auto &silentSince = known->byOthers->observation().silentSince;
     const auto skipped = silentSince ? static_cast<std::size_t>((now - *silentSince) / peerSilence)
                                      : std::size_t{0};
-    const std::size_t count = known->otherOwners.size();
+    const std::size_t count = owners.size();
     // A VM that is not connected yet may be gone; the next one serves until it is.
     std::shared_ptr<RelayPeer> connecting;
     for (std::size_t i = 0; i < count; ++i) {
-        const VmRecord &record = known->otherOwners[(skipped + i) % count];
+        const VmRecord &record = owners[(skipped + i) % count];
         const auto lostAt = m_peerLostAt.find(record.vm);
         const bool wasLost = lostAt != m_peerLostAt.end();
         if (wasLost && now - lostAt->second <= peerRest)
@@ -431,7 +446,7 @@
     for (const auto &[database, known] : m_accesses) {
         if (silence(*known->own) > probeInterval)
             probe(known->own, known->ownProbedAt);
-        if (!known->otherOwners.empty() && silence(*known->byOthers) > probeInterval)
+        if (known->hasOtherOwners && silence(*known->byOthers) > probeInterval)
             probe(known->byOthers, known->othersProbedAt);
     }
 }
