A VM looks after its own databases, and shares out once the VMs know one another

The time until then was fixed, however many VMs came in. Change: silence is judged over a VM's own databases; groups are considered in turn, all within a second (all at each tick up to 32 groups, as on the users' sites), those with a silent database or a due change at once; missing entries are kept apart; an entry of a group is handed out without a copy; being cut off is counted over silent connections; a VM that does not know the others yet owns nothing; it shares out once no other was found for 1.2 s, after 5 s at the latest; a configuration that grants the same shares nothing out anew. Tests, each red on: startingVmsWaitUntilTheyKnowOneAnother, startingVmLeavesPrimariesAlone, dueChangeIsFollowedUpBetweenItsTurns; groupsComeInTurn (new interface).

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -101,7 +101,7 @@
     bool isOthersSuspect(const DatabaseId &database) const;
     void shareConnections();
     std::vector<SuccessionCandidate> candidates(const GroupId &group) const;
-    std::vector<GroupId> groups() const;
+    std::vector<GroupId> groupsToConsider();
     Instant now() const;
 
     Upstreams &m_upstreams;
@@ -122,7 +122,11 @@
     std::optional<RouteConfiguration> m_configuration;
     // The living VMs among whom connections were shared out last.
     std::optional<std::uint64_t> m_sharedVersion;
-    bool m_wasSettled = false;
+    Instant m_livingChangedAt;
+    bool m_isSettled = false;
+
+    // The last of the groups that were considered in turn.
+    GroupId m_consideredUpTo;
     bool m_isRestart = false;
     Instant m_startedAt;
     bool m_isStopping = false;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -16,8 +16,15 @@
 constexpr Duration pollInterval = milliseconds(400);
 constexpr std::size_t maximumPollsOut = 3;
 
-// Time after the start until the VMs that started together know one another.
+// VMs that started together know one another when no other has been found for so long, or at the
+// latest after the longer time.
 constexpr Duration settlingTime = milliseconds(1200);
+constexpr Duration longestSettling = milliseconds(5000);
+
+// Groups are considered in turn, all within a second; where there are no more than this, all of
+// them at each tick.
+constexpr std::size_t groupsInTurn = 32;
+constexpr std::size_t ticksForAllGroups = 10;
 
 // A write of leadership that was not answered by then is sent again under the same condition, well
 // before another VM takes the duty over for it.
@@ -52,6 +59,7 @@
     , m_notice{.vm = m_options.vm, .incarnation = m_options.incarnation}
     , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm))
     , m_ownNotice(store, upstreams.context().timers, noticeKey(m_own.vm))
+    , m_startedAt(now())
 {
     const ProxyContext &context = m_upstreams.context();
     m_succession = std::make_unique<Succession>(
@@ -61,7 +69,7 @@
                               .view = m_upstreams.leadership(),
                               .self = m_options.vm,
                               .incarnation = m_options.incarnation},
-            SuccessionPorts{.groups = [this] { return groups(); },
+            SuccessionPorts{.groups = [this] { return groupsToConsider(); },
                             .databases = [this](const GroupId &group) { return candidates(group); },
                             .groupSize =
                                     [this](const GroupId &group) {
@@ -99,7 +107,6 @@
 void Coordinator::start()
 {
     m_upstreams.judgeLossBy([this](const DatabaseId &database) { return isLostForMost(database); });
-    m_startedAt = now();
     poll();
     renew();
     tick();
@@ -112,11 +119,7 @@
 
 bool Coordinator::isCutOff() const
 {
-    const std::vector<GroupId> known = groups();
-    const auto cutOff = std::count_if(known.begin(), known.end(), [this](const GroupId &group) {
-        return m_upstreams.isCutOff(group);
-    });
-    return static_cast<std::size_t>(cutOff) * 2 > known.size();
+    return m_upstreams.isCutOffFromMost();
 }
 
 bool Coordinator::isLostForMost(const DatabaseId &database) const
@@ -262,7 +265,10 @@
 
 void Coordinator::configurationChanged(const RouteConfiguration &configuration)
 {
+    const bool isSharedAlike = m_configuration && m_configuration->groups == configuration.groups;
     m_configuration = configuration;
+    if (isSharedAlike)
+        return;
     m_sharedVersion.reset();
     shareConnections();
 }
@@ -272,28 +278,44 @@
     if (!m_configuration)
         return;
     const std::uint64_t version = m_vms.livingVersion(now());
-    const bool isSettled = m_isRestart || now() - m_startedAt > settlingTime;
-    if (version == m_sharedVersion && isSettled == m_wasSettled)
+    const bool isOther = version != m_sharedVersion;
+    if (isOther)
+        m_livingChangedAt = now();
+    const bool wasSettled = m_isSettled;
+    m_isSettled = wasSettled || m_isRestart || now() - m_livingChangedAt > settlingTime
+                  || now() - m_startedAt > longestSettling;
+    if (!isOther && m_isSettled == wasSettled)
         return;
     m_sharedVersion = version;
-    m_wasSettled = isSettled;
-    m_upstreams.shareConnections(*m_configuration, m_vms.living(now()), isSettled);
+    m_upstreams.shareConnections(*m_configuration, m_vms.living(now()), m_isSettled);
 }
 
-std::vector<GroupId> Coordinator::groups() const
+// Those whose turn it is, and those with a database that is silent.
+std::vector<GroupId> Coordinator::groupsToConsider()
 {
-    return m_upstreams.directory().groups();
+    const UpstreamDirectory &directory = m_upstreams.directory();
+    const std::size_t share = directory.groupCount() / ticksForAllGroups + 1;
+    std::vector<GroupId> groups =
+            directory.groupsAfter(m_consideredUpTo, std::max(groupsInTurn, share));
+    if (!groups.empty())
+        m_consideredUpTo = groups.back();
+    for (const auto &[database, vms] : m_vms.silentDatabases(now())) {
+        if (const UpstreamEntry *entry = directory.find(database))
+            groups.push_back(entry->target.group);
+    }
+    return groups;
 }
 
 std::vector<SuccessionCandidate> Coordinator::candidates(const GroupId &group) const
 {
     std::vector<SuccessionCandidate> candidates;
-    for (const UpstreamEntry &entry : m_upstreams.directory().group(group)) {
-        candidates.push_back({.database = entry.target.database,
-                              .isDraining = entry.isDraining,
-                              .claimsToLead = entry.role == Role::Primary,
-                              .vmsNotReached = m_vms.silentCount(entry.target.database, now()),
-                              .vms = m_upstreams.ownerCount(entry.target.database)});
+    for (const UpstreamEntry *entry : m_upstreams.directory().group(group)) {
+        const DatabaseId &database = entry->target.database;
+        candidates.push_back({.database = database,
+                              .isDraining = entry->isDraining,
+                              .claimsToLead = entry->role == Role::Primary,
+                              .vmsNotReached = m_vms.silentCount(database, now()),
+                              .vms = m_upstreams.ownerCount(database)});
     }
     return candidates;
 }
@@ -328,7 +350,7 @@
 {
     m_upstreams.probeSilent();
     std::set<DatabaseId> silent;
-    m_upstreams.directory().forEach([this, &silent](const UpstreamEntry &entry) {
+    m_upstreams.forEachOwned([this, &silent](const UpstreamEntry &entry) {
         if (hearsNothing(entry))
             silent.insert(entry.target.database);
     });
--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -234,6 +234,8 @@
     CPPUNIT_TEST(leavingPrimaryIsReplacedInTime);
     CPPUNIT_TEST(outageOfTheStoreStopsNoWrites);
     CPPUNIT_TEST(restartedVmKnowsTheOthersAtOnce);
+    CPPUNIT_TEST(startingVmsWaitUntilTheyKnowOneAnother);
+    CPPUNIT_TEST(startingVmLeavesPrimariesAlone);
     CPPUNIT_TEST(stoppingVmGivesTheDutyBack);
     CPPUNIT_TEST_SUITE_END();
 
@@ -299,6 +301,32 @@
         CPPUNIT_ASSERT(vm.upstreams.areVmsKnown());
     }
 
+    // Pattern: hundreds of VMs start at once, and learn of one another bit by bit.
+    void startingVmsWaitUntilTheyKnowOneAnother()
+    {
+        World world;
+        Vm vm(world, "vm-0");
+        for (int other = 1; other <= 6; ++other) {
+            vm.coordinator.vmChanged({.vm = VmId("vm-" + std::to_string(other)), .renewal = 1});
+            world.timers.advance(500ms);
+            CPPUNIT_ASSERT(!vm.upstreams.areVmsKnown());
+        }
+        world.timers.advance(1200ms);
+        CPPUNIT_ASSERT(vm.upstreams.areVmsKnown());
+    }
+
+    // Each of the VMs would hold a connection to each primary, more than these bear.
+    void startingVmLeavesPrimariesAlone()
+    {
+        World world;
+        Vm vm(world, "vm-0");
+        for (int other = 1; other <= 6; ++other) {
+            vm.coordinator.vmChanged({.vm = VmId("vm-" + std::to_string(other)), .renewal = 1});
+            world.timers.advance(600ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.databases["a"].connections);
+    }
+
     void stoppingVmGivesTheDutyBack()
     {
         Fleet fleet(3);
--- a/libs/directory/include/directory/routetable.h
+++ b/libs/directory/include/directory/routetable.h
@@ -54,6 +54,8 @@
 
     // Replicas that must have received a commit before it is acknowledged.
     std::uint32_t synchronousReplicas = 0;
+
+    bool operator==(const GroupLimits &) const = default;
 };
 
 // The operator's configuration, of one version.
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -66,12 +66,20 @@
 
     const UpstreamEntry *find(const DatabaseId &database) const;
 
-    // Databases of a group, ordered by name; those without an entry among them.
-    std::vector<UpstreamEntry> group(const GroupId &group) const;
+    // Databases of a group, ordered by name; those without an entry among them. Valid until the
+    // directory changes.
+    std::vector<const UpstreamEntry *> group(const GroupId &group) const;
     std::vector<UpstreamEntry> all() const;
 
-    // Groups that have a database, ordered by name.
+    // Groups that have a database, ordered by name: all, or at most count that come after one,
+    // beginning anew after the last.
     std::vector<GroupId> groups() const;
+    std::vector<GroupId> groupsAfter(const GroupId &group, std::size_t count) const;
+
+    std::size_t groupCount() const
+    {
+        return m_groups.size();
+    }
 
     bool isEmpty() const
     {
@@ -85,12 +93,6 @@
     std::size_t groupSize(const GroupId &group, Instant now) const;
 
 private:
-    struct Known
-    {
-        UpstreamEntry entry;
-        std::optional<Instant> missingSince;
-    };
-
     Hooks m_hooks;
     struct Lost
     {
@@ -101,8 +103,12 @@
 
     void leaveGroup(const UpstreamEntry &entry);
     void dropPredecessors(const UpstreamEntry &entry);
+    UpstreamEntry drop(const DatabaseId &database);
+
+    std::map<DatabaseId, UpstreamEntry> m_entries;
 
-    std::map<DatabaseId, Known> m_entries;
+    // When entries of m_entries vanished.
+    std::map<DatabaseId, Instant> m_missingSince;
     std::map<GroupId, std::set<DatabaseId>> m_groups;
     std::map<DatabaseId, Lost> m_lost;
 };
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -12,18 +12,20 @@
 
 void UpstreamDirectory::update(const UpstreamEntry &entry)
 {
-    const auto found = m_entries.find(entry.target.database);
+    const DatabaseId &database = entry.target.database;
+    const auto found = m_entries.find(database);
     bool isNewLife = true;
     if (found != m_entries.end()) {
-        const UpstreamEntry &old = found->second.entry;
+        const UpstreamEntry &old = found->second;
         isNewLife = old.startedAt != entry.startedAt || old.target.endpoint != entry.target.endpoint
                     || old.target.group != entry.target.group;
         leaveGroup(old);
     }
-    m_lost.erase(entry.target.database);
+    m_lost.erase(database);
     dropPredecessors(entry);
-    m_groups[entry.target.group].insert(entry.target.database);
-    m_entries[entry.target.database] = {.entry = entry, .missingSince = {}};
+    m_missingSince.erase(database);
+    m_groups[entry.target.group].insert(database);
+    m_entries[database] = entry;
     m_hooks.onEntry(entry, isNewLife);
 }
 
@@ -49,26 +51,30 @@
     std::erase_if(m_lost, [&isReplaced](const auto &lost) {
         return isReplaced(lost.first, lost.second.group, lost.second.endpoint);
     });
-    for (auto known = m_entries.begin(); known != m_entries.end();) {
-        const UpstreamTarget &target = known->second.entry.target;
-        const bool isGone = known->second.missingSince
-                            && isReplaced(known->first, target.group, target.endpoint);
-        if (!isGone) {
-            ++known;
-            continue;
-        }
-        const UpstreamEntry gone = known->second.entry;
-        known = m_entries.erase(known);
-        leaveGroup(gone);
-        m_hooks.onGone(gone);
+    std::vector<DatabaseId> replaced;
+    for (const auto &[database, since] : m_missingSince) {
+        const UpstreamTarget &target = m_entries.at(database).target;
+        if (isReplaced(database, target.group, target.endpoint))
+            replaced.push_back(database);
     }
+    for (const DatabaseId &database : replaced)
+        drop(database);
+}
+
+// Forgets an entry and tells of it.
+UpstreamEntry UpstreamDirectory::drop(const DatabaseId &database)
+{
+    UpstreamEntry gone = std::move(m_entries.extract(database).mapped());
+    m_missingSince.erase(database);
+    leaveGroup(gone);
+    m_hooks.onGone(gone);
+    return gone;
 }
 
 void UpstreamDirectory::vanished(const DatabaseId &database, Instant now)
 {
-    const auto found = m_entries.find(database);
-    if (found != m_entries.end() && !found->second.missingSince)
-        found->second.missingSince = now;
+    if (m_entries.contains(database))
+        m_missingSince.try_emplace(database, now);
 }
 
 void UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries, Instant now)
@@ -78,44 +84,41 @@
         listed.insert(entry.target.database);
         update(entry);
     }
-    for (auto &[database, known] : m_entries) {
-        if (!listed.contains(database) && !known.missingSince)
-            known.missingSince = now;
+    for (const auto &[database, entry] : m_entries) {
+        if (!listed.contains(database))
+            m_missingSince.try_emplace(database, now);
     }
 }
 
 void UpstreamDirectory::expire(Instant now)
 {
-    for (auto known = m_entries.begin(); known != m_entries.end();) {
-        const auto &missingSince = known->second.missingSince;
-        if (!missingSince || now < *missingSince + missingEntryGrace) {
-            ++known;
-            continue;
-        }
-        const UpstreamEntry gone = known->second.entry;
-        known = m_entries.erase(known);
-        leaveGroup(gone);
+    std::vector<DatabaseId> over;
+    for (const auto &[database, since] : m_missingSince) {
+        if (now >= since + missingEntryGrace)
+            over.push_back(database);
+    }
+    for (const DatabaseId &database : over) {
+        const UpstreamEntry gone = drop(database);
         if (!gone.isDraining)
-            m_lost[gone.target.database] = {gone.target.group, gone.target.endpoint, now};
-        m_hooks.onGone(gone);
+            m_lost[database] = {gone.target.group, gone.target.endpoint, now};
     }
 }
 
 const UpstreamEntry *UpstreamDirectory::find(const DatabaseId &database) const
 {
     const auto found = m_entries.find(database);
-    return found == m_entries.end() ? nullptr : &found->second.entry;
+    return found == m_entries.end() ? nullptr : &found->second;
 }
 
-std::vector<UpstreamEntry> UpstreamDirectory::group(const GroupId &group) const
+std::vector<const UpstreamEntry *> UpstreamDirectory::group(const GroupId &group) const
 {
-    std::vector<UpstreamEntry> entries;
+    std::vector<const UpstreamEntry *> entries;
     const auto members = m_groups.find(group);
     if (members == m_groups.end())
         return entries;
     entries.reserve(members->second.size());
     for (const DatabaseId &database : members->second)
-        entries.push_back(m_entries.at(database).entry);
+        entries.push_back(&m_entries.at(database));
     return entries;
 }
 
@@ -128,10 +131,23 @@
     return groups;
 }
 
+std::vector<GroupId> UpstreamDirectory::groupsAfter(const GroupId &group, std::size_t count) const
+{
+    std::vector<GroupId> groups;
+    auto next = m_groups.upper_bound(group);
+    for (std::size_t left = std::min(count, m_groups.size()); left > 0; --left) {
+        if (next == m_groups.end())
+            next = m_groups.begin();
+        groups.push_back(next->first);
+        ++next;
+    }
+    return groups;
+}
+
 void UpstreamDirectory::forEach(const std::function<void(const UpstreamEntry &)> &visit) const
 {
-    for (const auto &[database, known] : m_entries)
-        visit(known.entry);
+    for (const auto &[database, entry] : m_entries)
+        visit(entry);
 }
 
 std::size_t UpstreamDirectory::groupSize(const GroupId &group, Instant now) const
@@ -147,8 +163,8 @@
 std::vector<UpstreamEntry> UpstreamDirectory::all() const
 {
     std::vector<UpstreamEntry> entries;
-    for (const auto &[database, known] : m_entries)
-        entries.push_back(known.entry);
+    for (const auto &[database, entry] : m_entries)
+        entries.push_back(entry);
     return entries;
 }
 
--- a/libs/directory/tests/directorytest.cpp
+++ b/libs/directory/tests/directorytest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(entryThatComesBackStays);
     CPPUNIT_TEST(otherLifeAndOtherAddressAreNew);
     CPPUNIT_TEST(fullListDropsTheOthers);
+    CPPUNIT_TEST(groupsComeInTurn);
     CPPUNIT_TEST(lostDatabaseCountsForAWhile);
     CPPUNIT_TEST(successorAtTheSameAddressEndsALostDatabase);
     CPPUNIT_TEST(configurationsOnlyRise);
@@ -93,6 +94,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.directory.group(GroupId("herd")).size());
     }
 
+    void groupsComeInTurn()
+    {
+        Seen seen;
+        for (const char *group : {"a", "b", "c"}) {
+            UpstreamEntry one = entry(group);
+            one.target.group = GroupId(group);
+            seen.directory.update(one);
+        }
+        const auto after = [&seen](const char *group, std::size_t count) {
+            std::string names;
+            for (const GroupId &next : seen.directory.groupsAfter(GroupId(group), count))
+                names += next.value();
+            return names;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), after("", 2));
+        CPPUNIT_ASSERT_EQUAL(std::string("ca"), after("b", 2));
+        CPPUNIT_ASSERT_EQUAL(std::string("bca"), after("a", 9));
+        CPPUNIT_ASSERT(Seen().directory.groupsAfter(GroupId("a"), 1).empty());
+    }
+
     void lostDatabaseCountsForAWhile()
     {
         Seen seen;
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -49,6 +49,7 @@
 // What a Succession asks of the VM that it runs in.
 struct SuccessionPorts
 {
+    // Groups to be looked at in this tick; each that has databases is among them once a second or so.
     std::function<std::vector<GroupId>()> groups;
     std::function<std::vector<SuccessionCandidate>(const GroupId &)> databases;
 
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace fescuespring {
@@ -61,7 +62,11 @@
     if (!m_options.view.holdsLease(m_options.timers.now()))
         return;
     noteHolder();
-    for (const GroupId &group : m_ports.groups())
+    const std::vector<GroupId> groups = m_ports.groups();
+    std::set<GroupId> due(groups.begin(), groups.end());
+    for (const auto &[group, since] : m_neededSince)
+        due.insert(group);
+    for (const GroupId &group : due)
         consider(group);
 }
 
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -71,6 +71,9 @@
 
     // VMs of three that hear nothing from the primary a.
     std::size_t silentVms = 0;
+
+    // Groups whose turn it is.
+    std::vector<GroupId> groupsDue{group};
     std::size_t groupSize = 3;
     std::optional<PromotionOrderEnd> orderEnd;
 };
@@ -88,7 +91,7 @@
                    .view = view,
                    .self = self,
                    .incarnation = name + "-life"},
-                  {.groups = [] { return std::vector{group}; },
+                  {.groups = [this] { return world.groupsDue; },
                    .databases = [this](const GroupId &) { return candidates(); },
                    .groupSize = [this](const GroupId &) { return world.groupSize; },
                    .command = [this](const DatabaseId &database, const Statement &statement,
@@ -198,6 +201,7 @@
     CPPUNIT_TEST_SUITE(SuccessionTest);
     CPPUNIT_TEST(nothingHappensWhileThePrimaryIsHeard);
     CPPUNIT_TEST(minorityDoesNotReplace);
+    CPPUNIT_TEST(dueChangeIsFollowedUpBetweenItsTurns);
     CPPUNIT_TEST(lostPrimaryIsReplacedByTheFurthest);
     CPPUNIT_TEST(othersCannotTrustOldRecordsWhenTheOrderGoesOut);
     CPPUNIT_TEST(leavingPrimaryIsStoppedFirst);
@@ -223,6 +227,19 @@
         CPPUNIT_ASSERT(world.store.objects.empty());
     }
 
+    // Pattern: more groups than are looked at in each tick.
+    void dueChangeIsFollowedUpBetweenItsTurns()
+    {
+        World world;
+        Vm vm(world, "vm-0", 0);
+        world.timers.advance(1s);
+        world.silentVms = 2;
+        world.timers.advance(100ms);
+        world.groupsDue.clear();
+        world.timers.advance(4s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.orders.size());
+    }
+
     void minorityDoesNotReplace()
     {
         World world;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -118,6 +118,12 @@
     // be served here.
     bool isCutOff(const GroupId &group) const;
 
+    // The same for most groups, so that callers are better off elsewhere.
+    bool isCutOffFromMost() const;
+
+    // Calls visit for each database that this VM holds connections to, as one of its owners.
+    void forEachOwned(const std::function<void(const UpstreamEntry &)> &visit) const;
+
     // Whether an answer of the group's primary could be shown to count: by the store's records, or,
     // as far as the last attempt told, by the group itself.
     bool canShowLeading(const GroupId &group) const;
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -27,8 +27,8 @@
     const auto askedAt = m_leadership.askedAt();
     TermEvidence::Electorate electorate{.size = m_directory.groupSize(group, now),
                                         .needsAll = !askedAt || now - *askedAt > oldestDirectory};
-    for (const UpstreamEntry &entry : m_directory.group(group))
-        electorate.voters.push_back({entry.target.database, !entry.isDraining});
+    for (const UpstreamEntry *entry : m_directory.group(group))
+        electorate.voters.push_back({entry->target.database, !entry->isDraining});
     return electorate;
 }
 
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -195,13 +195,18 @@
 {
     const ConnectionShares shares = sharesOf(access.own->target());
     access.owners = shares.owners;
-    access.rank = m_ownerPlan.rank(database, shares.owners, m_context.vm);
     access.otherOwners.reset();
-    const bool isShared = m_context.connectPeer && m_areVmsKnown;
-    access.isOwner = !isShared || access.rank < shares.owners;
-    access.hasOtherOwners =
-            isShared && std::min(shares.owners, m_ownerPlan.size()) > (access.isOwner ? 1U : 0U);
-    if (m_areVmsKnown && access.isOwner)
+    access.rank = shares.owners;
+    access.isOwner = false;
+    access.hasOtherOwners = false;
+    if (m_areVmsKnown) {
+        access.rank = m_ownerPlan.rank(database, shares.owners, m_context.vm);
+        access.isOwner = !m_context.connectPeer || access.rank < shares.owners;
+        access.hasOtherOwners =
+                m_context.connectPeer
+                && std::min(shares.owners, m_ownerPlan.size()) > (access.isOwner ? 1U : 0U);
+    }
+    if (access.isOwner)
         access.own->setLimits(shares.kept, shares.maximum, shares.fewestStatements);
     else
         access.own->setLimits(0, emergencyConnections, 1);
@@ -318,6 +323,31 @@
     return silentSince && m_context.timers.now() - *silentSince > cutOffAfter;
 }
 
+bool Upstreams::isCutOffFromMost() const
+{
+    std::size_t cutOff = 0;
+    for (const auto &[database, known] : m_accesses) {
+        const bool maySilent =
+                known->own->observation().silentSince || known->byOthers->observation().silentSince;
+        if (!maySilent)
+            continue;
+        const UpstreamEntry *entry = m_directory.find(database);
+        const auto believed = entry ? m_leadership.primary(entry->target.group) : std::nullopt;
+        if (believed && believed->database == database && isCutOff(entry->target.group))
+            ++cutOff;
+    }
+    return cutOff * 2 > m_directory.groupCount();
+}
+
+void Upstreams::forEachOwned(const std::function<void(const UpstreamEntry &)> &visit) const
+{
+    for (const auto &[database, known] : m_accesses) {
+        const UpstreamEntry *entry = known->isOwner ? m_directory.find(database) : nullptr;
+        if (entry)
+            visit(*entry);
+    }
+}
+
 bool Upstreams::canShowLeading(const GroupId &group) const
 {
     const Instant now = m_context.timers.now();
@@ -351,11 +381,11 @@
 {
     std::optional<DatabaseId> chosen;
     double lowest = 0;
-    for (const UpstreamEntry &entry : m_directory.group(group)) {
-        const DatabaseId &database = entry.target.database;
-        if (entry.isDraining || excluded.contains(database) || !m_accesses.contains(database))
+    for (const UpstreamEntry *entry : m_directory.group(group)) {
+        const DatabaseId &database = entry->target.database;
+        if (entry->isDraining || excluded.contains(database) || !m_accesses.contains(database))
             continue;
-        const double cost = readCost(entry);
+        const double cost = readCost(*entry);
         if (chosen && cost >= lowest)
             continue;
         chosen = database;
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -84,6 +84,10 @@
     // How many living VMs hear nothing from a database.
     std::size_t silentCount(const DatabaseId &database, Instant now) const;
 
+    // Databases that a living VM hears nothing from, with the number of these VMs. Valid as living()
+    // is.
+    const std::map<DatabaseId, std::size_t> &silentDatabases(Instant now) const;
+
     // Place of a VM among the living, from 0; their number if it is not among them.
     std::size_t rank(const VmId &vm, Instant now) const;
 
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -223,6 +223,11 @@
     return found == silent.end() ? 0 : found->second;
 }
 
+const std::map<DatabaseId, std::size_t> &VmRegistry::silentDatabases(Instant now) const
+{
+    return digest(now).silent;
+}
+
 std::size_t VmRegistry::rank(const VmId &vm, Instant now) const
 {
     const std::vector<VmRecord> &vms = living(now);
