The feed sends the parts that differ, and changes of a burst together

A follower that was ahead of its reader also gave up what the reader did not know yet. Change: a follower says what it holds as digests of parts of each kind (four objects a part) and gets the parts that differ; a list says up to which version of the store it is whole, and what is newer stays; the changes of one turn of the loop go out together. Tests: followerAheadOfItsReaderKeepsWhatIsNewer, changesOfOneListAreSentTogether, followerGetsOnlyWhatItLacks with the new messages (bound unchanged); interface new, so not seen red.

--- a/libs/coordination/tests/storeaccesstest.cpp
+++ b/libs/coordination/tests/storeaccesstest.cpp
@@ -23,7 +23,7 @@
             : world(ownWorld)
             , name(ownName)
         {
-            mirror.replaceAll("kind", {});
+            mirror.replaceAll("kind", {}, ObjectVersion(1));
             auto listening = FeedReader::listen(world.loop, {"127.0.0.1", 0}, world.timers, mirror,
                                                 [this] { return records ? &*records : nullptr; });
             CPPUNIT_ASSERT(listening);
--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -28,7 +28,8 @@
         Known,
         Begin,
 
-        // Reader, after Begin: every object of a kind of which the follower lacks some.
+        // Reader, after Begin: every object of a kind, or of the parts of it that differ from what
+        // the follower holds.
         All,
 
         // Reader: one change.
@@ -46,12 +47,16 @@
     // where it knows nothing.
     Duration age{-1};
 
-    // Of Question: digest of the records that the follower holds; 0 if it holds none. Of Known: of
-    // the objects of the kind.
+    // Of Question: digest of the records that the follower holds; 0 if it holds none.
     std::uint64_t digest = 0;
 
-    // Of Known: highest version among the objects.
-    ObjectVersion newest = {};
+    // Of Known: digests of the parts that the objects of the kind fall into; see partDigests.
+    std::vector<std::uint64_t> parts = {};
+
+    // Of All: into how many parts the kind falls, and which of them these objects are; no numbers
+    // mean all of the kind.
+    std::size_t partCount = 0;
+    std::vector<std::size_t> partNumbers = {};
 
     // Of Known, All and Change: the kind of objects. Of Answer and All: the objects.
     std::string objectKind = {};
@@ -59,11 +64,23 @@
 
     // Of Change.
     bool isRemoved = false;
+
+    // Of All and Change: the version of the store up to which the reader knows the kind.
+    ObjectVersion knownUpTo = {};
 };
 
 // Tells apart records of different keys or versions; never 0.
 std::uint64_t digestOf(const std::vector<StoredObject> &records);
 
+// The part that an object belongs to by its key, of count parts.
+std::size_t partOf(const StoredObject &object, std::size_t count);
+
+// Into how many parts so many objects are divided to be compared: few objects fall into each.
+std::size_t partCountFor(std::size_t objects);
+
+// The digest of each of count parts of objects ordered by key.
+std::vector<std::uint64_t> partDigests(const std::vector<StoredObject> &objects, std::size_t count);
+
 // Text of a message with its end of line.
 std::string encodeFeedMessage(const FeedMessage &message);
 
--- a/libs/storefeed/include/storefeed/storemirror.h
+++ b/libs/storefeed/include/storefeed/storemirror.h
@@ -29,11 +29,23 @@
     // Listeners live as long as the mirror.
     void listen(Listener listener);
 
-    // Every object of a kind, from a source that knew them all at one moment.
-    void replaceAll(const std::string &kind, const std::vector<StoredObject> &objects);
+    // Which objects of a kind a list is whole for.
+    using Scope = std::function<bool(const StoredObject &)>;
+
+    // Objects of a kind, from a source that knew all those in scope as they were at a version of
+    // the store; an empty scope means all of the kind. An object that the list lacks is given up,
+    // unless it is newer than what the source knew.
+    void replaceAll(const std::string &kind, const std::vector<StoredObject> &objects,
+                    ObjectVersion knownUpTo, const Scope &scope = {});
 
     void apply(const std::string &kind, const StoreChange &change);
 
+    // Every change of the kind up to a version of the store was applied.
+    void noteVersion(const std::string &kind, ObjectVersion version);
+
+    // The version of the store up to which a kind is known.
+    ObjectVersion version(const std::string &kind) const;
+
     // The objects of a kind, ordered by key.
     std::vector<StoredObject> objects(const std::string &kind) const;
     std::vector<std::string> kinds() const;
@@ -48,7 +60,13 @@
     void remove(const std::string &kind, const std::string &key);
     void tell(const std::string &kind, const StoreChange &change);
 
-    std::map<std::string, std::map<std::string, StoredObject>> m_kinds;
+    struct Kind
+    {
+        std::map<std::string, StoredObject> objects;
+        ObjectVersion version;
+    };
+
+    std::map<std::string, Kind> m_kinds;
     std::vector<Listener> m_listeners;
 };
 
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -2,7 +2,7 @@
 
 #include "net/linecutter.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fescuespring {
@@ -49,12 +49,9 @@
         std::string text;
         for (const std::string &kind : options.mirror.kinds()) {
             const std::vector<StoredObject> objects = options.mirror.objects(kind);
-            FeedMessage message{.kind = FeedMessage::Kind::Known,
-                                .digest = digestOf(objects),
-                                .objectKind = kind};
-            for (const StoredObject &object : objects)
-                message.newest = std::max(message.newest, object.version);
-            text += encodeFeedMessage(message);
+            text += encodeFeedMessage({.kind = FeedMessage::Kind::Known,
+                                       .parts = partDigests(objects, partCountFor(objects.size())),
+                                       .objectKind = kind});
         }
         stream->send(text + encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
     }
@@ -80,11 +77,12 @@
     {
         switch (message.kind) {
         case FeedMessage::Kind::All:
-            options.mirror.replaceAll(message.objectKind, message.objects);
+            takeAll(message);
             break;
         case FeedMessage::Kind::Change:
             for (const StoredObject &object : message.objects)
                 options.mirror.apply(message.objectKind, {object, message.isRemoved});
+            options.mirror.noteVersion(message.objectKind, message.knownUpTo);
             break;
         case FeedMessage::Kind::Nudge:
             options.onNudge();
@@ -109,6 +107,18 @@
         }
     }
 
+    void takeAll(const FeedMessage &message)
+    {
+        const std::set<std::size_t> numbers(message.partNumbers.begin(), message.partNumbers.end());
+        StoreMirror::Scope scope;
+        if (message.partCount != 0) {
+            scope = [&numbers, count = message.partCount](const StoredObject &object) {
+                return numbers.contains(partOf(object, count));
+            };
+        }
+        options.mirror.replaceAll(message.objectKind, message.objects, message.knownUpTo, scope);
+    }
+
     void ask(Duration timeout, Answered answered)
     {
         const std::uint64_t number = ++lastNumber;
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <xxhash.h>
 
@@ -13,6 +14,10 @@
 
 namespace {
 
+// Objects that fall into one part on average, and the most parts of a kind.
+constexpr std::size_t objectsPerPart = 4;
+constexpr std::size_t maximumParts = 1024;
+
 constexpr std::array kindNames{"question", "answer", "unchanged", "known",
                                "begin",    "all",    "change",    "nudge"};
 
@@ -21,6 +26,31 @@
     return {.code = ErrorCode::Malformed, .message = "unreadable message", .field = field};
 }
 
+json::array encodeNumbers(const auto &numbers)
+{
+    json::array array;
+    for (const auto number : numbers)
+        array.push_back(static_cast<std::int64_t>(number));
+    return array;
+}
+
+// False where the field is there and holds anything else; without it the numbers stay empty.
+template <typename Number>
+bool decodeNumbers(const json::object &fields, std::string_view name, std::vector<Number> &numbers)
+{
+    const json::value *value = fields.if_contains(name);
+    if (!value)
+        return true;
+    if (!value->is_array() || value->get_array().size() > maximumParts)
+        return false;
+    for (const json::value &item : value->get_array()) {
+        if (!item.is_int64())
+            return false;
+        numbers.push_back(static_cast<Number>(item.get_int64()));
+    }
+    return true;
+}
+
 json::array encodeObjects(const std::vector<StoredObject> &objects)
 {
     json::array array;
@@ -68,6 +98,28 @@
     return digest == 0 ? 1 : digest;
 }
 
+std::size_t partOf(const StoredObject &object, std::size_t count)
+{
+    return XXH3_64bits(object.key.data(), object.key.size()) % count;
+}
+
+std::size_t partCountFor(std::size_t objects)
+{
+    return std::clamp<std::size_t>(objects / objectsPerPart, 1, maximumParts);
+}
+
+std::vector<std::uint64_t> partDigests(const std::vector<StoredObject> &objects, std::size_t count)
+{
+    std::vector<std::uint64_t> digests(count);
+    for (const StoredObject &object : objects) {
+        const std::uint64_t version = object.version.value();
+        std::uint64_t &digest = digests[partOf(object, count)];
+        digest = XXH3_64bits_withSeed(object.key.data(), object.key.size(), digest);
+        digest = XXH3_64bits_withSeed(&version, sizeof version, digest);
+    }
+    return digests;
+}
+
 std::string encodeFeedMessage(const FeedMessage &message)
 {
     json::object fields{{"is", kindNames[static_cast<std::size_t>(message.kind)]}};
@@ -79,8 +131,14 @@
         fields["ageUs"] = message.age.count();
     if (message.digest != 0)
         fields["digest"] = static_cast<std::int64_t>(message.digest);
-    if (message.kind == FeedMessage::Kind::Known)
-        fields["newest"] = message.newest.value();
+    if (!message.parts.empty())
+        fields["parts"] = encodeNumbers(message.parts);
+    if (message.partCount != 0)
+        fields["partCount"] = message.partCount;
+    if (!message.partNumbers.empty())
+        fields["partNumbers"] = encodeNumbers(message.partNumbers);
+    if (message.knownUpTo != ObjectVersion())
+        fields["upTo"] = message.knownUpTo.value();
     if (!message.objectKind.empty())
         fields["of"] = message.objectKind;
     if (!message.objects.empty())
@@ -107,7 +165,12 @@
     message.number = static_cast<std::uint64_t>(wholeOr(fields, "number", 0));
     message.age = Duration(wholeOr(fields, "ageUs", -1));
     message.digest = static_cast<std::uint64_t>(wholeOr(fields, "digest", 0));
-    message.newest = ObjectVersion(static_cast<std::uint64_t>(wholeOr(fields, "newest", 0)));
+    message.knownUpTo = ObjectVersion(static_cast<std::uint64_t>(wholeOr(fields, "upTo", 0)));
+    message.partCount = static_cast<std::size_t>(wholeOr(fields, "partCount", 0));
+    if (!decodeNumbers(fields, "parts", message.parts))
+        return malformed("parts");
+    if (!decodeNumbers(fields, "partNumbers", message.partNumbers))
+        return malformed("partNumbers");
     if (const json::value *of = fields.if_contains("of")) {
         if (!of->is_string())
             return malformed("of");
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -3,6 +3,7 @@
 #include "net/linecutter.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fescuespring {
@@ -72,7 +73,7 @@
         switch (message.kind) {
         case FeedMessage::Kind::Known:
             follower.known[message.objectKind] = message;
-            return true;
+            return !message.parts.empty();
         case FeedMessage::Kind::Begin:
             follower.hasBegun = true;
             for (const std::string &kind : mirror.kinds())
@@ -87,29 +88,40 @@
         }
     }
 
-    // Sends what changed since the follower's newest object where it holds all up to that one, else
-    // everything.
+    // Sends the parts of a kind that differ from what the follower holds; all of a kind that it
+    // does not know.
     void sendMissing(Follower &follower, const std::string &kind) const
     {
-        std::vector<StoredObject> objects = mirror.objects(kind);
+        FeedMessage message{.kind = FeedMessage::Kind::All,
+                            .objectKind = kind,
+                            .knownUpTo = mirror.version(kind)};
+        message.objects = mirror.objects(kind);
         const auto known = follower.known.find(kind);
         if (known != follower.known.end()) {
-            const auto newer = std::stable_partition(
-                    objects.begin(), objects.end(), [&known](const StoredObject &object) {
-                        return object.version <= known->second.newest;
-                    });
-            const std::vector<StoredObject> held(objects.begin(), newer);
-            if (digestOf(held) == known->second.digest) {
-                if (newer != objects.end())
-                    follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Change,
-                                                             .objectKind = kind,
-                                                             .objects = {newer, objects.end()}}));
+            const std::vector<std::uint64_t> &theirs = known->second.parts;
+            message.partCount = theirs.size();
+            message.partNumbers = differingParts(theirs, message.objects);
+            if (message.partNumbers.empty())
                 return;
-            }
+            const std::set<std::size_t> differing(message.partNumbers.begin(),
+                                                  message.partNumbers.end());
+            std::erase_if(message.objects, [&](const StoredObject &object) {
+                return !differing.contains(partOf(object, message.partCount));
+            });
         }
-        follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::All,
-                                                 .objectKind = kind,
-                                                 .objects = std::move(objects)}));
+        follower.stream->send(encodeFeedMessage(message));
+    }
+
+    static std::vector<std::size_t> differingParts(const std::vector<std::uint64_t> &theirs,
+                                                   const std::vector<StoredObject> &objects)
+    {
+        const std::vector<std::uint64_t> ours = partDigests(objects, theirs.size());
+        std::vector<std::size_t> differing;
+        for (std::size_t part = 0; part < ours.size(); ++part) {
+            if (ours[part] != theirs[part])
+                differing.push_back(part);
+        }
+        return differing;
     }
 
     FeedMessage answer(const FeedMessage &question) const
@@ -137,6 +149,36 @@
         timers.after(Duration(0), [kept, self = shared_from_this()] {});
     }
 
+    // Changes that come in one burst, such as those of a list, are sent together.
+    void noteChange(const std::string &kind, const StoreChange &change)
+    {
+        if (followers.empty())
+            return;
+        if (changes.empty())
+            timers.after(Duration(0), [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->sendChanges();
+            });
+        changes[kind][change.object.key] = change;
+    }
+
+    void sendChanges()
+    {
+        for (const auto &[kind, changed] : std::exchange(changes, {})) {
+            FeedMessage updates{.kind = FeedMessage::Kind::Change,
+                                .objectKind = kind,
+                                .knownUpTo = mirror.version(kind)};
+            FeedMessage removals = updates;
+            removals.isRemoved = true;
+            for (const auto &[key, change] : changed)
+                (change.isRemoved ? removals : updates).objects.push_back(change.object);
+            if (!updates.objects.empty())
+                sendToAll(updates);
+            if (!removals.objects.empty())
+                sendToAll(removals);
+        }
+    }
+
     void sendToAll(const FeedMessage &message)
     {
         if (followers.empty())
@@ -160,6 +202,9 @@
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, Follower> followers;
     std::uint64_t lastNumber = 0;
+
+    // What changed and is not sent yet, by kind and key.
+    std::map<std::string, std::map<std::string, StoreChange>> changes;
 };
 
 FeedReader::FeedReader(std::shared_ptr<Data> data)
@@ -187,12 +232,8 @@
         return listener.error();
     data->listener = std::move(listener.value());
     mirror.listen([weak = std::weak_ptr(data)](const std::string &kind, const StoreChange &change) {
-        if (const auto reader = weak.lock()) {
-            reader->sendToAll({.kind = FeedMessage::Kind::Change,
-                               .objectKind = kind,
-                               .objects = {change.object},
-                               .isRemoved = change.isRemoved});
-        }
+        if (const auto reader = weak.lock())
+            reader->noteChange(kind, change);
     });
     return std::unique_ptr<FeedReader>(new FeedReader(std::move(data)));
 }
--- a/libs/storefeed/src/storemirror.cpp
+++ b/libs/storefeed/src/storemirror.cpp
@@ -1,5 +1,6 @@
 #include "storefeed/storemirror.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -16,23 +17,25 @@
         listener(kind, change);
 }
 
-void StoreMirror::replaceAll(const std::string &kind, const std::vector<StoredObject> &objects)
+void StoreMirror::replaceAll(const std::string &kind, const std::vector<StoredObject> &objects,
+                             ObjectVersion knownUpTo, const Scope &scope)
 {
     std::set<std::string> listed;
-    m_kinds[kind];
     for (const StoredObject &object : objects) {
         listed.insert(object.key);
         apply(kind, {object, false});
     }
     for (const StoredObject &known : this->objects(kind)) {
-        if (!listed.contains(known.key))
+        const bool isInScope = !scope || scope(known);
+        if (isInScope && known.version <= knownUpTo && !listed.contains(known.key))
             remove(kind, known.key);
     }
+    noteVersion(kind, knownUpTo);
 }
 
 void StoreMirror::apply(const std::string &kind, const StoreChange &change)
 {
-    auto &objects = m_kinds[kind];
+    auto &objects = m_kinds[kind].objects;
     const auto known = objects.find(change.object.key);
     if (change.isRemoved) {
         // A removal that is told late takes no object back that was created after it.
@@ -46,9 +49,21 @@
     tell(kind, change);
 }
 
+void StoreMirror::noteVersion(const std::string &kind, ObjectVersion version)
+{
+    Kind &known = m_kinds[kind];
+    known.version = std::max(known.version, version);
+}
+
+ObjectVersion StoreMirror::version(const std::string &kind) const
+{
+    const auto known = m_kinds.find(kind);
+    return known == m_kinds.end() ? ObjectVersion() : known->second.version;
+}
+
 void StoreMirror::remove(const std::string &kind, const std::string &key)
 {
-    auto &objects = m_kinds[kind];
+    auto &objects = m_kinds[kind].objects;
     const auto known = objects.find(key);
     if (known == objects.end())
         return;
@@ -63,7 +78,8 @@
     const auto known = m_kinds.find(kind);
     if (known == m_kinds.end())
         return objects;
-    for (const auto &[key, object] : known->second)
+    objects.reserve(known->second.objects.size());
+    for (const auto &[key, object] : known->second.objects)
         objects.push_back(object);
     return objects;
 }
@@ -71,7 +87,7 @@
 std::vector<std::string> StoreMirror::kinds() const
 {
     std::vector<std::string> kinds;
-    for (const auto &[kind, objects] : m_kinds)
+    for (const auto &[kind, known] : m_kinds)
         kinds.push_back(kind);
     return kinds;
 }
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -2,6 +2,7 @@
 #include "storefeed/feedfollower.h"
 #include "storefeed/feedreader.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
@@ -20,7 +21,8 @@
 {
     Pair()
     {
-        reader.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)});
+        reader.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)},
+                          ObjectVersion(2));
         auto feed = FeedReader::listen(loop, {"127.0.0.1", 0}, timers, reader,
                                        [this] { return records ? &*records : nullptr; });
         CPPUNIT_ASSERT(feed);
@@ -76,8 +78,9 @@
                 removed.push_back(change.object.key);
         });
         CPPUNIT_ASSERT(!mirror.isKnown("servers"));
-        mirror.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)});
-        mirror.replaceAll("servers", {object("servers/b", 2)});
+        mirror.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)},
+                          ObjectVersion(2));
+        mirror.replaceAll("servers", {object("servers/b", 2)}, ObjectVersion(3));
         CPPUNIT_ASSERT(mirror.isKnown("servers"));
         CPPUNIT_ASSERT(removed == std::vector<std::string>{"servers/a"});
     }
@@ -122,6 +125,8 @@
     CPPUNIT_TEST(followerKnowsWhatTheReaderKnows);
     CPPUNIT_TEST(unchangedRecordsAreNotSentAgain);
     CPPUNIT_TEST(followerGetsOnlyWhatItLacks);
+    CPPUNIT_TEST(followerAheadOfItsReaderKeepsWhatIsNewer);
+    CPPUNIT_TEST(changesOfOneListAreSentTogether);
     CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
     CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
     CPPUNIT_TEST(lostReaderIsTold);
@@ -206,21 +211,59 @@
                          [](const Error &) {
                          }});
         stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Known,
-                                        .digest = digestOf(held),
-                                        .newest = ObjectVersion(5),
+                                        .parts = partDigests(held, 64),
                                         .objectKind = "servers"})
                      + encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
         pair.run(200ms);
         CPPUNIT_ASSERT(received > 0);
         CPPUNIT_ASSERT(received < 1000);
         // One that held an object which has gone since gets all, and drops it.
-        pair.mirror.replaceAll("servers", held);
+        pair.mirror.replaceAll("servers", held, ObjectVersion(2));
         pair.reader.apply("servers", {object("servers/b", 7), true});
         const FeedFollower follower(pair.loop, pair.timers, options(pair));
         pair.run(200ms);
         CPPUNIT_ASSERT(pair.mirror.objects("servers") == pair.reader.objects("servers"));
     }
 
+    // Pattern: a VM that read the store a moment after its reader did.
+    void followerAheadOfItsReaderKeepsWhatIsNewer()
+    {
+        Pair pair;
+        pair.mirror.replaceAll(
+                "servers",
+                {object("servers/a", 1), object("servers/gone", 2), object("servers/new", 9)},
+                ObjectVersion(9));
+        const FeedFollower follower(pair.loop, pair.timers, options(pair));
+        pair.run(200ms);
+        std::string keys;
+        for (const StoredObject &known : pair.mirror.objects("servers"))
+            keys += known.key + ' ';
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/a servers/b servers/new "), keys);
+    }
+
+    // Pattern: a list in which hundreds of VMs have renewed themselves.
+    void changesOfOneListAreSentTogether()
+    {
+        Pair pair;
+        std::size_t lines = 0;
+        const auto stream = TcpStream::connect(
+                pair.loop, {.endpoint = pair.server->endpoint()},
+                {.onBytes =
+                         [&](std::string_view bytes) { lines += std::ranges::count(bytes, '\n'); },
+                 .onClosed =
+                         [](const Error &) {
+                         }});
+        stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
+        pair.run(100ms);
+        lines = 0;
+        std::vector<StoredObject> renewed;
+        for (std::uint64_t i = 0; i < 300; ++i)
+            renewed.push_back(object("vms/" + std::to_string(i), 10 + i));
+        pair.reader.replaceAll("vms", renewed, ObjectVersion(310));
+        pair.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines);
+    }
+
     // The reader is slow to answer, so that its word is older than it says by then.
     void ageCountsFromTheFollowersQuestion()
     {
