Large objects go from VM to VM as patches

Weighed: every VM watches the configuration itself (a call a VM and change, and a herd at the store), a tree of followers (records would be too old after two steps). Change: libs/valuepatch makes a patch with zstd, the older value being its dictionary, with a checksum; the reader sends it once to all followers, and one that holds another version says what it holds and gets the whole.

--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -32,9 +32,13 @@
         // the follower holds.
         All,
 
-        // Reader: one change.
+        // Reader: objects that changed.
         Change,
 
+        // Reader: one change, of a large object; its value is a patch of the one before. A follower
+        // that holds another version says so by Known and Begin.
+        Patch,
+
         // Reader: the records were read anew and differ; ask.
         Nudge,
     };
@@ -58,14 +62,18 @@
     std::size_t partCount = 0;
     std::vector<std::size_t> partNumbers = {};
 
-    // Of Known, All and Change: the kind of objects. Of Answer and All: the objects.
+    // Of Known, All, Change and Patch: the kind of objects. Of Answer, All, Change and Patch: the
+    // objects.
     std::string objectKind = {};
     std::vector<StoredObject> objects = {};
 
     // Of Change.
     bool isRemoved = false;
 
-    // Of All and Change: the version of the store up to which the reader knows the kind.
+    // Of Patch: the version of the object that the patch is for.
+    ObjectVersion patchedVersion = {};
+
+    // Of All, Change and Patch: the version of the store up to which the reader knows the kind.
     ObjectVersion knownUpTo = {};
 };
 
--- a/libs/storefeed/include/storefeed/storemirror.h
+++ b/libs/storefeed/include/storefeed/storemirror.h
@@ -46,6 +46,9 @@
     // The version of the store up to which a kind is known.
     ObjectVersion version(const std::string &kind) const;
 
+    // One object; null where there is none. Valid until the next change.
+    const StoredObject *find(const std::string &kind, const std::string &key) const;
+
     // The objects of a kind, ordered by key.
     std::vector<StoredObject> objects(const std::string &kind) const;
     std::vector<std::string> kinds() const;
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -1,6 +1,7 @@
 #include "storefeed/feedfollower.h"
 
 #include "net/linecutter.h"
+#include "valuepatch/valuepatch.h"
 
 #include <set>
 #include <utility>
@@ -12,6 +13,9 @@
 constexpr std::chrono::milliseconds connectTimeout{400};
 constexpr std::chrono::milliseconds unacknowledgedTimeout{1500};
 
+// No object of the store is as large.
+constexpr std::size_t maximumPatchedBytes = std::size_t{4} * 1024 * 1024;
+
 } // namespace
 
 struct FeedFollower::Data : std::enable_shared_from_this<FeedFollower::Data>
@@ -84,6 +88,9 @@
                 options.mirror.apply(message.objectKind, {object, message.isRemoved});
             options.mirror.noteVersion(message.objectKind, message.knownUpTo);
             break;
+        case FeedMessage::Kind::Patch:
+            takePatch(message);
+            break;
         case FeedMessage::Kind::Nudge:
             options.onNudge();
             break;
@@ -119,6 +126,29 @@
         options.mirror.replaceAll(message.objectKind, message.objects, message.knownUpTo, scope);
     }
 
+    void takePatch(const FeedMessage &message)
+    {
+        if (message.objects.size() != 1) {
+            lost({.code = ErrorCode::Malformed, .message = "a patch is of one object"});
+            return;
+        }
+        StoredObject object = message.objects.front();
+        const StoredObject *held = options.mirror.find(message.objectKind, object.key);
+        if (held && held->version >= object.version)
+            return;
+        const bool isForHeld = held && held->version == message.patchedVersion;
+        const Result<std::string> value =
+                isForHeld ? applyPatch(held->value, object.value, maximumPatchedBytes)
+                          : Error{.code = ErrorCode::Conflict};
+        if (!value) {
+            sayWhatIsKnown();
+            return;
+        }
+        object.value = value.value();
+        options.mirror.apply(message.objectKind, {std::move(object), false});
+        options.mirror.noteVersion(message.objectKind, message.knownUpTo);
+    }
+
     void ask(Duration timeout, Answered answered)
     {
         const std::uint64_t number = ++lastNumber;
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t objectsPerPart = 4;
 constexpr std::size_t maximumParts = 1024;
 
-constexpr std::array kindNames{"question", "answer", "unchanged", "known",
-                               "begin",    "all",    "change",    "nudge"};
+constexpr std::array kindNames{"question", "answer", "unchanged", "known", "begin",
+                               "all",      "change", "patch",     "nudge"};
 
 Error malformed(const char *field)
 {
@@ -145,6 +145,8 @@
         fields["objects"] = encodeObjects(message.objects);
     if (message.isRemoved)
         fields["removed"] = true;
+    if (message.patchedVersion != ObjectVersion())
+        fields["patched"] = message.patchedVersion.value();
     return json::serialize(fields) + '\n';
 }
 
@@ -166,6 +168,8 @@
     message.age = Duration(wholeOr(fields, "ageUs", -1));
     message.digest = static_cast<std::uint64_t>(wholeOr(fields, "digest", 0));
     message.knownUpTo = ObjectVersion(static_cast<std::uint64_t>(wholeOr(fields, "upTo", 0)));
+    message.patchedVersion =
+            ObjectVersion(static_cast<std::uint64_t>(wholeOr(fields, "patched", 0)));
     message.partCount = static_cast<std::size_t>(wholeOr(fields, "partCount", 0));
     if (!decodeNumbers(fields, "parts", message.parts))
         return malformed("parts");
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -1,6 +1,7 @@
 #include "storefeed/feedreader.h"
 
 #include "net/linecutter.h"
+#include "valuepatch/valuepatch.h"
 
 #include <algorithm>
 #include <set>
@@ -15,6 +16,9 @@
 // A follower that reads too slowly is let go, and asks another reader.
 constexpr std::size_t maximumQueuedBytes = std::size_t{8} * 1024 * 1024;
 
+// Objects from this size on are sent as patches when they change.
+constexpr std::size_t largeObjectBytes = 4096;
+
 } // namespace
 
 struct FeedReader::Data : std::enable_shared_from_this<FeedReader::Data>
@@ -76,6 +80,7 @@
             return !message.parts.empty();
         case FeedMessage::Kind::Begin:
             follower.hasBegun = true;
+            keepLarge();
             for (const std::string &kind : mirror.kinds())
                 sendMissing(follower, kind);
             follower.known.clear();
@@ -88,6 +93,17 @@
         }
     }
 
+    // What a follower learns now is what patches are for.
+    void keepLarge()
+    {
+        for (const std::string &kind : mirror.kinds()) {
+            for (const StoredObject &object : mirror.objects(kind)) {
+                if (object.value.size() >= largeObjectBytes)
+                    large.try_emplace(object.key, object);
+            }
+        }
+    }
+
     // Sends the parts of a kind that differ from what the follower holds; all of a kind that it
     // does not know.
     void sendMissing(Follower &follower, const std::string &kind) const
@@ -152,8 +168,10 @@
     // Changes that come in one burst, such as those of a list, are sent together.
     void noteChange(const std::string &kind, const StoreChange &change)
     {
-        if (followers.empty())
+        if (followers.empty()) {
+            large.erase(change.object.key);
             return;
+        }
         if (changes.empty())
             timers.after(Duration(0), [weak = weak_from_this()] {
                 if (const auto self = weak.lock())
@@ -170,8 +188,12 @@
                                 .knownUpTo = mirror.version(kind)};
             FeedMessage removals = updates;
             removals.isRemoved = true;
-            for (const auto &[key, change] : changed)
-                (change.isRemoved ? removals : updates).objects.push_back(change.object);
+            for (const auto &[key, change] : changed) {
+                if (change.isRemoved)
+                    removals.objects.push_back(change.object);
+                else if (!sendPatch(kind, change.object))
+                    updates.objects.push_back(change.object);
+            }
             if (!updates.objects.empty())
                 sendToAll(updates);
             if (!removals.objects.empty())
@@ -179,6 +201,27 @@
         }
     }
 
+    // False for an object that is small, or whose version before this one is not at hand.
+    bool sendPatch(const std::string &kind, const StoredObject &object)
+    {
+        if (object.value.size() < largeObjectBytes) {
+            large.erase(object.key);
+            return false;
+        }
+        StoredObject &before = large[object.key];
+        const auto patch =
+                before.value.empty() ? std::nullopt : makePatch(before.value, object.value);
+        const ObjectVersion patched = std::exchange(before, object).version;
+        if (!patch)
+            return false;
+        sendToAll({.kind = FeedMessage::Kind::Patch,
+                   .objectKind = kind,
+                   .objects = {{object.key, object.version, *patch}},
+                   .patchedVersion = patched,
+                   .knownUpTo = mirror.version(kind)});
+        return true;
+    }
+
     void sendToAll(const FeedMessage &message)
     {
         if (followers.empty())
@@ -203,6 +246,9 @@
     std::map<std::uint64_t, Follower> followers;
     std::uint64_t lastNumber = 0;
 
+    // Large objects as they were sent last, by key.
+    std::map<std::string, StoredObject> large;
+
     // What changed and is not sent yet, by kind and key.
     std::map<std::string, std::map<std::string, StoreChange>> changes;
 };
--- a/libs/storefeed/src/storemirror.cpp
+++ b/libs/storefeed/src/storemirror.cpp
@@ -72,6 +72,15 @@
     tell(kind, change);
 }
 
+const StoredObject *StoreMirror::find(const std::string &kind, const std::string &key) const
+{
+    const auto known = m_kinds.find(kind);
+    if (known == m_kinds.end())
+        return nullptr;
+    const auto found = known->second.objects.find(key);
+    return found == known->second.objects.end() ? nullptr : &found->second;
+}
+
 std::vector<StoredObject> StoreMirror::objects(const std::string &kind) const
 {
     std::vector<StoredObject> objects;
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -127,6 +127,8 @@
     CPPUNIT_TEST(followerGetsOnlyWhatItLacks);
     CPPUNIT_TEST(followerAheadOfItsReaderKeepsWhatIsNewer);
     CPPUNIT_TEST(changesOfOneListAreSentTogether);
+    CPPUNIT_TEST(largeObjectIsSentAsAPatch);
+    CPPUNIT_TEST(followerThatCannotUseAPatchGetsTheWhole);
     CPPUNIT_TEST(ageCountsFromTheFollowersQuestion);
     CPPUNIT_TEST(readerThatKnowsNothingSaysSo);
     CPPUNIT_TEST(lostReaderIsTold);
@@ -264,6 +266,54 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines);
     }
 
+    // Pattern: a configuration of hundreds of KB changes a little before dozens of followers.
+    void largeObjectIsSentAsAPatch()
+    {
+        Pair pair;
+        std::mt19937 random(5);
+        std::string value;
+        for (int i = 0; i < 20'000; ++i)
+            value += std::to_string(random());
+        pair.reader.apply("configurations", {object("configurations/main", 5, value), false});
+        std::size_t received = 0;
+        const auto stream = TcpStream::connect(
+                pair.loop, {.endpoint = pair.server->endpoint()},
+                {.onBytes = [&](std::string_view bytes) { received += bytes.size(); },
+                 .onClosed =
+                         [](const Error &) {
+                         }});
+        stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Begin}));
+        const FeedFollower follower(pair.loop, pair.timers, options(pair));
+        pair.run(200ms);
+        received = 0;
+        for (std::uint64_t version = 6; version < 9; ++version) {
+            value.replace(random() % value.size(), 1, "changed");
+            pair.reader.apply("configurations",
+                              {object("configurations/main", version, value), false});
+            pair.run(100ms);
+            CPPUNIT_ASSERT(pair.mirror.objects("configurations").at(0).value == value);
+        }
+        CPPUNIT_ASSERT(received > 0);
+        CPPUNIT_ASSERT(received < 2000);
+    }
+
+    // It has read the store itself meanwhile, or what it held is not what the patch is for.
+    void followerThatCannotUseAPatchGetsTheWhole()
+    {
+        Pair pair;
+        const std::string first(10'000, 'a');
+        const std::string second(10'000, 'b');
+        const std::string third(10'000, 'c');
+        pair.reader.apply("configurations", {object("configurations/main", 5, first), false});
+        const FeedFollower follower(pair.loop, pair.timers, options(pair));
+        pair.run(200ms);
+        pair.mirror.apply("configurations", {object("configurations/main", 6, second), false});
+        pair.reader.apply("configurations", {object("configurations/main", 7, third), false});
+        pair.run(200ms);
+        CPPUNIT_ASSERT(pair.mirror.objects("configurations").at(0)
+                       == object("configurations/main", 7, third));
+    }
+
     // The reader is slow to answer, so that its word is older than it says by then.
     void ageCountsFromTheFollowersQuestion()
     {
