Watch and poll of a kind move to libs/storefeed

Cause: KindWatch and KindPoll decided when to list anew and when to try again, in platform/, which is to translate only; KindPoll had no test but process tests. Change: both stand in libs/storefeed over KindSource, a port that the platform's store client implements. Tests in virtual time: KindWatchTest (5), KindPollTest (3), on moved code, so not seen red. Process tests of fescuestatementd green (4 of 4).

--- a/platform/adapter/include/adapter/kindpoll.h
+++ b/libs/storefeed/include/storefeed/kindpoll.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "adapter/platformstore.h"
 #include "base/timers.h"
 #include "logging/log.h"
+#include "storefeed/kindsource.h"
 #include "storefeed/storemirror.h"
 
 #include <memory>
@@ -35,7 +35,7 @@
         Duration interval = std::chrono::milliseconds(2000);
     };
 
-    KindPoll(PlatformStore &store, Options options);
+    KindPoll(KindSource &store, Options options);
     ~KindPoll();
 
     // Lists until stop; both may be called again.
--- a/platform/adapter/include/adapter/kindwatch.h
+++ b/libs/storefeed/include/storefeed/kindwatch.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "adapter/platformstore.h"
 #include "base/timers.h"
 #include "logging/log.h"
+#include "storefeed/kindsource.h"
 #include "storefeed/storemirror.h"
 
 #include <functional>
@@ -38,7 +38,7 @@
         std::uint64_t randomSeed = 1;
     };
 
-    KindWatch(PlatformStore &store, Options options);
+    KindWatch(KindSource &store, Options options);
     ~KindWatch();
 
     // Lists and watches until stop; both may be called again.
--- a/platform/adapter/src/kindpoll.cpp
+++ b/libs/storefeed/src/kindpoll.cpp
@@ -1,4 +1,4 @@
-#include "adapter/kindpoll.h"
+#include "storefeed/kindpoll.h"
 
 #include <utility>
 
@@ -12,8 +12,8 @@
 
 struct KindPoll::Data : std::enable_shared_from_this<KindPoll::Data>
 {
-    Data(PlatformStore &platformStore, Options pollOptions)
-        : store(platformStore)
+    Data(KindSource &kindSource, Options pollOptions)
+        : store(kindSource)
         , options(std::move(pollOptions))
     {}
 
@@ -24,22 +24,22 @@
 
     void list()
     {
-        store.listAll(options.kind, isFresh() ? ReadFreshness::Current : ReadFreshness::MayBeOld,
-                      listTimeout,
-                      [weak = weak_from_this(), run = run](const Result<PlatformList> &all) {
-                          const auto self = weak.lock();
-                          if (self && self->run == run)
-                              self->listed(all);
-                      });
+        store.listKind(options.kind, isFresh() ? ReadFreshness::Current : ReadFreshness::MayBeOld,
+                       listTimeout,
+                       [weak = weak_from_this(), run = run](const Result<KindList> &all) {
+                           const auto self = weak.lock();
+                           if (self && self->run == run)
+                               self->listed(all);
+                       });
     }
 
-    void listed(const Result<PlatformList> &all)
+    void listed(const Result<KindList> &all)
     {
         if (all) {
             // A list that is older than one that was taken already takes nothing back.
             if (all.value().storeVersion >= version)
                 options.mirror.replaceAll(options.kind, all.value().objects,
-                                          ObjectVersion(all.value().storeVersion));
+                                          all.value().storeVersion);
             version = std::max(version, all.value().storeVersion);
         } else if (!std::exchange(isLost, true)) {
             options.log.warning("poll-lost",
@@ -55,10 +55,10 @@
                              });
     }
 
-    PlatformStore &store;
+    KindSource &store;
     Options options;
     Instant startedAt;
-    std::uint64_t version = 0;
+    ObjectVersion version;
     bool isLost = false;
 
     // Tells answers to a poll that was stopped from those of the present one; 0 while stopped.
@@ -66,7 +66,7 @@
     std::uint64_t lastRun = 0;
 };
 
-KindPoll::KindPoll(PlatformStore &store, Options options)
+KindPoll::KindPoll(KindSource &store, Options options)
     : m_data(std::make_shared<Data>(store, std::move(options)))
 {}
 
--- a/platform/adapter/src/kindwatch.cpp
+++ b/libs/storefeed/src/kindwatch.cpp
@@ -1,4 +1,4 @@
-#include "adapter/kindwatch.h"
+#include "storefeed/kindwatch.h"
 
 #include <algorithm>
 #include <random>
@@ -19,23 +19,23 @@
 
 struct KindWatch::Data : std::enable_shared_from_this<KindWatch::Data>
 {
-    Data(PlatformStore &platformStore, Options watchOptions)
-        : store(platformStore)
+    Data(KindSource &kindSource, Options watchOptions)
+        : store(kindSource)
         , options(std::move(watchOptions))
         , random(options.randomSeed)
     {}
 
     void list()
     {
-        store.listAll(options.kind, ReadFreshness::Current, listTimeout,
-                      [weak = weak_from_this(), run = run](const Result<PlatformList> &all) {
-                          const auto self = weak.lock();
-                          if (self && self->run == run)
-                              self->listed(all);
-                      });
+        store.listKind(options.kind, ReadFreshness::Current, listTimeout,
+                       [weak = weak_from_this(), run = run](const Result<KindList> &all) {
+                           const auto self = weak.lock();
+                           if (self && self->run == run)
+                               self->listed(all);
+                       });
     }
 
-    void listed(const Result<PlatformList> &all)
+    void listed(const Result<KindList> &all)
     {
         if (!all) {
             retry(all.error(), &Data::list);
@@ -43,21 +43,21 @@
         }
         recovered();
         version = all.value().storeVersion;
-        options.mirror.replaceAll(options.kind, all.value().objects, ObjectVersion(version));
+        options.mirror.replaceAll(options.kind, all.value().objects, version);
         watch();
     }
 
     void watch()
     {
         store.watchKind(options.kind, version, options.wait,
-                        [weak = weak_from_this(), run = run](const Result<PlatformEvents> &events) {
+                        [weak = weak_from_this(), run = run](const Result<KindChanges> &events) {
                             const auto self = weak.lock();
                             if (self && self->run == run)
                                 self->watched(events);
                         });
     }
 
-    void watched(const Result<PlatformEvents> &events)
+    void watched(const Result<KindChanges> &events)
     {
         if (!events && events.error().code == ErrorCode::NotFound) {
             options.log.info("watch-history-gone", {{"kind", options.kind}});
@@ -72,7 +72,7 @@
         version = std::max(version, events.value().storeVersion);
         for (const StoreChange &change : events.value().changes)
             options.mirror.apply(options.kind, change);
-        options.mirror.noteVersion(options.kind, ObjectVersion(version));
+        options.mirror.noteVersion(options.kind, version);
         watch();
     }
 
@@ -99,10 +99,10 @@
             options.log.info("watch-regained", {{"kind", options.kind}});
     }
 
-    PlatformStore &store;
+    KindSource &store;
     Options options;
     std::mt19937_64 random;
-    std::uint64_t version = 0;
+    ObjectVersion version;
     milliseconds backoff{0};
 
     // Tells answers to a watch that was stopped from those of the present one; 0 while stopped.
@@ -110,7 +110,7 @@
     std::uint64_t lastRun = 0;
 };
 
-KindWatch::KindWatch(PlatformStore &store, Options options)
+KindWatch::KindWatch(KindSource &store, Options options)
     : m_data(std::make_shared<Data>(store, std::move(options)))
 {}
 
@@ -121,7 +121,7 @@
     m_data->run = ++m_data->lastRun;
     // What came by another way meanwhile comes again, which changes nothing; a history that is gone
     // leads to a list.
-    if (m_data->version != 0)
+    if (m_data->version != ObjectVersion())
         m_data->watch();
     else
         m_data->list();
