A statement of a VM that is under way ends with the VM

Ruled out: the timers, which drop their tasks. Change: Upstreams owns what is under way and ends it when it goes; callbacks hold it weakly.

--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -187,6 +187,7 @@
     void entryChanged(const UpstreamEntry &entry, bool isNewLife);
     void entryGone(const UpstreamEntry &entry);
     struct Access;
+    struct Command;
 
     void shareOut(const DatabaseId &database, Access &access);
     ConnectionShares sharesOf(const UpstreamTarget &target) const;
@@ -195,6 +196,9 @@
     std::shared_ptr<RelayPeer> peer(const VmRecord &record);
     void commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
                    Duration timeout, CommandDone done);
+    void commandEnded(const std::shared_ptr<Command> &command,
+                      const std::optional<StatementReply> &reply);
+    void dropCommand(Command &command);
     const Access *access(const DatabaseId &database) const;
     Duration silence(const LinkPool &pool) const;
     void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
@@ -215,6 +219,7 @@
     std::map<DatabaseId, std::unique_ptr<Access>> m_accesses;
     std::map<VmId, std::shared_ptr<RelayPeer>> m_peers;
     std::map<VmId, Instant> m_peerLostAt;
+    std::set<std::shared_ptr<Command>> m_commands;
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
     std::map<GroupId, Instant> m_evidenceFailedAt;
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -85,7 +85,11 @@
                            }})
 {}
 
-Upstreams::~Upstreams() = default;
+Upstreams::~Upstreams()
+{
+    for (const auto &command : std::exchange(m_commands, {}))
+        dropCommand(*command);
+}
 
 const Upstreams::Access *Upstreams::access(const DatabaseId &database) const
 {
@@ -400,49 +404,68 @@
     commandOn(pool(database), statement, timeout, std::move(done));
 }
 
-void Upstreams::commandOn(const std::shared_ptr<LinkPool> &known, const Statement &statement,
+// A statement of this VM that is under way. Upstreams owns it; what may end it holds it weakly, as
+// the connection that it has borrowed leads back to it.
+struct Upstreams::Command
+{
+    std::shared_ptr<LinkPool> pool;
+    LinkLease lease;
+    LinkPool::TicketId ticket = 0;
+    Timers::Id timer = 0;
+    CommandDone done;
+};
+
+void Upstreams::commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
                           Duration timeout, CommandDone done)
 {
-    if (!known) {
+    if (!pool) {
         m_context.timers.after(Duration(0), [done] { done(std::nullopt); });
         return;
     }
-    struct Call
-    {
-        LinkLease lease;
-        LinkPool::TicketId ticket = 0;
-        Timers::Id timer = 0;
-        CommandDone done;
-    };
-    const auto call = std::make_shared<Call>();
-    call->done = std::move(done);
-    Timers &timers = m_context.timers;
-    const auto finish = [&timers](const std::shared_ptr<Call> &ending,
-                                  const std::optional<StatementReply> &reply) {
-        timers.cancel(std::exchange(ending->timer, 0));
-        ending->lease.release();
-        if (const CommandDone callback = std::exchange(ending->done, nullptr))
-            callback(reply);
-    };
-    call->timer = timers.after(timeout, [call, known, finish] {
-        call->timer = 0;
-        known->cancel(call->ticket);
-        finish(call, std::nullopt);
+    const auto command = std::make_shared<Command>();
+    m_commands.insert(command);
+    command->pool = pool;
+    command->done = std::move(done);
+    command->timer = m_context.timers.after(timeout, [this, weak = std::weak_ptr(command)] {
+        if (const auto late = weak.lock())
+            commandEnded(late, std::nullopt);
     });
-    const auto run = [call, statement, finish](LinkLease lease) {
-        call->lease = std::move(lease);
-        call->lease->run({.command = {.statement = statement}},
-                         [call, finish](const LinkOutcome &end) {
-                             if (end.end == LinkEnd::Answered)
-                                 finish(call, end.reply);
-                             else
-                                 finish(call, std::nullopt);
-                         });
+    const auto run = [this, weak = std::weak_ptr(command), statement](LinkLease lease) {
+        const auto granted = weak.lock();
+        if (!granted)
+            return;
+        granted->ticket = 0;
+        granted->lease = std::move(lease);
+        granted->lease->run(
+                {.command = {.statement = statement}}, [this, weak](const LinkOutcome &outcome) {
+                    const auto ran = weak.lock();
+                    if (!ran)
+                        return;
+                    const bool isAnswered = outcome.end == LinkEnd::Answered;
+                    commandEnded(ran, isAnswered ? std::optional(outcome.reply) : std::nullopt);
+                });
     };
-    if (LinkLease lease = known->tryAcquire(nullptr))
+    if (LinkLease lease = pool->tryAcquire(nullptr))
         run(std::move(lease));
     else
-        call->ticket = known->wait(nullptr, 0, run);
+        command->ticket = pool->wait(nullptr, 0, run);
+}
+
+void Upstreams::commandEnded(const std::shared_ptr<Command> &command,
+                             const std::optional<StatementReply> &reply)
+{
+    if (m_commands.erase(command) == 0)
+        return;
+    const CommandDone done = std::move(command->done);
+    dropCommand(*command);
+    done(reply);
+}
+
+void Upstreams::dropCommand(Command &command)
+{
+    m_context.timers.cancel(command.timer);
+    command.pool->cancel(command.ticket);
+    command.lease.release();
 }
 
 void Upstreams::askStatus(const DatabaseId &database, TermEvidence::StatusDone done)
