--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -118,8 +118,7 @@
     // be served here.
     bool isCutOff(const GroupId &group) const;
 
-    // The same for most of the groups that were heard of or asked lately, so that callers are
-    // better off elsewhere.
+    // The same for most groups, so that callers are better off elsewhere.
     bool isCutOffFromMost() const;
 
     // Calls visit for each database that this VM holds connections to, as one of its owners.
@@ -168,8 +167,7 @@
     void probeOwn(const DatabaseId &database);
 
     // Asks every database that is silent on a way that this VM uses, so that it is noticed when the
-    // way works again, and the other primaries where one is silent; to be called every 100 ms or
-    // so.
+    // way works again; to be called every 100 ms or so.
     void probeSilent();
 
     // Closes every connection that is not in use, and opens no more.
@@ -204,8 +202,6 @@
     const Access *access(const DatabaseId &database) const;
     Duration silence(const LinkPool &pool) const;
     void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
-    void askPrimaries();
-    bool isBelievedPrimary(const UpstreamEntry &entry) const;
     TermEvidence::Electorate electorate(const GroupId &group) const;
     TermEvidence &evidence(const GroupId &group);
     void askOthers(const GroupId &group, const DatabaseId &database, Term term,
@@ -227,8 +223,6 @@
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
     std::map<GroupId, Instant> m_evidenceFailedAt;
-    Instant m_primariesAskedAt;
-    GroupId m_primariesAskedUpTo;
     std::map<GroupId, GroupLimits> m_limits;
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -13,14 +13,6 @@
 // A database that is silent is asked this often.
 constexpr Duration probeInterval = std::chrono::milliseconds(250);
 
-// Where a primary is silent, others that were not heard for probeInterval are asked too, this often
-// and so many at once, so that a VM soon knows whether it is cut off from all of them.
-constexpr Duration primariesPause = std::chrono::seconds(2);
-constexpr std::size_t primariesAsked = 16;
-
-// A primary that answered within this time counts as reached.
-constexpr Duration reachedTime = std::chrono::seconds(3);
-
 // Silence after which a read goes elsewhere if it can.
 constexpr Duration unresponsiveAfter = std::chrono::milliseconds(250);
 
@@ -337,31 +329,18 @@
 
 bool Upstreams::isCutOffFromMost() const
 {
-    const Instant now = m_context.timers.now();
     std::size_t cutOff = 0;
-    std::size_t reached = 0;
     for (const auto &[database, known] : m_accesses) {
-        const DatabaseObservation &own = known->own->observation();
-        const DatabaseObservation &byOthers = known->byOthers->observation();
-        const bool isSilent = own.silentSince || byOthers.silentSince;
-        const bool isHeard = now - std::max(own.lastHeard, byOthers.lastHeard) < reachedTime;
-        if (!isSilent && !isHeard)
+        const bool maySilent =
+                known->own->observation().silentSince || known->byOthers->observation().silentSince;
+        if (!maySilent)
             continue;
         const UpstreamEntry *entry = m_directory.find(database);
-        if (!entry || !isBelievedPrimary(*entry))
-            continue;
-        if (isSilent && isCutOff(entry->target.group))
+        const auto believed = entry ? m_leadership.primary(entry->target.group) : std::nullopt;
+        if (believed && believed->database == database && isCutOff(entry->target.group))
             ++cutOff;
-        else if (isHeard)
-            ++reached;
     }
-    return cutOff > reached;
-}
-
-bool Upstreams::isBelievedPrimary(const UpstreamEntry &entry) const
-{
-    const auto believed = m_leadership.primary(entry.target.group);
-    return believed && believed->database == entry.target.database;
+    return cutOff * 2 > m_directory.groupCount();
 }
 
 void Upstreams::forEachOwned(const std::function<void(const UpstreamEntry &)> &visit) const
@@ -517,35 +496,11 @@
 
 void Upstreams::probeSilent()
 {
-    bool isPrimarySilent = false;
     for (const auto &[database, known] : m_accesses) {
-        const bool isOwnSilent = silence(*known->own) > probeInterval;
-        const bool areOthersSilent =
-                known->hasOtherOwners && silence(*known->byOthers) > probeInterval;
-        if (isOwnSilent)
+        if (silence(*known->own) > probeInterval)
             probe(known->own, known->ownProbedAt);
-        if (areOthersSilent)
+        if (known->hasOtherOwners && silence(*known->byOthers) > probeInterval)
             probe(known->byOthers, known->othersProbedAt);
-        const UpstreamEntry *entry =
-                isOwnSilent || areOthersSilent ? m_directory.find(database) : nullptr;
-        isPrimarySilent = isPrimarySilent || (entry && isBelievedPrimary(*entry));
-    }
-    if (isPrimarySilent && m_context.timers.now() >= m_primariesAskedAt + primariesPause)
-        askPrimaries();
-}
-
-void Upstreams::askPrimaries()
-{
-    const Instant now = m_context.timers.now();
-    m_primariesAskedAt = now;
-    for (const GroupId &group : m_directory.groupsAfter(m_primariesAskedUpTo, primariesAsked)) {
-        m_primariesAskedUpTo = group;
-        const auto believed = m_leadership.primary(group);
-        const auto known = believed ? pool(believed->database) : nullptr;
-        if (!known || now - known->observation().lastHeard < probeInterval)
-            continue;
-        commandOn(known, {.kind = StatementKind::Status}, statusTimeout,
-                  [](const std::optional<StatementReply> &) {});
     }
 }
 
