Connections beyond a smaller share are closed at once

Ruled out: connections of the VM that stopped (closed at its end). Change: a pool whose maximum falls closes free connections beyond it now, and the others as they come free. Tests: the pool had none of its own; DatabasePoolTest (5), of which smallerShareIsKeptToAtOnce and connectionThatComesFreeBeyondTheShareIsClosed were red.

--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -56,7 +56,9 @@
         return inUse() + m_queue.size();
     }
 
-    // Statements that may run at once lie between fewest and what the connections allow.
+    // Statements that may run at once lie between fewest and what the connections allow. Where there
+    // are more connections than the maximum, free ones are closed now and the others as they come
+    // free.
     void setLimits(std::uint32_t kept, std::uint32_t maximum, double fewest);
 
     // Opens links ahead of need.
@@ -113,6 +115,7 @@
     void leaveGate(Duration time);
     void failedToOpen();
     void closeIdle();
+    void closeBeyondMaximum();
     void scheduleIdleCheck();
     Entry *find(const DatabaseLink &link);
     Entry *nearestFree(const SessionContext *context);
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -86,6 +86,17 @@
     m_limit.setBounds(fewest, std::max<double>(fewest, maximum));
     m_options.kept = kept;
     m_options.maximum = maximum;
+    closeBeyondMaximum();
+}
+
+// Others may have been granted what this VM held until now.
+void DatabasePool::closeBeyondMaximum()
+{
+    for (std::size_t i = m_links.size(); i > 0 && m_links.size() > m_options.maximum; --i) {
+        const Entry &entry = m_links[i - 1];
+        if (!entry.isLeased && entry.link->isOpen())
+            remove(*entry.link);
+    }
 }
 
 void DatabasePool::warmUp()
@@ -251,7 +262,7 @@
 {
     if (Entry *entry = find(*link))
         entry->isLeased = false;
-    if (m_isClosed) {
+    if (m_isClosed || m_links.size() > m_options.maximum) {
         remove(*link);
         return;
     }
