A change of primary that all VMs have read of does not wait for leases

Cause: of the gap after the loss of a primary 1.31 s were the wait between announcement and order, until whoever had not read the announcement could not trust older records any more. Change: a VM that has read that a change is under way says so in its notice; the holder of the duty asks the store, after the announcement stands there, which VMs there are, and goes on when each of them has said so in its present life. VMs that are dead, cut off or frozen say nothing, and the lease is waited for as before. So that nobody is missed, a VM trusts what it read only from when its own record stands in the store, and for 20 s after its last renewal; one whose record has not changed for 25 s is not waited for. Above 400 VMs nobody says anything, as all would write at once. Weighed: collecting the readers' word of what their followers hold (fewer writes, but a VM may follow any other); a shorter lease (more reads of the store). Tests, red before the change: changeThatAllHaveReadNeedNotWait, orderWaitsForLeasesUntilAllHaveRead (new interface), vmThatDoesNotStandInTheStoreTrustsNothing; green before and after: vmThatSaysNothingIsWaitedFor; presenceEndsBeforeAVmCountsAsGone (new interface). What is left of the wait is the silent primary, asked twice.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -95,6 +95,9 @@
     void noteReachable(const Result<DatedRecords> &records);
     void take(const DatedRecords &records);
     void renew();
+    void renewed(Instant sentAt);
+    void noteChangesRead(const LeadershipSnapshot &snapshot);
+    void leaseHolders(const std::function<void(std::vector<VmLife>)> &done);
     bool hearsNothing(const UpstreamEntry &entry);
     void watchDatabases();
     bool isLostForMost(const DatabaseId &database) const;
@@ -114,6 +117,10 @@
     OwnObject m_ownRecord;
     OwnObject m_ownNotice;
     Instant m_renewedAt;
+
+    // Since when and until when the others know of this VM.
+    Instant m_knownSince;
+    Instant m_knownUntil;
     std::size_t m_pollsOut = 0;
     bool m_pollAgain = false;
     Instant m_polledAt;
--- a/libs/coordination/include/coordination/ownobject.h
+++ b/libs/coordination/include/coordination/ownobject.h
@@ -3,6 +3,7 @@
 #include "base/timers.h"
 #include "store/objectstore.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -18,7 +19,10 @@
 class OwnObject
 {
 public:
-    OwnObject(ObjectStore &store, Timers &timers, std::string key);
+    // Called when a write stands, with the moment at which it was sent. May be empty.
+    using Stood = std::function<void(Instant sentAt)>;
+
+    OwnObject(ObjectStore &store, Timers &timers, std::string key, Stood stood = {});
     OwnObject(const OwnObject &) = delete;
     OwnObject &operator=(const OwnObject &) = delete;
 
@@ -31,8 +35,10 @@
     ObjectStore &m_store;
     Timers &m_timers;
     std::string m_key;
+    Stood m_stood;
     std::string m_value;
     ObjectVersion m_version;
+    Instant m_sentAt;
     bool m_isWriting = false;
     bool m_mustWrite = false;
 
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -30,6 +30,11 @@
 // before another VM takes the duty over for it.
 constexpr milliseconds writeTimeout{400};
 
+constexpr milliseconds listTimeout{600};
+
+// With more VMs than this, changes wait for leases to end: all would write to the store at once.
+constexpr std::size_t mostConfirming = 400;
+
 // Silence after which a VM says that it hears nothing from a database.
 constexpr Duration silentAfter = milliseconds(550);
 
@@ -57,7 +62,8 @@
             .relay = m_options.relay,
             .incarnation = m_options.incarnation}
     , m_notice{.vm = m_options.vm, .incarnation = m_options.incarnation}
-    , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm))
+    , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm),
+                  [this](Instant sentAt) { renewed(sentAt); })
     , m_ownNotice(store, upstreams.context().timers, noticeKey(m_own.vm))
     , m_startedAt(now())
 {
@@ -87,6 +93,21 @@
                                     },
                             .order = m_options.order,
                             .refresh = [this] { leadershipChanged(); },
+                            .leaseHolders =
+                                    [this](const std::function<void(std::vector<VmLife>)> &done) {
+                                        leaseHolders(done);
+                                    },
+                            .hasRead =
+                                    [this](const VmLife &life, const GroupId &group,
+                                           ObjectVersion announcement) {
+                                        const VmNotice *notice =
+                                                m_vms.notice(life.vm, life.incarnation);
+                                        if (!notice)
+                                            return false;
+                                        const auto read = notice->changesRead.find(group);
+                                        return read != notice->changesRead.end()
+                                               && read->second >= announcement;
+                                    },
                             .rank =
                                     [this] {
                                         return m_vms.rank(m_options.vm, now());
@@ -107,6 +128,7 @@
 void Coordinator::start()
 {
     m_upstreams.judgeLossBy([this](const DatabaseId &database) { return isLostForMost(database); });
+    m_upstreams.leadership().limitLease(Instant::max(), Instant::min());
     poll();
     renew();
     tick();
@@ -222,6 +244,7 @@
     }
     m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
     m_records = records;
+    noteChangesRead(snapshot.value());
     if (m_options.onRecordsChanged)
         m_options.onRecordsChanged();
     if (!m_isStopping)
@@ -235,6 +258,53 @@
     m_ownRecord.write(encodeVmRecord(m_own));
 }
 
+// Whoever announces a change asks the store which VMs there are. So what this VM reads counts only
+// from when it stands there, and no longer than the others wait for one that renews itself no more.
+void Coordinator::renewed(Instant sentAt)
+{
+    if (now() >= m_knownUntil)
+        m_knownSince = now();
+    m_knownUntil = sentAt + vmPresenceLease;
+    m_upstreams.leadership().limitLease(m_knownSince, m_knownUntil);
+}
+
+// Tells whoever announced a change that it was read here, so that it need not wait for leases.
+void Coordinator::noteChangesRead(const LeadershipSnapshot &snapshot)
+{
+    std::map<GroupId, ObjectVersion> read;
+    bool isNew = false;
+    for (const LeadershipRecord &record : snapshot.records) {
+        if (!record.isMoving)
+            continue;
+        read[record.group] = record.version;
+        const auto before = m_notice.changesRead.find(record.group);
+        isNew = isNew || before == m_notice.changesRead.end() || before->second < record.version;
+    }
+    m_notice.changesRead = std::move(read);
+    if (isNew && m_vms.living(now()).size() <= mostConfirming)
+        m_ownNotice.write(encodeVmNotice(m_notice));
+}
+
+void Coordinator::leaseHolders(const std::function<void(std::vector<VmLife>)> &done)
+{
+    m_store.list(std::string(vmKeyPrefix), listTimeout,
+                 [this, done, alive = std::weak_ptr(m_alive)](
+                         const Result<std::vector<StoredObject>> &objects) {
+                     if (alive.expired() || !objects)
+                         return;
+                     std::vector<VmLife> holders;
+                     for (const StoredObject &object : objects.value()) {
+                         const auto record = decodeVmRecord(object.key, object.value);
+                         // What cannot be read may be anybody: the lease is waited for.
+                         if (!record)
+                             return;
+                         if (!m_vms.isSilent(record.value(), now()))
+                             holders.push_back({record.value().vm, record.value().incarnation});
+                     }
+                     done(std::move(holders));
+                 });
+}
+
 void Coordinator::announceStop()
 {
     m_isStopping = true;
--- a/libs/coordination/src/ownobject.cpp
+++ b/libs/coordination/src/ownobject.cpp
@@ -11,10 +11,11 @@
 
 } // namespace
 
-OwnObject::OwnObject(ObjectStore &store, Timers &timers, std::string key)
+OwnObject::OwnObject(ObjectStore &store, Timers &timers, std::string key, Stood stood)
     : m_store(store)
     , m_timers(timers)
     , m_key(std::move(key))
+    , m_stood(std::move(stood))
 {}
 
 void OwnObject::write(std::string value)
@@ -29,6 +30,7 @@
 {
     m_isWriting = true;
     m_mustWrite = false;
+    m_sentAt = m_timers.now();
     m_store.write({m_key, m_value, m_version}, writeTimeout,
                   [this, alive = std::weak_ptr(m_alive)](const Result<WriteAnswer> &answer) {
                       if (!alive.expired())
@@ -48,6 +50,8 @@
     // A refused write tells the version of an earlier life, or of a write whose answer was lost.
     m_version = answer.value().version;
     m_isWriting = false;
+    if (answer.value().written && m_stood)
+        m_stood(m_sentAt);
     if (!answer.value().written || m_mustWrite)
         send();
 }
--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -53,7 +53,7 @@
             m_timers.after(timeout, [done] { done(Error{ErrorCode::Timeout, "down"}); });
             return;
         }
-        if (lostWrites.erase(write.key) > 0) {
+        if (lostWrites.erase(write.key) > 0 || write.key == deafTo) {
             m_timers.after(timeout, [done] { done(Error{ErrorCode::Timeout, "lost"}); });
             return;
         }
@@ -77,6 +77,9 @@
     // Keys whose next write is lost on its way.
     std::set<std::string> lostWrites;
 
+    // Key none of whose writes arrive.
+    std::string deafTo;
+
 private:
     VirtualTimers &m_timers;
     std::uint64_t m_version = 100;
@@ -221,6 +224,23 @@
         return std::max(longest, timers.now() - lastWrite);
     }
 
+    // The primary falls silent; time from the announcement of the change to its order.
+    Duration waitBeforeTheOrder()
+    {
+        std::optional<Instant> announcedAt;
+        store.onWritten = [this, &announcedAt,
+                           written = store.onWritten](const StoredObject &object) {
+            if (object.key == leadershipKey(group) && !announcedAt)
+                announcedAt = timers.now();
+            written(object);
+        };
+        databases["a"].isSilent = true;
+        for (Duration waited{0}; waited < 10s && orders.empty(); waited += 1ms)
+            timers.advance(1ms);
+        CPPUNIT_ASSERT(announcedAt && orders.size() == 1);
+        return timers.now() - *announcedAt;
+    }
+
     std::vector<std::unique_ptr<Vm>> vms;
 };
 
@@ -230,6 +250,9 @@
 {
     CPPUNIT_TEST_SUITE(CoordinatorTest);
     CPPUNIT_TEST(lostPrimaryIsReplacedInTime);
+    CPPUNIT_TEST(changeThatAllHaveReadNeedNotWait);
+    CPPUNIT_TEST(vmThatSaysNothingIsWaitedFor);
+    CPPUNIT_TEST(vmThatDoesNotStandInTheStoreTrustsNothing);
     CPPUNIT_TEST(lostAnnouncementDoesNotCostTheDuty);
     CPPUNIT_TEST(leavingPrimaryIsReplacedInTime);
     CPPUNIT_TEST(outageOfTheStoreStopsNoWrites);
@@ -250,6 +273,43 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(gap.count()), gap <= 2500ms);
     }
 
+    // All VMs are there to say that they have read of the change.
+    void changeThatAllHaveReadNeedNotWait()
+    {
+        Fleet fleet(3);
+        CPPUNIT_ASSERT(fleet.waitBeforeTheOrder() <= leadershipLease / 2);
+    }
+
+    // A VM that stands in the store may trust what it read before, whether it is heard of or not.
+    void vmThatSaysNothingIsWaitedFor()
+    {
+        Fleet fleet(3);
+        fleet.store.objects[vmKey(VmId("vm-9"))] = {
+                vmKey(VmId("vm-9")), ObjectVersion(50),
+                encodeVmRecord({.vm = VmId("vm-9"), .incarnation = "x", .renewal = 1})};
+        CPPUNIT_ASSERT(fleet.waitBeforeTheOrder() >= leadershipLease + leadershipMargin);
+    }
+
+    // Whoever announces a change could not know of it.
+    void vmThatDoesNotStandInTheStoreTrustsNothing()
+    {
+        World world;
+        world.store.lostWrites = {vmKey(VmId("vm-0"))};
+        Vm vm(world, "vm-0");
+        const auto holdsLease = [&] {
+            return vm.upstreams.leadership().holdsLease(world.timers.now());
+        };
+        world.timers.advance(900ms);
+        CPPUNIT_ASSERT(vm.coordinator.isReady());
+        CPPUNIT_ASSERT(!holdsLease());
+        world.timers.advance(1500ms);
+        CPPUNIT_ASSERT(holdsLease());
+        // Its renewals fail from now on, and what it reads comes by way of another VM.
+        world.store.deafTo = vmKey(VmId("vm-0"));
+        world.timers.advance(22s);
+        CPPUNIT_ASSERT(!holdsLease());
+    }
+
     // The next holder would wait for the calls of this one to be over before it orders.
     void lostAnnouncementDoesNotCostTheDuty()
     {
--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -65,6 +65,10 @@
         return m_duty;
     }
 
+    // Leases count only while the others can know of this VM: for questions asked from since on,
+    // and until until. Without a call they always count.
+    void limitLease(Instant since, Instant until);
+
     // Whether the last snapshot still counts.
     bool holdsLease(Instant now) const;
 
@@ -115,6 +119,8 @@
     std::map<GroupId, Group> m_groups;
     std::optional<DutyRecord> m_duty;
     std::optional<Instant> m_askedAt;
+    Instant m_leaseSince = Instant::min();
+    Instant m_leaseUntil = Instant::max();
 };
 
 } // namespace fescuespring
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -46,10 +46,18 @@
     std::size_t vms = 1;
 };
 
+// One life of a VM.
+struct VmLife
+{
+    VmId vm;
+    std::string incarnation;
+};
+
 // What a Succession asks of the VM that it runs in.
 struct SuccessionPorts
 {
-    // Groups to be looked at in this tick; each that has databases is among them once a second or so.
+    // Groups to be looked at in this tick; each that has databases is among them once a second or
+    // so.
     std::function<std::vector<GroupId>()> groups;
     std::function<std::vector<SuccessionCandidate>(const GroupId &)> databases;
 
@@ -72,6 +80,13 @@
     // Reads the records anew, soon.
     std::function<void()> refresh;
 
+    // After a change was announced: asks the store who may hold a lease without having read of it,
+    // and calls back where that is known. May be empty; the lease is waited for then.
+    std::function<void(std::function<void(std::vector<VmLife>)>)> leaseHolders = {};
+
+    // Whether a VM has said that it has read of a change, or of a later one of the group.
+    std::function<bool(const VmLife &, const GroupId &, ObjectVersion announcement)> hasRead = {};
+
     // This VM's place among the living ones, from 0; spreads takeovers in time.
     std::function<std::size_t()> rank;
 };
@@ -96,7 +111,8 @@
 // duty over where its holder leaves a due change undone. The order of things makes it safe:
 //
 // 1. the holder writes that a change of the group begins;
-// 2. it waits until whoever has not read that cannot trust what it read before;
+// 2. it waits until whoever has not read that cannot trust what it read before, or until everybody
+//    has said that it was read;
 // 3. it stops the old primary where that can be reached, and has a majority of the databases hold
 // for
 //    a later term, so that nobody can show any more that the old primary leads;
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -144,14 +144,39 @@
 void LeadershipChange::announced()
 {
     m_announcedAt = now();
+    if (m_owner->m_ports.leaseHolders) {
+        m_owner->m_ports.leaseHolders([weak = weak_from_this()](std::vector<VmLife> holders) {
+            const auto self = weak.lock();
+            if (self && self->m_isRunning)
+                self->m_leaseHolders = std::move(holders);
+        });
+    }
     // A primary that is leaving serves until others cannot trust old records any more; for one that
     // is lost everything is made ready meanwhile.
     if (m_isPlanned)
-        after(leadershipLease + leadershipMargin, &LeadershipChange::stopOldPrimary);
+        stopWhenLapsed();
     else
         stopOldPrimary();
 }
 
+// Whether nobody trusts any more what was read before the announcement.
+bool LeadershipChange::isLapsed() const
+{
+    if (now() >= m_announcedAt + leadershipLease + leadershipMargin)
+        return true;
+    return m_leaseHolders && std::ranges::all_of(*m_leaseHolders, [this](const VmLife &holder) {
+               return m_owner->m_ports.hasRead(holder, m_group, m_record.version);
+           });
+}
+
+void LeadershipChange::stopWhenLapsed()
+{
+    if (isLapsed())
+        stopOldPrimary();
+    else
+        after(stepRetry, &LeadershipChange::stopWhenLapsed);
+}
+
 void LeadershipChange::stopOldPrimary()
 {
     // The term to stop it at lies above its own; what it had is the goal of the successor.
@@ -321,11 +346,10 @@
 // Those that hold for a later term receive nothing, so the choice stays right meanwhile.
 void LeadershipChange::orderWhenLapsed()
 {
-    const Duration left = m_announcedAt + leadershipLease + leadershipMargin - now();
-    if (left > Duration(0))
-        after(left, &LeadershipChange::orderWhenLapsed);
-    else
+    if (isLapsed())
         order(m_chosen);
+    else
+        after(stepRetry, &LeadershipChange::orderWhenLapsed);
 }
 
 bool LeadershipChange::isMajorityHeld(const std::vector<Answer> &answers) const
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -33,6 +33,8 @@
     void announce();
     void announced();
     void orderWhenLapsed();
+    void stopWhenLapsed();
+    bool isLapsed() const;
     void stopOldPrimary();
     void askAll();
     void answered(const std::shared_ptr<std::vector<Answer>> &answers, std::size_t asked,
@@ -54,6 +56,9 @@
     bool m_isPlanned;
     Instant m_startedAt;
     Instant m_announcedAt;
+
+    // Who may hold a lease without having read of the change; nothing while that is not known.
+    std::optional<std::vector<VmLife>> m_leaseHolders;
     LeadershipRecord m_record;
     Term m_oldTerm;
     bool m_isTermLearnt = false;
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -87,9 +87,16 @@
     return record;
 }
 
+void LeadershipView::limitLease(Instant since, Instant until)
+{
+    m_leaseSince = since;
+    m_leaseUntil = until;
+}
+
 bool LeadershipView::holdsLease(Instant now) const
 {
-    return m_askedAt && now < *m_askedAt + leadershipLease;
+    return m_askedAt && *m_askedAt >= m_leaseSince && now < *m_askedAt + leadershipLease
+           && now < m_leaseUntil;
 }
 
 bool LeadershipView::isLeading(const GroupId &group, const DatabaseId &database, Instant now) const
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -72,6 +72,10 @@
     // VMs of three that hear nothing from the primary a.
     std::size_t silentVms = 0;
 
+    // VMs that may hold leases, and the announcements that they say they have read.
+    std::vector<VmLife> leaseHolders{{VmId("other"), "life"}};
+    std::map<std::string, ObjectVersion> read;
+
     // Groups whose turn it is.
     std::vector<GroupId> groupsDue{group};
     std::size_t groupSize = 3;
@@ -106,6 +110,12 @@
                    .order = [this](const GroupId &, const DatabaseId &database, std::uint64_t token,
                                    auto done) { order(database, token, done); },
                    .refresh = [this] { read(); },
+                   .leaseHolders = [this](const auto &done) { done(world.leaseHolders); },
+                   .hasRead =
+                           [this](const VmLife &life, const GroupId &, ObjectVersion version) {
+                               const auto read = world.read.find(life.vm.value());
+                               return read != world.read.end() && read->second >= version;
+                           },
                    .rank =
                            [rank] {
                                return rank;
@@ -200,6 +210,7 @@
 {
     CPPUNIT_TEST_SUITE(SuccessionTest);
     CPPUNIT_TEST(nothingHappensWhileThePrimaryIsHeard);
+    CPPUNIT_TEST(orderWaitsForLeasesUntilAllHaveRead);
     CPPUNIT_TEST(minorityDoesNotReplace);
     CPPUNIT_TEST(dueChangeIsFollowedUpBetweenItsTurns);
     CPPUNIT_TEST(lostPrimaryIsReplacedByTheFurthest);
@@ -227,6 +238,25 @@
         CPPUNIT_ASSERT(world.store.objects.empty());
     }
 
+    void orderWaitsForLeasesUntilAllHaveRead()
+    {
+        for (const bool isRead : {false, true}) {
+            World world;
+            Vm vm(world, "vm-0", 0);
+            world.timers.advance(1s);
+            world.silentVms = 2;
+            while (!vm.record().isMoving)
+                world.timers.advance(1ms);
+            const Instant announcedAt = world.timers.now();
+            // What was read of an earlier change says nothing of this one.
+            world.read["other"] = ObjectVersion(vm.record().version.value() - (isRead ? 0 : 1));
+            while (world.orders.empty())
+                world.timers.advance(1ms);
+            const Duration wait = world.orders.at(0).at - announcedAt;
+            CPPUNIT_ASSERT(isRead ? wait < 500ms : wait >= leadershipLease + leadershipMargin);
+        }
+    }
+
     // Pattern: more groups than are looked at in each tick.
     void dueChangeIsFollowedUpBetweenItsTurns()
     {
--- a/libs/vmregistry/include/vmregistry/vmregistry.h
+++ b/libs/vmregistry/include/vmregistry/vmregistry.h
@@ -16,6 +16,10 @@
 // Time without a change of its record after which a VM counts as gone.
 inline constexpr Duration vmSilenceLimit = std::chrono::seconds(25);
 
+// Time after the renewal of its record for which a VM may take itself for known to the others; so
+// one that counts as gone trusts nothing of what it read before.
+inline constexpr Duration vmPresenceLease = std::chrono::seconds(20);
+
 // How often a VM renews its record.
 inline constexpr Duration vmRenewal = std::chrono::seconds(10);
 
@@ -52,6 +56,9 @@
     // Databases that it hears nothing from.
     std::set<DatabaseId> silentDatabases = {};
 
+    // Changes of leadership under way that it has read of, by the version of the announcement.
+    std::map<GroupId, ObjectVersion> changesRead = {};
+
     bool operator==(const VmNotice &) const = default;
 };
 
@@ -84,10 +91,16 @@
     // How many living VMs hear nothing from a database.
     std::size_t silentCount(const DatabaseId &database, Instant now) const;
 
-    // Databases that a living VM hears nothing from, with the number of these VMs. Valid as living()
-    // is.
+    // Databases that a living VM hears nothing from, with the number of these VMs. Valid as
+    // living() is.
     const std::map<DatabaseId, std::size_t> &silentDatabases(Instant now) const;
 
+    // What a VM said in a life; null where nothing is known of that.
+    const VmNotice *notice(const VmId &vm, const std::string &incarnation) const;
+
+    // Whether this was a VM's record for so long that the VM counts as gone.
+    bool isSilent(const VmRecord &record, Instant now) const;
+
     // Place of a VM among the living, from 0; their number if it is not among them.
     std::size_t rank(const VmId &vm, Instant now) const;
 
@@ -108,7 +121,6 @@
     };
 
     const Digest &digest(Instant now) const;
-    const VmNotice *noticeOf(const VmRecord &record) const;
 
     std::map<VmId, Known> m_vms;
     std::map<VmId, VmNotice> m_notices;
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -65,6 +65,23 @@
         return databases;
     }
 
+    std::map<GroupId, ObjectVersion> versions(std::string_view name)
+    {
+        std::map<GroupId, ObjectVersion> versions;
+        const json::value *value = find(name);
+        m_isWhole = m_isWhole && value && value->is_object();
+        if (!m_isWhole)
+            return versions;
+        for (const json::key_value_pair &field : value->get_object()) {
+            if (field.value().is_int64())
+                versions[GroupId(std::string(field.key()))] =
+                        ObjectVersion(static_cast<std::uint64_t>(field.value().get_int64()));
+            else
+                m_isWhole = false;
+        }
+        return versions;
+    }
+
     bool isWhole() const
     {
         return m_isWhole;
@@ -132,9 +149,13 @@
     json::array silent;
     for (const DatabaseId &database : notice.silentDatabases)
         silent.emplace_back(database.value());
+    json::object read;
+    for (const auto &[group, version] : notice.changesRead)
+        read[group.value()] = version.value();
     return json::serialize(json::object{{"incarnation", notice.incarnation},
                                         {"stopping", notice.isStopping},
-                                        {"silent", std::move(silent)}});
+                                        {"silent", std::move(silent)},
+                                        {"changesRead", std::move(read)}});
 }
 
 Result<VmNotice> decodeVmNotice(std::string_view key, std::string_view text)
@@ -145,7 +166,8 @@
     VmNotice notice{.vm = VmId(std::string(key.substr(noticeKeyPrefix.size()))),
                     .incarnation = fields.text("incarnation"),
                     .isStopping = fields.truth("stopping"),
-                    .silentDatabases = fields.databases("silent")};
+                    .silentDatabases = fields.databases("silent"),
+                    .changesRead = fields.versions("changesRead")};
     if (!fields.isWhole())
         return unreadable(key);
     return notice;
@@ -166,15 +188,20 @@
     m_isStale = true;
 }
 
-// What the VM said in the life that its record is of.
-const VmNotice *VmRegistry::noticeOf(const VmRecord &record) const
+const VmNotice *VmRegistry::notice(const VmId &vm, const std::string &incarnation) const
 {
-    const auto found = m_notices.find(record.vm);
-    const bool isOfThisLife =
-            found != m_notices.end() && found->second.incarnation == record.incarnation;
+    const auto found = m_notices.find(vm);
+    const bool isOfThisLife = found != m_notices.end() && found->second.incarnation == incarnation;
     return isOfThisLife ? &found->second : nullptr;
 }
 
+bool VmRegistry::isSilent(const VmRecord &record, Instant now) const
+{
+    const auto known = m_vms.find(record.vm);
+    return known != m_vms.end() && known->second.record == record
+           && now >= known->second.changedAt + vmSilenceLimit;
+}
+
 void VmRegistry::vanished(const VmId &vm)
 {
     m_vms.erase(vm);
@@ -188,7 +215,7 @@
     Digest fresh{.validUntil = Instant::max(), .version = m_digest.version};
     for (const auto &[vm, known] : m_vms) {
         const Instant goneAt = known.changedAt + vmSilenceLimit;
-        const VmNotice *notice = noticeOf(known.record);
+        const VmNotice *notice = this->notice(known.record.vm, known.record.incarnation);
         if (now >= goneAt || (notice && notice->isStopping))
             continue;
         fresh.validUntil = std::min(fresh.validUntil, goneAt);
--- a/libs/vmregistry/tests/vmregistrytest.cpp
+++ b/libs/vmregistry/tests/vmregistrytest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(recordComesBackFromText);
     CPPUNIT_TEST(brokenRecordNamesItsKey);
     CPPUNIT_TEST(silentVmIsGone);
+    CPPUNIT_TEST(presenceEndsBeforeAVmCountsAsGone);
     CPPUNIT_TEST(stoppingVmDoesNotCount);
     CPPUNIT_TEST(noticeOfAnEarlierLifeDoesNotCount);
     CPPUNIT_TEST(votesAreCounted);
@@ -33,6 +34,19 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // The others must not give up a VM that still trusts what it read.
+    void presenceEndsBeforeAVmCountsAsGone()
+    {
+        CPPUNIT_ASSERT(vmRenewal < vmPresenceLease && vmPresenceLease < vmSilenceLimit);
+        VmRegistry registry;
+        registry.update(record("one"), start);
+        CPPUNIT_ASSERT(!registry.isSilent(record("one"), start + vmSilenceLimit - 1ms));
+        CPPUNIT_ASSERT(registry.isSilent(record("one"), start + vmSilenceLimit));
+        // The store holds a later record than the one known here, or one never seen.
+        CPPUNIT_ASSERT(!registry.isSilent(record("one", 2), start + vmSilenceLimit));
+        CPPUNIT_ASSERT(!registry.isSilent(record("two"), start + vmSilenceLimit));
+    }
+
     void recordComesBackFromText()
     {
         VmRecord sent = record("one", 9);
@@ -41,6 +55,7 @@
         CPPUNIT_ASSERT(got && got.value() == sent);
         VmNotice notice{.vm = sent.vm, .incarnation = "life-2", .isStopping = true};
         notice.silentDatabases = {DatabaseId("a"), DatabaseId("b")};
+        notice.changesRead = {{GroupId("herd"), ObjectVersion(17)}};
         const auto gotNotice = decodeVmNotice(noticeKey(notice.vm), encodeVmNotice(notice));
         CPPUNIT_ASSERT(gotNotice && gotNotice.value() == notice);
     }
@@ -48,7 +63,9 @@
     void brokenRecordNamesItsKey()
     {
         for (const char *text : {"", "{}", "7", R"({"dataCentre":"n","ip":"1","port":"x"})",
-                                 R"({"incarnation":"a","stopping":false,"silent":[7]})"}) {
+                                 R"({"incarnation":"a","stopping":false,"silent":[7]})",
+                                 R"({"incarnation":"a","stopping":false,"silent":[],
+                                     "changesRead":{"herd":"x"}})"}) {
             const auto got = decodeVmRecord("fescue-vms/one", text);
             CPPUNIT_ASSERT(!got);
             CPPUNIT_ASSERT_EQUAL(std::string("fescue-vms/one"), got.error().field);
