A silent primary is waited for once

Cause: with the wait for leases gone, 0.5 s remain from announcement to order: the silent primary is told to stop and asked in the next round again, 0.25 s each. Ruled out: the VMs' word on the announcement (all had given it within 0.25 s, as the order now goes out then). Change: a primary that has just not answered the order to stop is left out of the round that follows; later rounds ask it again. It still gets 0.25 s to say what it had. Test: silentPrimaryIsWaitedForOnce, red before.

--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -188,6 +188,7 @@
                     return;
                 if (reply && reply->status && reply->status->role == Role::Replica)
                     self->m_oldPosition = reply->status->received;
+                self->m_isOldSilent = !reply;
                 self->m_catchUpUntil = self->now() + catchUpTime;
                 self->askAll();
             });
@@ -195,11 +196,16 @@
 
 void LeadershipChange::askAll()
 {
-    const std::vector<SuccessionCandidate> candidates = m_owner->m_ports.databases(m_group);
+    std::vector<SuccessionCandidate> candidates = m_owner->m_ports.databases(m_group);
     if (candidates.empty()) {
         after(stepRetry * 2, &LeadershipChange::askAll);
         return;
     }
+    if (std::exchange(m_isOldSilent, false) && candidates.size() > 1) {
+        std::erase_if(candidates, [this](const SuccessionCandidate &candidate) {
+            return candidate.database == m_record.primary;
+        });
+    }
     const auto answers = std::make_shared<std::vector<Answer>>();
     // Replicas go on receiving until one has what the stopped primary had; if that does not answer,
     // its commits must not go on arriving at some replica only.
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -66,6 +66,9 @@
     Instant m_catchUpUntil;
     bool m_isCaughtUp = false;
 
+    // The old primary has just not answered; the next round goes on without it.
+    bool m_isOldSilent = false;
+
     // The next round only asks, as the replicas were told to receive again.
     bool m_isKeeping = false;
     DatabaseId m_chosen;
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -211,6 +211,7 @@
     CPPUNIT_TEST_SUITE(SuccessionTest);
     CPPUNIT_TEST(nothingHappensWhileThePrimaryIsHeard);
     CPPUNIT_TEST(orderWaitsForLeasesUntilAllHaveRead);
+    CPPUNIT_TEST(silentPrimaryIsWaitedForOnce);
     CPPUNIT_TEST(minorityDoesNotReplace);
     CPPUNIT_TEST(dueChangeIsFollowedUpBetweenItsTurns);
     CPPUNIT_TEST(lostPrimaryIsReplacedByTheFurthest);
@@ -257,6 +258,23 @@
         }
     }
 
+    // It gets 250 ms to say what it had.
+    void silentPrimaryIsWaitedForOnce()
+    {
+        World world;
+        Vm vm(world, "vm-0", 0);
+        world.timers.advance(1s);
+        world.silentVms = 2;
+        world.databases["a"].isSilent = true;
+        while (!vm.record().isMoving)
+            world.timers.advance(1ms);
+        const Instant announcedAt = world.timers.now();
+        world.read["other"] = vm.record().version;
+        while (world.orders.empty())
+            world.timers.advance(1ms);
+        CPPUNIT_ASSERT(world.orders.at(0).at - announcedAt <= 350ms);
+    }
+
     // Pattern: more groups than are looked at in each tick.
     void dueChangeIsFollowedUpBetweenItsTurns()
     {
