Log lines of the confirmation of a change and of a VM's own record

promotion-ordered says whether all VMs had read of the change, presence-stands when this VM's record stands in the store and its leases count. Nothing else is decided.

--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -262,8 +262,10 @@
 // from when it stands there, and no longer than the others wait for one that renews itself no more.
 void Coordinator::renewed(Instant sentAt)
 {
-    if (now() >= m_knownUntil)
+    if (now() >= m_knownUntil) {
         m_knownSince = now();
+        m_upstreams.context().log.info("presence-stands", {{"renewal", m_own.renewal}});
+    }
     m_knownUntil = sentAt + vmPresenceLease;
     m_upstreams.leadership().limitLease(m_knownSince, m_knownUntil);
 }
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -162,8 +162,11 @@
 // Whether nobody trusts any more what was read before the announcement.
 bool LeadershipChange::isLapsed() const
 {
-    if (now() >= m_announcedAt + leadershipLease + leadershipMargin)
-        return true;
+    return now() >= m_announcedAt + leadershipLease + leadershipMargin || haveAllRead();
+}
+
+bool LeadershipChange::haveAllRead() const
+{
     return m_leaseHolders && std::ranges::all_of(*m_leaseHolders, [this](const VmLife &holder) {
                return m_owner->m_ports.hasRead(holder, m_group, m_record.version);
            });
@@ -385,6 +388,7 @@
                                                       {"token", fencingToken},
                                                       {"old-term", m_oldTerm},
                                                       {"old-stopped", m_oldPosition.has_value()},
+                                                      {"all-read", haveAllRead()},
                                                       {"age", now() - m_startedAt}});
     m_owner->m_ports.order(m_group, database, fencingToken,
                            [weak = weak_from_this()](PromotionOrderEnd end) {
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -35,6 +35,7 @@
     void orderWhenLapsed();
     void stopWhenLapsed();
     bool isLapsed() const;
+    bool haveAllRead() const;
     void stopOldPrimary();
     void askAll();
     void answered(const std::shared_ptr<std::vector<Answer>> &answers, std::size_t asked,
