--- /dev/null
+++ b/libs/statementproxy/src/upstreamcommands.cpp
@@ -0,0 +1,132 @@
+#include "statementproxy/upstreams.h"
+
+#include "upstreamaccess.h"
+
+#include <utility>
+
+// Statements of the VM itself, and the probes that it makes of them.
+
+namespace fescuespring {
+
+namespace {
+
+constexpr Duration statusTimeout = std::chrono::milliseconds(350);
+
+// A database that is silent is asked this often.
+constexpr Duration probeInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
+Upstreams::~Upstreams()
+{
+    for (const auto &command : std::exchange(m_commands, {}))
+        dropCommand(*command);
+}
+
+void Upstreams::command(const DatabaseId &database, const Statement &statement, Duration timeout,
+                        CommandDone done)
+{
+    commandOn(pool(database), statement, timeout, std::move(done));
+}
+
+// A statement of this VM that is under way. Upstreams owns it; what may end it holds it weakly, as
+// the connection that it has borrowed leads back to it.
+struct Upstreams::Command
+{
+    std::shared_ptr<LinkPool> pool;
+    LinkLease lease;
+    LinkPool::TicketId ticket = 0;
+    Timers::Id timer = 0;
+    CommandDone done;
+};
+
+void Upstreams::commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
+                          Duration timeout, CommandDone done)
+{
+    if (!pool) {
+        m_context.timers.after(Duration(0), [done] { done(std::nullopt); });
+        return;
+    }
+    const auto command = std::make_shared<Command>();
+    m_commands.insert(command);
+    command->pool = pool;
+    command->done = std::move(done);
+    command->timer = m_context.timers.after(timeout, [this, weak = std::weak_ptr(command)] {
+        if (const auto late = weak.lock())
+            commandEnded(late, std::nullopt);
+    });
+    const auto run = [this, weak = std::weak_ptr(command), statement](LinkLease lease) {
+        const auto granted = weak.lock();
+        if (!granted)
+            return;
+        granted->ticket = 0;
+        granted->lease = std::move(lease);
+        granted->lease->run(
+                {.command = {.statement = statement}}, [this, weak](const LinkOutcome &outcome) {
+                    const auto ran = weak.lock();
+                    if (!ran)
+                        return;
+                    const bool isAnswered = outcome.end == LinkEnd::Answered;
+                    commandEnded(ran, isAnswered ? std::optional(outcome.reply) : std::nullopt);
+                });
+    };
+    if (LinkLease lease = pool->tryAcquire(nullptr))
+        run(std::move(lease));
+    else
+        command->ticket = pool->wait(nullptr, 0, run);
+}
+
+void Upstreams::commandEnded(const std::shared_ptr<Command> &command,
+                             const std::optional<StatementReply> &reply)
+{
+    if (m_commands.erase(command) == 0)
+        return;
+    const CommandDone done = std::move(command->done);
+    dropCommand(*command);
+    done(reply);
+}
+
+void Upstreams::dropCommand(Command &command)
+{
+    m_context.timers.cancel(command.timer);
+    command.pool->cancel(command.ticket);
+    command.lease.release();
+}
+
+void Upstreams::askStatus(const DatabaseId &database, TermEvidence::StatusDone done)
+{
+    m_context.counters.counter("fescuespring_status_questions_total").add();
+    command(database, {.kind = StatementKind::Status}, statusTimeout,
+            [done = std::move(done)](const std::optional<StatementReply> &reply) {
+                done(reply && reply->isSuccess() ? reply->status : std::nullopt);
+            });
+}
+
+void Upstreams::probeOwn(const DatabaseId &database)
+{
+    const auto known = m_accesses.find(database);
+    if (known != m_accesses.end())
+        probe(known->second->own, known->second->ownProbedAt);
+}
+
+void Upstreams::probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt)
+{
+    const Instant now = m_context.timers.now();
+    if (now < probedAt + probeInterval)
+        return;
+    probedAt = now;
+    commandOn(pool, {.kind = StatementKind::Status}, statusTimeout,
+              [](const std::optional<StatementReply> &) {});
+}
+
+void Upstreams::probeSilent()
+{
+    for (const auto &[database, known] : m_accesses) {
+        if (silence(*known->own) > probeInterval)
+            probe(known->own, known->ownProbedAt);
+        if (known->hasOtherOwners && silence(*known->byOthers) > probeInterval)
+            probe(known->byOthers, known->othersProbedAt);
+    }
+}
+
+} // namespace fescuespring
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -1,5 +1,7 @@
 #include "statementproxy/upstreams.h"
 
+#include "upstreamaccess.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -8,11 +10,6 @@
 
 namespace {
 
-constexpr Duration statusTimeout = std::chrono::milliseconds(350);
-
-// A database that is silent is asked this often.
-constexpr Duration probeInterval = std::chrono::milliseconds(250);
-
 // Silence after which a read goes elsewhere if it can.
 constexpr Duration unresponsiveAfter = std::chrono::milliseconds(250);
 
@@ -50,31 +47,6 @@
 
 } // namespace
 
-// The ways to one database.
-struct Upstreams::Access
-{
-    std::shared_ptr<DatabasePool> own;
-    std::shared_ptr<RelayPool> byOthers;
-
-    // Whether this VM is to hold connections, and whether others are.
-    bool isOwner = true;
-    bool hasOtherOwners = false;
-    std::size_t owners = 1;
-
-    // This VM's place among the owners.
-    std::size_t rank = 0;
-
-    // The other owners, best first; worked out when one is asked for first, as most databases are
-    // never used by way of this VM.
-    std::optional<std::vector<VmRecord>> otherOwners;
-
-    std::optional<Instant> drainingSince;
-
-    // When each way was last probed.
-    Instant ownProbedAt;
-    Instant othersProbedAt;
-};
-
 Upstreams::Upstreams(ProxyContext context)
     : m_context(std::move(context))
     , m_directory({.onEntry = [this](const UpstreamEntry &entry,
@@ -85,12 +57,6 @@
                            }})
 {}
 
-Upstreams::~Upstreams()
-{
-    for (const auto &command : std::exchange(m_commands, {}))
-        dropCommand(*command);
-}
-
 const Upstreams::Access *Upstreams::access(const DatabaseId &database) const
 {
     const auto found = m_accesses.find(database);
@@ -398,112 +364,6 @@
     return chosen;
 }
 
-void Upstreams::command(const DatabaseId &database, const Statement &statement, Duration timeout,
-                        CommandDone done)
-{
-    commandOn(pool(database), statement, timeout, std::move(done));
-}
-
-// A statement of this VM that is under way. Upstreams owns it; what may end it holds it weakly, as
-// the connection that it has borrowed leads back to it.
-struct Upstreams::Command
-{
-    std::shared_ptr<LinkPool> pool;
-    LinkLease lease;
-    LinkPool::TicketId ticket = 0;
-    Timers::Id timer = 0;
-    CommandDone done;
-};
-
-void Upstreams::commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
-                          Duration timeout, CommandDone done)
-{
-    if (!pool) {
-        m_context.timers.after(Duration(0), [done] { done(std::nullopt); });
-        return;
-    }
-    const auto command = std::make_shared<Command>();
-    m_commands.insert(command);
-    command->pool = pool;
-    command->done = std::move(done);
-    command->timer = m_context.timers.after(timeout, [this, weak = std::weak_ptr(command)] {
-        if (const auto late = weak.lock())
-            commandEnded(late, std::nullopt);
-    });
-    const auto run = [this, weak = std::weak_ptr(command), statement](LinkLease lease) {
-        const auto granted = weak.lock();
-        if (!granted)
-            return;
-        granted->ticket = 0;
-        granted->lease = std::move(lease);
-        granted->lease->run(
-                {.command = {.statement = statement}}, [this, weak](const LinkOutcome &outcome) {
-                    const auto ran = weak.lock();
-                    if (!ran)
-                        return;
-                    const bool isAnswered = outcome.end == LinkEnd::Answered;
-                    commandEnded(ran, isAnswered ? std::optional(outcome.reply) : std::nullopt);
-                });
-    };
-    if (LinkLease lease = pool->tryAcquire(nullptr))
-        run(std::move(lease));
-    else
-        command->ticket = pool->wait(nullptr, 0, run);
-}
-
-void Upstreams::commandEnded(const std::shared_ptr<Command> &command,
-                             const std::optional<StatementReply> &reply)
-{
-    if (m_commands.erase(command) == 0)
-        return;
-    const CommandDone done = std::move(command->done);
-    dropCommand(*command);
-    done(reply);
-}
-
-void Upstreams::dropCommand(Command &command)
-{
-    m_context.timers.cancel(command.timer);
-    command.pool->cancel(command.ticket);
-    command.lease.release();
-}
-
-void Upstreams::askStatus(const DatabaseId &database, TermEvidence::StatusDone done)
-{
-    m_context.counters.counter("fescuespring_status_questions_total").add();
-    command(database, {.kind = StatementKind::Status}, statusTimeout,
-            [done = std::move(done)](const std::optional<StatementReply> &reply) {
-                done(reply && reply->isSuccess() ? reply->status : std::nullopt);
-            });
-}
-
-void Upstreams::probeOwn(const DatabaseId &database)
-{
-    const auto known = m_accesses.find(database);
-    if (known != m_accesses.end())
-        probe(known->second->own, known->second->ownProbedAt);
-}
-
-void Upstreams::probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt)
-{
-    const Instant now = m_context.timers.now();
-    if (now < probedAt + probeInterval)
-        return;
-    probedAt = now;
-    commandOn(pool, {.kind = StatementKind::Status}, statusTimeout,
-              [](const std::optional<StatementReply> &) {});
-}
-
-void Upstreams::probeSilent()
-{
-    for (const auto &[database, known] : m_accesses) {
-        if (silence(*known->own) > probeInterval)
-            probe(known->own, known->ownProbedAt);
-        if (known->hasOtherOwners && silence(*known->byOthers) > probeInterval)
-            probe(known->byOthers, known->othersProbedAt);
-    }
-}
-
 void Upstreams::judgeLossBy(std::function<bool(const DatabaseId &)> isLostForMost)
 {
     m_isLostForMost = std::move(isLostForMost);
