--- a/libs/daemoncommand/include/daemoncommand/daemoncommand.h
+++ b/libs/daemoncommand/include/daemoncommand/daemoncommand.h
@@ -39,7 +39,8 @@
 
 // Ends the process with an exit code, after what was written to the standard streams is out. For
 // the end of main, when the daemon has let go of all that it held: what libraries would clean up at
-// exit is left alone, so that one that waits for threads of its own keeps no stopped VM from ending.
+// exit is left alone, so that one that waits for threads of its own keeps no stopped VM from
+// ending.
 [[noreturn]] void endProcess(int exitCode);
 
 } // namespace fescuespring
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -56,9 +56,9 @@
         return inUse() + m_queue.size();
     }
 
-    // Statements that may run at once lie between fewest and what the connections allow. Where there
-    // are more connections than the maximum, free ones are closed now and the others as they come
-    // free.
+    // Statements that may run at once lie between fewest and what the connections allow. Where
+    // there are more connections than the maximum, free ones are closed now and the others as they
+    // come free.
     void setLimits(std::uint32_t kept, std::uint32_t maximum, double fewest);
 
     // Opens links ahead of need.
