Names: what counts as written, until when leases count

Read as a newcomer: OwnObject's hook, the end of limitLease, two local names, the log event of a VM's own record. Nothing is decided otherwise.

--- a/libs/coordination/include/coordination/ownobject.h
+++ b/libs/coordination/include/coordination/ownobject.h
@@ -19,10 +19,10 @@
 class OwnObject
 {
 public:
-    // Called when a write stands, with the moment at which it was sent. May be empty.
-    using Stood = std::function<void(Instant sentAt)>;
+    // Called after each successful write, with the moment at which it was sent. May be empty.
+    using Written = std::function<void(Instant sentAt)>;
 
-    OwnObject(ObjectStore &store, Timers &timers, std::string key, Stood stood = {});
+    OwnObject(ObjectStore &store, Timers &timers, std::string key, Written written = {});
     OwnObject(const OwnObject &) = delete;
     OwnObject &operator=(const OwnObject &) = delete;
 
@@ -35,7 +35,7 @@
     ObjectStore &m_store;
     Timers &m_timers;
     std::string m_key;
-    Stood m_stood;
+    Written m_written;
     std::string m_value;
     ObjectVersion m_version;
     Instant m_sentAt;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -259,12 +259,12 @@
 }
 
 // Whoever announces a change asks the store which VMs there are. So what this VM reads counts only
-// from when it stands there, and no longer than the others wait for one that renews itself no more.
+// once its record is there, and ends before the others give up a VM whose record is not renewed.
 void Coordinator::renewed(Instant sentAt)
 {
     if (now() >= m_knownUntil) {
         m_knownSince = now();
-        m_upstreams.context().log.info("presence-stands", {{"renewal", m_own.renewal}});
+        m_upstreams.context().log.info("presence-recorded", {{"renewal", m_own.renewal}});
     }
     m_knownUntil = sentAt + vmPresenceLease;
     m_upstreams.leadership().limitLease(m_knownSince, m_knownUntil);
@@ -337,9 +337,9 @@
 
 void Coordinator::configurationChanged(const RouteConfiguration &configuration)
 {
-    const bool isSharedAlike = m_configuration && m_configuration->groups == configuration.groups;
+    const bool grantsTheSame = m_configuration && m_configuration->groups == configuration.groups;
     m_configuration = configuration;
-    if (isSharedAlike)
+    if (grantsTheSame)
         return;
     m_sharedVersion.reset();
     shareConnections();
--- a/libs/coordination/src/ownobject.cpp
+++ b/libs/coordination/src/ownobject.cpp
@@ -11,11 +11,11 @@
 
 } // namespace
 
-OwnObject::OwnObject(ObjectStore &store, Timers &timers, std::string key, Stood stood)
+OwnObject::OwnObject(ObjectStore &store, Timers &timers, std::string key, Written written)
     : m_store(store)
     , m_timers(timers)
     , m_key(std::move(key))
-    , m_stood(std::move(stood))
+    , m_written(std::move(written))
 {}
 
 void OwnObject::write(std::string value)
@@ -50,8 +50,8 @@
     // A refused write tells the version of an earlier life, or of a write whose answer was lost.
     m_version = answer.value().version;
     m_isWriting = false;
-    if (answer.value().written && m_stood)
-        m_stood(m_sentAt);
+    if (answer.value().written && m_written)
+        m_written(m_sentAt);
     if (!answer.value().written || m_mustWrite)
         send();
 }
--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -65,9 +65,9 @@
         return m_duty;
     }
 
-    // Leases count only while the others can know of this VM: for questions asked from since on,
-    // and until until. Without a call they always count.
-    void limitLease(Instant since, Instant until);
+    // Leases count only while the others can know of this VM: for questions that were asked at
+    // since or later, and before end. Without a call they always count.
+    void limitLease(Instant since, Instant end);
 
     // Whether the last snapshot still counts.
     bool holdsLease(Instant now) const;
@@ -120,7 +120,7 @@
     std::optional<DutyRecord> m_duty;
     std::optional<Instant> m_askedAt;
     Instant m_leaseSince = Instant::min();
-    Instant m_leaseUntil = Instant::max();
+    Instant m_leaseEnd = Instant::max();
 };
 
 } // namespace fescuespring
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -87,16 +87,16 @@
     return record;
 }
 
-void LeadershipView::limitLease(Instant since, Instant until)
+void LeadershipView::limitLease(Instant since, Instant end)
 {
     m_leaseSince = since;
-    m_leaseUntil = until;
+    m_leaseEnd = end;
 }
 
 bool LeadershipView::holdsLease(Instant now) const
 {
     return m_askedAt && *m_askedAt >= m_leaseSince && now < *m_askedAt + leadershipLease
-           && now < m_leaseUntil;
+           && now < m_leaseEnd;
 }
 
 bool LeadershipView::isLeading(const GroupId &group, const DatabaseId &database, Instant now) const
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -297,9 +297,9 @@
 {
     std::size_t cutOff = 0;
     for (const auto &[database, known] : m_accesses) {
-        const bool maySilent =
+        const bool mayBeSilent =
                 known->own->observation().silentSince || known->byOthers->observation().silentSince;
-        if (!maySilent)
+        if (!mayBeSilent)
             continue;
         const UpstreamEntry *entry = m_directory.find(database);
         const auto believed = entry ? m_leadership.primary(entry->target.group) : std::nullopt;
