--- a/libs/coordination/tests/storeaccesstest.cpp
+++ b/libs/coordination/tests/storeaccesstest.cpp
@@ -1,5 +1,6 @@
 #include "coordination/storeaccess.h"
 
+#include "net/linecutter.h"
 #include "net/looptimers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -86,6 +87,9 @@
         int reads = 0;
         bool isWatching = false;
         bool reachesStore = true;
+
+        // Where others find its feed, if not at feed.
+        std::optional<Endpoint> standIn;
     };
 
     explicit World(int count)
@@ -102,7 +106,7 @@
         for (const auto &vm : vms)
             records.push_back({.vm = VmId(vm->name),
                                .dataCentre = DataCentreId("north"),
-                               .peers = vm->feed->endpoint()});
+                               .peers = vm->standIn ? *vm->standIn : vm->feed->endpoint()});
         return records;
     }
 
@@ -127,6 +131,69 @@
     std::vector<std::unique_ptr<Vm>> vms;
 };
 
+// A reader that answers as long as it is not busy, and then only sends changes to all.
+class BusyReader
+{
+public:
+    explicit BusyReader(World &world)
+        : m_world(world)
+    {
+        auto listening = TcpListener::listen(
+                world.loop, {"127.0.0.1", 0}, 3000ms,
+                [this](std::unique_ptr<TcpStream> stream) { accepted(std::move(stream)); });
+        CPPUNIT_ASSERT(listening);
+        m_listener = std::move(listening.value());
+        world.vms[0]->standIn = m_listener->endpoint();
+        sendChanges();
+    }
+
+    bool isBusy = false;
+
+private:
+    struct Follower
+    {
+        std::unique_ptr<TcpStream> stream;
+        LineCutter lines;
+    };
+
+    void accepted(std::unique_ptr<TcpStream> stream)
+    {
+        Follower &follower = *m_followers.emplace_back(std::make_unique<Follower>());
+        follower.stream = std::move(stream);
+        follower.stream->setHandlers(
+                {.onBytes = [this,
+                             &follower](std::string_view bytes) { received(follower, bytes); },
+                 .onClosed =
+                         [](const Error &) {
+                         }});
+    }
+
+    void received(Follower &follower, std::string_view bytes)
+    {
+        follower.lines.append(bytes);
+        while (const auto line = follower.lines.next()) {
+            const auto message = decodeFeedMessage(*line);
+            if (isBusy || !message || message.value().kind != FeedMessage::Kind::Question)
+                continue;
+            follower.stream->send(encodeFeedMessage({.kind = FeedMessage::Kind::Answer,
+                                                     .number = message.value().number,
+                                                     .age = 1ms}));
+        }
+    }
+
+    void sendChanges()
+    {
+        m_world.timers.after(100ms, [this] { sendChanges(); });
+        for (const auto &follower : m_followers)
+            follower->stream->send(
+                    encodeFeedMessage({.kind = FeedMessage::Kind::Change, .objectKind = "kind"}));
+    }
+
+    World &m_world;
+    std::unique_ptr<TcpListener> m_listener;
+    std::vector<std::unique_ptr<Follower>> m_followers;
+};
+
 } // namespace
 
 class StoreAccessTest : public CppUnit::TestFixture
@@ -135,6 +202,7 @@
     CPPUNIT_TEST(oneVmReadsForAll);
     CPPUNIT_TEST(standbyReadsInTheReadersPlace);
     CPPUNIT_TEST(readerTakesItsPlaceAgain);
+    CPPUNIT_TEST(readerThatIsSendingIsWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +236,25 @@
         }
     }
 
+    // Pattern: a reader sends a large configuration to dozens of followers, and answers none
+    // meanwhile; all of them would read it from the store themselves.
+    void readerThatIsSendingIsWaitedFor()
+    {
+        World world(4);
+        BusyReader reader(world);
+        world.run(1500ms);
+        CPPUNIT_ASSERT(world.vms[3]->access->isFollowing());
+        reader.isBusy = true;
+        Counter &sought = world.counters.counter("fescuespring_store_sought_total");
+        const auto before = sought.value();
+        world.run(2s);
+        CPPUNIT_ASSERT_EQUAL(before, sought.value());
+        CPPUNIT_ASSERT(world.vms[3]->access->isFollowing());
+        // It is not waited for without end.
+        world.run(6s);
+        CPPUNIT_ASSERT(world.vms[3]->age() < 1200ms);
+    }
+
     void readerTakesItsPlaceAgain()
     {
         World world(4);
