Forwarded writes: hand back instead of parking when the primary moved beyond the last hop

Cause: a write that was forwarded twice (VM of entry, then the primary's data centre) and met a change of primary there was parked until its deadline when the new primary was in a third data centre, since it may not be forwarded again. Ruled out: promotion itself, load.

Change: the last owner answers at once (PrimaryReplaced; NotRun only if nothing of it may have run); the owner that forwarded it routes it again while time is left, and reports Unknown, never NotRun, once an earlier attempt may have run.

--- a/libs/sliceowner/src/requestrouting.cpp
+++ b/libs/sliceowner/src/requestrouting.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace fescuespring {
 
@@ -16,6 +17,18 @@
 // to be released.
 constexpr std::size_t maximumParked = 20000;
 
+using Answer = std::function<void(CallerAnswer)>;
+
+// For a request that may have run before: NotRun of a later attempt does not cover earlier ones.
+Answer withoutNotRun(Answer answer)
+{
+    return [answer = std::move(answer)](CallerAnswer reply) {
+        if (reply.outcome == Outcome::NotRun)
+            reply.outcome = Outcome::Unknown;
+        answer(std::move(reply));
+    };
+}
+
 } // namespace
 
 void RequestRunner::route(RunId id)
@@ -133,25 +146,57 @@
 
 void RequestRunner::forward(RequestRun &run, const DataCentreId &dataCentre)
 {
-    if (!m_hooks.forward || run.ownerRequest.hop >= maximumHops
-        || dataCentre == m_options.dataCentre) {
-        park(run, EventLoop::now() + parkedRecheckInterval, Reason::NoOwner);
+    if (run.ownerRequest.hop >= maximumHops) {
+        // The owner that forwarded the request can still forward it to the new primary.
+        refuse(run, {Reason::PrimaryReplaced, primaryRetryAfter});
         return;
     }
-    OwnerRequest request = std::move(run.ownerRequest);
-    request.request.deadline = timeLeft(run);
-    // NotRun of the other owner does not cover earlier attempts at this owner, which may have run.
-    if (run.life && run.life->attempts() > 1) {
-        request.answer = [answer = std::move(request.answer)](CallerAnswer reply) {
-            if (reply.outcome == Outcome::NotRun)
-                reply.outcome = Outcome::Unknown;
-            answer(std::move(reply));
-        };
+    if (!m_hooks.forward || dataCentre == m_options.dataCentre) {
+        park(run, EventLoop::now() + parkedRecheckInterval, Reason::NoOwner);
+        return;
     }
+    const std::chrono::milliseconds left = timeLeft(run);
+    const bool mayHaveRun = run.life && run.life->attempts() > 1;
+    OwnerRequest original = std::move(run.ownerRequest);
     m_runs.erase(run.id);
+    if (mayHaveRun)
+        original.answer = withoutNotRun(std::move(original.answer));
+    OwnerRequest request = original;
+    request.request.deadline = left;
+    request.answer = [this, alive = std::weak_ptr(m_alive),
+                      original = std::move(original)](CallerAnswer reply) {
+        if (alive.expired())
+            original.answer(std::move(reply));
+        else
+            forwardAnswered(original, std::move(reply));
+    };
     m_hooks.forward(dataCentre, std::move(request));
 }
 
+// Routes the request again if the other owner handed it back because the primary has moved on.
+void RequestRunner::forwardAnswered(OwnerRequest original, CallerAnswer reply)
+{
+    const Instant deadline = original.receivedAt + original.request.deadline;
+    const bool isRepeatable = reply.outcome == Outcome::NotRun
+                              || (reply.outcome == Outcome::Unknown && original.request.idempotent);
+    const bool hasTime = EventLoop::now() + parkedRecheckInterval < deadline;
+    if (reply.reason != Reason::PrimaryReplaced || !isRepeatable || !hasTime) {
+        original.answer(std::move(reply));
+        return;
+    }
+    m_count.retried[static_cast<std::size_t>(reply.reason)]->add();
+    if (reply.outcome == Outcome::Unknown)
+        original.answer = withoutNotRun(std::move(original.answer));
+    m_prober.probeAll();
+    m_loop.after(parkedRecheckInterval, [this, alive = std::weak_ptr(m_alive), original,
+                                         reply = std::move(reply)]() mutable {
+        if (alive.expired())
+            original.answer(std::move(reply));
+        else
+            submit(std::move(original));
+    });
+}
+
 void RequestRunner::enqueue(RequestRun &run, DatabaseExecutor &executor)
 {
     const CallerRequest &request = run.request();
--- a/libs/sliceowner/src/requestrunner.h
+++ b/libs/sliceowner/src/requestrunner.h
@@ -77,6 +77,7 @@
     void routeWrite(RequestRun &run);
     void send(RequestRun &run, const DatabaseId &database, Term term);
     void forward(RequestRun &run, const DataCentreId &dataCentre);
+    void forwardAnswered(OwnerRequest original, CallerAnswer reply);
     void enqueue(RequestRun &run, DatabaseExecutor &executor);
     void dropped(RequestRun &run, const Refusal &refusal);
     void park(RequestRun &run, Instant until, Reason reason);
@@ -130,6 +131,9 @@
     std::function<void()> m_writeNotReplicated;
     bool m_holdWrites = false;
     bool m_draining = false;
+
+    // Expires with this object; answers of forwarded requests hold it weakly.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace fescuespring
