Owners: a database's first owner is in its own data centre

Cause: owners were taken from the data centres in the order of their names.

Change: the data centre of the database first, the others in an order of the database's own. The owner beside a database reaches it whenever its data centre can be reached at all.

ownershiptest::databaseHasAnOwnerInItsDataCentre.

--- a/libs/coordination/tests/observerreportstest.cpp
+++ b/libs/coordination/tests/observerreportstest.cpp
@@ -28,7 +28,7 @@
 
 // Counts the votes of the observers of a database. A VM that is cut off from the store reports
 // nothing; the others report or confirm, depending on whether they reach the database.
-ObserverReports votes(const std::vector<VmRecord> &vms, const DatabaseId &database,
+ObserverReports votes(const std::vector<VmRecord> &vms, const PlacedDatabase &database,
                       std::size_t owners, const std::function<bool(const VmRecord &)> &reachesStore,
                       const std::function<bool(const VmRecord &)> &reachesDatabase)
 {
@@ -106,7 +106,7 @@
                 const auto isInside = [&cut](const VmRecord &vm) {
                     return vm.dataCentre == cut;
                 };
-                CPPUNIT_ASSERT(isLost(votes(vms, database, owners, isOutside, isInside)));
+                CPPUNIT_ASSERT(isLost(votes(vms, {database, cut}, owners, isOutside, isInside)));
             }
         });
     }
@@ -120,7 +120,7 @@
                 const auto isOutside = [&cut](const VmRecord &vm) {
                     return vm.dataCentre != cut;
                 };
-                CPPUNIT_ASSERT(!isLost(votes(vms, database, owners, isOutside, isOutside)));
+                CPPUNIT_ASSERT(!isLost(votes(vms, {database, {}}, owners, isOutside, isOutside)));
             }
         });
     }
@@ -134,7 +134,7 @@
                 const DataCentreId cut("dc-" + std::to_string(i));
                 for (const VmRecord &restarted : vms) {
                     const auto reports = votes(
-                            vms, database, owners,
+                            vms, {database, cut}, owners,
                             [&](const VmRecord &vm) {
                                 return vm.dataCentre != cut && vm.vm != restarted.vm;
                             },
@@ -151,7 +151,7 @@
                 [](const auto &vms, std::size_t, std::size_t owners, const DatabaseId &database) {
                     for (const VmRecord &partitioned : vms) {
                         const auto reports = votes(
-                                vms, database, owners, [](const VmRecord &) { return true; },
+                                vms, {database, {}}, owners, [](const VmRecord &) { return true; },
                                 [&](const VmRecord &vm) { return vm.vm != partitioned.vm; });
                         CPPUNIT_ASSERT(!isLost(reports));
                     }
--- a/libs/relay/include/relay/ownership.h
+++ b/libs/relay/include/relay/ownership.h
@@ -40,26 +40,35 @@
 // together never open more connections than the database allows.
 ConnectionShares shareOut(const ShareRequest &request);
 
+// A database and the data centre that it is in. An owner in the same data centre reaches the
+// database whenever the data centre can be reached at all.
+struct PlacedDatabase
+{
+    DatabaseId database;
+    DataCentreId dataCentre;
+};
+
 // Which of the given VMs hold the connections to each database. Built once for a set of VMs and
 // queried for each database. The result is deterministic: VMs with the same set of VMs compute the
 // same owners.
 //
 //     const OwnerPlan plan(registry.living(now));
-//     const std::vector<VmRecord> order = plan.owners(database, shares.owners, self, dataCentre);
+//     const std::vector<VmRecord> order = plan.owners(placed, shares.owners, self, dataCentre);
 class OwnerPlan
 {
 public:
     OwnerPlan() = default;
     explicit OwnerPlan(std::vector<VmRecord> vms);
 
-    // The owners of a database, spread over data centres, in the order in which self tries them:
-    // those of its own data centre first. The order differs between VMs to spread the load.
-    std::vector<VmRecord> owners(const DatabaseId &database, std::size_t count, const VmId &self,
-                                 const DataCentreId &dataCentre) const;
+    // The owners of a database, spread over data centres beginning with its own, in the order in
+    // which self tries them: those of its own data centre first. The order differs between VMs to
+    // spread the load.
+    std::vector<VmRecord> owners(const PlacedDatabase &database, std::size_t count,
+                                 const VmId &self, const DataCentreId &dataCentre) const;
 
     // Zero-based rank of a VM among the first `count` VMs for a database, the same on every VM;
     // count if it is not one of them. The owners are the first VMs; a greater count adds others.
-    std::size_t rank(const DatabaseId &database, std::size_t count, const VmId &vm) const;
+    std::size_t rank(const PlacedDatabase &database, std::size_t count, const VmId &vm) const;
 
     std::size_t size() const
     {
@@ -78,7 +87,8 @@
         Placement placement;
     };
 
-    std::vector<std::size_t> selectOwners(const DatabaseId &database, std::size_t count) const;
+    std::vector<const DataCentre *> ordered(const PlacedDatabase &database) const;
+    std::vector<std::size_t> selectOwners(const PlacedDatabase &database, std::size_t count) const;
 
     // Ordered by name.
     std::vector<VmRecord> m_vms;
--- a/libs/relay/src/ownership.cpp
+++ b/libs/relay/src/ownership.cpp
@@ -86,11 +86,34 @@
         dataCentre.placement = Placement(names[id]);
 }
 
+// The data centres in the order in which they provide owners: that of the database first, the
+// others in an order of the database's own, so that the owners of all databases are spread.
+std::vector<const OwnerPlan::DataCentre *> OwnerPlan::ordered(const PlacedDatabase &database) const
+{
+    std::vector<const DataCentre *> order;
+    const auto home = m_dataCentres.find(database.dataCentre);
+    if (home != m_dataCentres.end())
+        order.push_back(&home->second);
+    std::vector<VmId> names;
+    std::vector<const DataCentre *> others;
+    for (const auto &[id, dataCentre] : m_dataCentres) {
+        if (id == database.dataCentre)
+            continue;
+        names.emplace_back(id.value());
+        others.push_back(&dataCentre);
+    }
+    const Placement placement(names);
+    for (const std::size_t place :
+         placement.ownerPlaces("data centres " + database.database.value(), names.size()))
+        order.push_back(others[place]);
+    return order;
+}
+
 // Selects the first VM of each data centre in turn, then the second, and so on.
-std::vector<std::size_t> OwnerPlan::selectOwners(const DatabaseId &database,
+std::vector<std::size_t> OwnerPlan::selectOwners(const PlacedDatabase &database,
                                                  std::size_t count) const
 {
-    const std::string job = "connections " + database.value();
+    const std::string job = "connections " + database.database.value();
     const std::size_t dataCentres = std::max<std::size_t>(1, m_dataCentres.size());
     std::size_t wanted = (count + dataCentres - 1) / dataCentres;
     // If a data centre has too few VMs, the others provide more owners.
@@ -99,11 +122,11 @@
             wanted = count;
     }
     std::vector<std::vector<std::size_t>> orders;
-    for (const auto &[id, dataCentre] : m_dataCentres) {
+    for (const DataCentre *dataCentre : ordered(database)) {
         std::vector<std::size_t> &order =
-                orders.emplace_back(dataCentre.placement.ownerPlaces(job, wanted));
+                orders.emplace_back(dataCentre->placement.ownerPlaces(job, wanted));
         for (std::size_t &place : order)
-            place = dataCentre.vms[place];
+            place = dataCentre->vms[place];
     }
     std::vector<std::size_t> chosen;
     for (std::size_t turn = 0; turn < wanted && chosen.size() < count; ++turn) {
@@ -127,7 +150,7 @@
     return std::min(m_vms.size(), count);
 }
 
-std::size_t OwnerPlan::rank(const DatabaseId &database, std::size_t count, const VmId &vm) const
+std::size_t OwnerPlan::rank(const PlacedDatabase &database, std::size_t count, const VmId &vm) const
 {
     const std::vector<std::size_t> owners = selectOwners(database, count);
     const auto found = std::ranges::find(
@@ -135,7 +158,7 @@
     return found == owners.end() ? count : static_cast<std::size_t>(found - owners.begin());
 }
 
-std::vector<VmRecord> OwnerPlan::owners(const DatabaseId &database, std::size_t count,
+std::vector<VmRecord> OwnerPlan::owners(const PlacedDatabase &database, std::size_t count,
                                         const VmId &self, const DataCentreId &dataCentre) const
 {
     std::vector<std::size_t> indices = selectOwners(database, count);
@@ -145,8 +168,8 @@
     for (const std::size_t index : indices)
         names.push_back(m_vms[index].vm);
     // Each VM uses an order of its own, which spreads the VMs over the owners.
-    const std::vector<std::size_t> spread =
-            Placement(names).ownerPlaces("asks " + self.value() + ' ' + database.value(), count);
+    const std::vector<std::size_t> spread = Placement(names).ownerPlaces(
+            "asks " + self.value() + ' ' + database.database.value(), count);
     std::vector<VmRecord> ordered;
     ordered.reserve(spread.size());
     for (const std::size_t place : spread)
--- a/libs/relay/tests/ownershiptest.cpp
+++ b/libs/relay/tests/ownershiptest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(allVmsComputeTheSameOwners);
     CPPUNIT_TEST(ownersAreSpreadOverDataCentres);
     CPPUNIT_TEST(ownDataCentreIsTriedFirst);
+    CPPUNIT_TEST(databaseHasAnOwnerInItsDataCentre);
     CPPUNIT_TEST(lossOfAVmMovesOnlyItsOwnShare);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,9 +89,9 @@
     {
         std::vector<VmRecord> all = vms(3, 10);
         const DatabaseId database("i-1");
-        const auto first = OwnerPlan(all).owners(database, 7, all[0].vm, all[0].dataCentre);
+        const auto first = OwnerPlan(all).owners({database, {}}, 7, all[0].vm, all[0].dataCentre);
         std::reverse(all.begin(), all.end());
-        const auto second = OwnerPlan(all).owners(database, 7, all[0].vm, all[0].dataCentre);
+        const auto second = OwnerPlan(all).owners({database, {}}, 7, all[0].vm, all[0].dataCentre);
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, first.size());
         CPPUNIT_ASSERT(names(first) == names(second));
     }
@@ -98,7 +99,8 @@
     void ownersAreSpreadOverDataCentres()
     {
         const auto owners =
-                OwnerPlan(vms(3, 10)).owners(DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
+                OwnerPlan(vms(3, 10))
+                        .owners({DatabaseId("i-1"), {}}, 7, VmId("x"), DataCentreId("dc-1"));
         std::map<DataCentreId, int> each;
         for (const VmRecord &record : owners)
             ++each[record.dataCentre];
@@ -109,11 +111,30 @@
     void ownDataCentreIsTriedFirst()
     {
         const auto owners =
-                OwnerPlan(vms(3, 10)).owners(DatabaseId("i-1"), 7, VmId("x"), DataCentreId("dc-1"));
+                OwnerPlan(vms(3, 10))
+                        .owners({DatabaseId("i-1"), {}}, 7, VmId("x"), DataCentreId("dc-1"));
         CPPUNIT_ASSERT(owners.front().dataCentre == DataCentreId("dc-1"));
         CPPUNIT_ASSERT(owners.back().dataCentre != DataCentreId("dc-1"));
     }
 
+    // Pattern: few connections, so a database has two owners; then a data centre is cut off.
+    void databaseHasAnOwnerInItsDataCentre()
+    {
+        const OwnerPlan plan(vms(3, 3));
+        std::map<DataCentreId, int> others;
+        for (int i = 0; i < 60; ++i) {
+            const DataCentreId home("dc-" + std::to_string(i % 3));
+            const auto owners =
+                    plan.owners({DatabaseId("i-" + std::to_string(i)), home}, 2, VmId("x"), home);
+            CPPUNIT_ASSERT(owners.front().dataCentre == home);
+            CPPUNIT_ASSERT(owners.back().dataCentre != home);
+            ++others[owners.back().dataCentre];
+        }
+        for (const auto &[dataCentre, count] : others)
+            CPPUNIT_ASSERT(count >= 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, others.size());
+    }
+
     void lossOfAVmMovesOnlyItsOwnShare()
     {
         std::vector<VmRecord> all = vms(3, 10);
@@ -122,8 +143,8 @@
         std::erase_if(remaining, [&lost](const VmRecord &record) { return record.vm == lost; });
         for (int i = 0; i < 50; ++i) {
             const DatabaseId database("i-" + std::to_string(i));
-            const auto before = names(OwnerPlan(all).owners(database, 6, VmId("x"), {}));
-            const auto after = names(OwnerPlan(remaining).owners(database, 6, VmId("x"), {}));
+            const auto before = names(OwnerPlan(all).owners({database, {}}, 6, VmId("x"), {}));
+            const auto after = names(OwnerPlan(remaining).owners({database, {}}, 6, VmId("x"), {}));
             if (!before.contains(lost))
                 CPPUNIT_ASSERT(before == after);
             std::vector<VmId> kept;
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -211,6 +211,7 @@
     struct DatabasePools;
     struct Command;
 
+    PlacedDatabase placed(const DatabaseId &database) const;
     void updateShares(const DatabaseId &database, DatabasePools &pools);
     ConnectionShares sharesOf(const UpstreamTarget &target) const;
     const std::vector<VmRecord> &otherOwners(const DatabaseId &database, DatabasePools &pools);
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -182,6 +182,12 @@
                                    .databases = m_pools.size()});
 }
 
+PlacedDatabase Upstreams::placed(const DatabaseId &database) const
+{
+    const UpstreamEntry *entry = m_directory.find(database);
+    return {database, entry ? entry->dataCentre : DataCentreId()};
+}
+
 void Upstreams::updateShares(const DatabaseId &database, DatabasePools &pools)
 {
     const ConnectionShares shares = sharesOf(pools.own->target());
@@ -192,7 +198,7 @@
     pools.isOwner = false;
     pools.hasOtherOwners = false;
     if (m_areVmsKnown) {
-        pools.rank = m_ownerPlan.rank(database, pools.observers, m_context.vm);
+        pools.rank = m_ownerPlan.rank(placed(database), pools.observers, m_context.vm);
         pools.isOwner = !m_context.connectPeer || pools.rank < shares.owners;
         pools.hasOtherOwners =
                 m_context.connectPeer
@@ -237,8 +243,8 @@
                                                     DatabasePools &pools)
 {
     if (!pools.otherOwners) {
-        pools.otherOwners =
-                m_ownerPlan.owners(database, pools.owners, m_context.vm, m_context.dataCentre);
+        pools.otherOwners = m_ownerPlan.owners(placed(database), pools.owners, m_context.vm,
+                                               m_context.dataCentre);
         std::erase_if(*pools.otherOwners,
                       [this](const VmRecord &record) { return record.vm == m_context.vm; });
     }
