Store outage: a majority is enough for as long as databases announce their departure

Change: setting departureNoticeMs (from the platform's bound; default 7000 as before); a majority is enough while the records are younger than that less 2 s.

statementsessiontest::majorityIsEnoughWithinTheDepartureNotice (7 s and 10 s).

--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -38,6 +38,9 @@
     // Time from the stop request until the process exits.
     std::chrono::milliseconds stopDeadline{4500};
 
+    // Time for which a database goes on serving after it has announced that it will leave.
+    std::chrono::milliseconds departureNotice{7000};
+
     // Maximum number of open caller connections.
     std::uint32_t maxCallerConnections = 3000;
 
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -24,6 +24,8 @@
     readEndpointText(section, "promotions", settings.promotions);
     section.milliseconds("stopDeadlineMs", settings.stopDeadline,
                          {milliseconds(100), milliseconds(600'000)});
+    section.milliseconds("departureNoticeMs", settings.departureNotice,
+                         {milliseconds(0), milliseconds(3'600'000)});
     section.number("maxCallerConnections", settings.maxCallerConnections, {1, 1'000'000});
     section.section("logging", Presence::Optional,
                     [&](Section &inner) { detail::readLogging(inner, settings.logging); });
--- a/libs/settings/tests/statementsettingstest.cpp
+++ b/libs/settings/tests/statementsettingstest.cpp
@@ -33,11 +33,13 @@
     {
         const auto settings = parseStatementSettings(
                 validSettings
-                + "stopDeadlineMs: 4000\nlogging:\n  level: warning\n  linesPerSecond: 5\n");
+                + "stopDeadlineMs: 4000\ndepartureNoticeMs: 10000\nlogging:\n  level: warning\n  "
+                  "linesPerSecond: 5\n");
         CPPUNIT_ASSERT(settings);
         CPPUNIT_ASSERT(settings.value().vm == VmId("front-1"));
         CPPUNIT_ASSERT(settings.value().store == (Endpoint{"10.200.1.7", 8783}));
         CPPUNIT_ASSERT(settings.value().stopDeadline == 4s);
+        CPPUNIT_ASSERT(settings.value().departureNotice == 10s);
         CPPUNIT_ASSERT(settings.value().logging.level == LogLevel::Warning);
         CPPUNIT_ASSERT(settings.value().logging.standardOutput);
         CPPUNIT_ASSERT_EQUAL(5U, settings.value().logging.linesPerSecond);
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -34,6 +34,9 @@
     VmId vm = {};
     DataCentreId dataCentre = {};
 
+    // Time for which a database goes on serving after it has announced that it will leave.
+    Duration departureNotice = std::chrono::seconds(7);
+
     // Connects to a VM that relays statements over its connections. Empty where this VM only uses
     // its own connections.
     std::function<std::shared_ptr<RelayPeer>(const Endpoint &,
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-// Maximum age of the leadership records, taken as that of the directory, at which a majority is
-// enough. A database announces its departure more than this time in advance; an older directory
-// may still list a database that has left.
-constexpr Duration maximumDirectoryAge = std::chrono::seconds(5);
+// A majority is enough while the leadership records, whose age is taken as that of the directory,
+// are younger than the notice that databases give of their departure, less this margin. An older
+// directory may still list a database that has left.
+constexpr Duration departureMargin = std::chrono::seconds(2);
 
 // Delay after a failed round of status requests before waiting reads start the next one, as all of
 // them wait for the same result.
@@ -30,9 +30,9 @@
 {
     const Instant now = m_context.timers.now();
     const auto askedAt = m_leadership.askedAt();
+    const Duration maximumAge = m_context.departureNotice - departureMargin;
     TermEvidence::Electorate electorate{.size = m_directory.groupSize(group, now),
-                                        .needsAllVotes =
-                                                !askedAt || now - *askedAt > maximumDirectoryAge};
+                                        .needsAllVotes = !askedAt || now - *askedAt > maximumAge};
     for (const UpstreamEntry *entry : m_directory.group(group))
         electorate.voters.push_back({entry->target.database, !entry->isDraining});
     return electorate;
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -15,12 +15,13 @@
 // One VM that serves one group, with primary a and replicas b and c, in virtual time.
 struct Vm
 {
-    explicit Vm(bool areVmsKnown = true)
+    explicit Vm(bool areVmsKnown = true, Duration departureNotice = 7s)
         : upstreams({.timers = timers,
                      .log = log,
                      .counters = counters,
                      .connect = databases.connector(),
-                     .dataCentre = DataCentreId("north")})
+                     .dataCentre = DataCentreId("north"),
+                     .departureNotice = departureNotice})
     {
         databases["a"].role = Role::Primary;
         databases["b"];
@@ -149,6 +150,7 @@
     CPPUNIT_TEST(unansweredCommitIsInDoubt);
     CPPUNIT_TEST(replacedPrimaryAcknowledgesNothing);
     CPPUNIT_TEST(storeOutageDoesNotStopWrites);
+    CPPUNIT_TEST(majorityIsEnoughWithinTheDepartureNotice);
     CPPUNIT_TEST(writeIsNotSentWhileConfirmationFails);
     CPPUNIT_TEST(unresponsivePrimaryIsRefusedQuickly);
     CPPUNIT_TEST(recoveredPrimaryIsUsedAgain);
@@ -361,6 +363,22 @@
         CPPUNIT_ASSERT(reader.failure(readItem) == StatementFailure::None);
     }
 
+    // Pattern: the store is down, and one of three databases is cut off meanwhile. A majority is
+    // enough as long as no database can have left without this VM having read that it would.
+    void majorityIsEnoughWithinTheDepartureNotice()
+    {
+        for (const Duration notice : {Duration(7s), Duration(10s)}) {
+            Vm vm(true, notice);
+            Caller caller(vm, "strict");
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+            vm.databases["c"].isSilent = true;
+            vm.timers.advance(notice - 2500ms);
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+            vm.timers.advance(500ms);
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::InDoubt);
+        }
+    }
+
     // Neither the store nor the replicas respond, only the primary does.
     void writeIsNotSentWhileConfirmationFails()
     {
