--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -102,29 +102,41 @@
     std::vector<DatabaseId> promotionRequests;
 };
 
-// A connection of a VM that may be partitioned from databases: nothing passes meanwhile.
+// A connection of a VM that may be partitioned from databases: nothing passes meanwhile, and a
+// connection that cannot be opened fails after a second.
 class PartitionedChannel : public UpstreamChannel
 {
 public:
-    static UpstreamConnector wrap(UpstreamConnector connect, std::function<bool()> isCut)
+    PartitionedChannel(VirtualTimers &timers, const UpstreamConnector &connect,
+                       std::function<bool()> isCut, const UpstreamTarget &target,
+                       const UpstreamChannelHandlers &handlers)
+        : m_isCut(std::move(isCut))
     {
-        return [connect = std::move(connect), isCut = std::move(isCut)](
-                       const UpstreamTarget &target, UpstreamChannelHandlers handlers) {
-            auto channel = std::make_unique<PartitionedChannel>();
-            channel->m_isCut = isCut;
-            channel->m_channel = connect(
-                    target, {.onOpened =
-                                     [isCut, opened = handlers.onOpened](const auto &reply) {
-                                         if (!isCut())
-                                             opened(reply);
-                                     },
-                             .onReply =
-                                     [isCut, replied = handlers.onReply](StatementReply reply) {
-                                         if (!isCut())
-                                             replied(std::move(reply));
-                                     },
-                             .onClosed = handlers.onClosed});
-            return channel;
+        const std::weak_ptr<bool> alive = m_alive;
+        const auto opened = [&timers, alive, isCut = m_isCut, handlers](const auto &reply) {
+            if (!isCut()) {
+                handlers.onOpened(reply);
+                return;
+            }
+            timers.after(1s, [alive, handlers] {
+                if (!alive.expired())
+                    handlers.onClosed({ErrorCode::Unreachable, "partitioned"});
+            });
+        };
+        const auto replied = [isCut = m_isCut, handlers](StatementReply reply) {
+            if (!isCut())
+                handlers.onReply(std::move(reply));
+        };
+        m_channel = connect(
+                target, {.onOpened = opened, .onReply = replied, .onClosed = handlers.onClosed});
+    }
+
+    static UpstreamConnector wrap(VirtualTimers &timers, UpstreamConnector connect,
+                                  std::function<bool()> isCut)
+    {
+        return [&timers, connect = std::move(connect), isCut = std::move(isCut)](
+                       const UpstreamTarget &target, const UpstreamChannelHandlers &handlers) {
+            return std::make_unique<PartitionedChannel>(timers, connect, isCut, target, handlers);
         };
     }
 
@@ -137,6 +149,7 @@
 private:
     std::function<bool()> m_isCut;
     std::unique_ptr<UpstreamChannel> m_channel;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 // A VM without sockets.
@@ -147,7 +160,7 @@
         , upstreams({.timers = world.timers,
                      .log = world.log,
                      .counters = world.counters,
-                     .connect = PartitionedChannel::wrap(world.databases.connector(),
+                     .connect = PartitionedChannel::wrap(world.timers, world.databases.connector(),
                                                          [this] { return isPartitioned; }),
                      .vm = VmId(name),
                      .dataCentre = DataCentreId("north")})
@@ -296,6 +309,7 @@
     CPPUNIT_TEST(lostPrimaryIsReplacedInTime);
     CPPUNIT_TEST(primaryThatOthersConfirmIsKept);
     CPPUNIT_TEST(primaryThatNobodyConfirmsIsReplaced);
+    CPPUNIT_TEST(primaryThatReturnsWithTheStoreIsKept);
     CPPUNIT_TEST(changeReadByAllVmsDoesNotWaitForLeases);
     CPPUNIT_TEST(leaseOfVmWithoutConfirmationIsWaitedFor);
     CPPUNIT_TEST(vmWithoutRecordInTheStoreHoldsNoLease);
@@ -347,6 +361,23 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(gap.count()), gap <= 3s);
     }
 
+    // Pattern: VMs were cut off from the store and from a primary, and return at the same time.
+    // What they observed of the primary is out of date.
+    void primaryThatReturnsWithTheStoreIsKept()
+    {
+        Fleet fleet(3);
+        fleet.longestGap(500ms);
+        fleet.store.isDown = true;
+        for (const auto &vm : fleet.vms)
+            vm->isPartitioned = true;
+        fleet.timers.advance(4s);
+        fleet.store.isDown = false;
+        for (const auto &vm : fleet.vms)
+            vm->isPartitioned = false;
+        fleet.timers.advance(5s);
+        CPPUNIT_ASSERT(fleet.promotionRequests.empty());
+    }
+
     // All VMs are up and confirm that they have read the change.
     void changeReadByAllVmsDoesNotWaitForLeases()
     {
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -190,8 +190,9 @@
     void probeObserved(const DatabaseId &database);
 
     // Probes every unresponsive pool, own or relayed, and requests the evidence of groups whose
-    // primary cannot be confirmed, to detect their recovery; to be called about every 100 ms. An observer that is not an owner also opens a connection to an unresponsive
-    // primary, as the other VM may be the one that does not respond.
+    // primary cannot be confirmed, to detect their recovery; to be called about every 100 ms. An
+    // observer that is not an owner also opens a connection to an unresponsive primary, as the
+    // other VM may be the one that does not respond.
     void probeUnresponsive();
 
     // Closes all unused connections and opens no new ones.
