--- a/libs/sliceowner/tests/forwardedwritetest.cpp
+++ b/libs/sliceowner/tests/forwardedwritetest.cpp
@@ -191,7 +191,7 @@
     void isRoutedAgainWhenHandedBack()
     {
         Owner owner("3");
-        owner.forwarded = [&](OwnerRequest request) {
+        owner.forwarded = [&](const OwnerRequest &request) {
             CallerAnswer answer{.requestId = request.request.id};
             if (owner.forwardedTo.size() == 1) {
                 promoteSecond(owner.statuses);
