Names after the observers; one check whether a database is a primary

isLostForMajority no longer counts a majority of owners: isLostToObservers, setLossCheck. Coordinator::isObservedPrimary stood beside Upstreams::isPrimary with the same text. No behaviour changed; coordination, statementproxy and leadership tests green.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -103,11 +103,10 @@
     void leaseHolders(const std::function<void(std::vector<VmIncarnation>)> &done);
     bool isViewCurrent() const;
     void trackReports();
-    bool isObservedPrimary(const UpstreamEntry &entry) const;
-    bool isUnresponsive(const UpstreamEntry &entry, const Upstreams::Observation &observation);
+    bool isUnresponsive(const DatabaseId &database, const Upstreams::Observation &observation);
     bool canConfirm(const DatabaseId &database, const Upstreams::Observation &observation) const;
     void reportUnresponsiveDatabases();
-    bool isLostForMajority(const DatabaseId &database) const;
+    bool isLostToObservers(const DatabaseId &database) const;
     ObserverReports reports(const DatabaseId &database) const;
     bool isReportedByOthers(const DatabaseId &database) const;
     void shareConnections();
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -122,7 +122,7 @@
 
 Coordinator::~Coordinator()
 {
-    m_upstreams.setMajorityLossCheck([](const DatabaseId &) { return false; });
+    m_upstreams.setLossCheck([](const DatabaseId &) { return false; });
     m_upstreams.context().timers.cancel(m_tickTimer);
 }
 
@@ -133,8 +133,8 @@
 
 void Coordinator::start()
 {
-    m_upstreams.setMajorityLossCheck(
-            [this](const DatabaseId &database) { return isLostForMajority(database); });
+    m_upstreams.setLossCheck(
+            [this](const DatabaseId &database) { return isLostToObservers(database); });
     m_upstreams.leadership().limitLease(Instant::max(), Instant::min());
     poll();
     renew();
@@ -151,7 +151,7 @@
     return m_upstreams.isIsolatedFromMost();
 }
 
-bool Coordinator::isLostForMajority(const DatabaseId &database) const
+bool Coordinator::isLostToObservers(const DatabaseId &database) const
 {
     // Reports received before the store became unreachable are out of date.
     return m_isStoreReachable && isLost(reports(database));
@@ -440,18 +440,10 @@
     return m_vms.unresponsiveCount(database, now()) > 0;
 }
 
-// Whether this is the primary of its group; only primaries are reported.
-bool Coordinator::isObservedPrimary(const UpstreamEntry &entry) const
-{
-    const auto primary = m_upstreams.leadership().primary(entry.target.group);
-    return primary && primary->database == entry.target.database;
-}
-
 // Whether a primary does not answer this VM; probes it if nothing was received for some time.
-bool Coordinator::isUnresponsive(const UpstreamEntry &entry,
+bool Coordinator::isUnresponsive(const DatabaseId &database,
                                  const Upstreams::Observation &observation)
 {
-    const DatabaseId &database = entry.target.database;
     const bool isSuspect = isReportedByOthers(database);
     const Duration sinceLastReceived = now() - observation.lastReplyAt;
     const bool probesFrequently = observation.isOwner && observation.rank < frequentProbers;
@@ -482,9 +474,9 @@
     m_upstreams.forEachObserved([&](const UpstreamEntry &entry) {
         const DatabaseId &database = entry.target.database;
         const auto observation = m_upstreams.observation(database);
-        if (!isViewCurrent() || !observation || !isObservedPrimary(entry))
+        if (!isViewCurrent() || !observation || !m_upstreams.isPrimary(database))
             return;
-        if (isUnresponsive(entry, *observation))
+        if (isUnresponsive(database, *observation))
             unresponsive.insert(database);
         else if (canConfirm(database, *observation))
             confirmed.insert(database);
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -107,6 +107,9 @@
     // Empty if this VM is not an observer of the database.
     std::optional<Observation> observation(const DatabaseId &database) const;
 
+    // Whether a database is the primary of its group as last known to this VM.
+    bool isPrimary(const DatabaseId &database) const;
+
     // Number of VMs that observe a database.
     std::size_t observerCount(const DatabaseId &database) const;
 
@@ -148,8 +151,8 @@
     // the databases of the group unless their last confirmation failed recently.
     bool canConfirmLeadership(const GroupId &group) const;
 
-    // Sets the check whether most VMs have lost a database; without one no database counts as lost.
-    void setMajorityLossCheck(std::function<bool(const DatabaseId &)> isLostForMajority);
+    // Sets the check whether a database is lost to its observers; without one none counts as lost.
+    void setLossCheck(std::function<bool(const DatabaseId &)> isLostToObservers);
 
     // Requests the log point that covers all acknowledged commits; refreshed is called when the
     // request has succeeded or failed.
@@ -229,7 +232,6 @@
     const DatabasePools *findPools(const DatabaseId &database) const;
     Duration unresponsiveTime(const LinkPool &pool) const;
     static bool isObserver(const DatabasePools &pools);
-    bool isPrimary(const DatabaseId &database) const;
     bool isUnconfirmed(const GroupId &group) const;
     void recheckUnconfirmed();
     void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
@@ -262,7 +264,7 @@
     std::map<GroupId, GroupLimits> m_limits;
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
-    std::function<bool(const DatabaseId &)> m_isLostForMajority = [](const DatabaseId &) {
+    std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
 };
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -318,7 +318,7 @@
 {
     const auto primary = m_leadership.primary(group);
     const auto linkPool = primary ? pool(primary->database) : nullptr;
-    if (!linkPool || primary->isChanging || m_isLostForMajority(primary->database))
+    if (!linkPool || primary->isChanging || m_isLostToObservers(primary->database))
         return false;
     return unresponsiveTime(*linkPool) > isolatedAfter;
 }
@@ -407,9 +407,9 @@
     return chosen;
 }
 
-void Upstreams::setMajorityLossCheck(std::function<bool(const DatabaseId &)> isLostForMajority)
+void Upstreams::setLossCheck(std::function<bool(const DatabaseId &)> isLostToObservers)
 {
-    m_isLostForMajority = std::move(isLostForMajority);
+    m_isLostToObservers = std::move(isLostToObservers);
 }
 
 void Upstreams::close()
