--- a/libs/base/include/base/types.h
+++ b/libs/base/include/base/types.h
@@ -27,6 +27,10 @@
 // Version of an object in the platform's store; 0 means that the object does not exist.
 using ObjectVersion = Number<struct ObjectVersionTag>;
 
+// Epoch of the platform's store; rises each time the store was restored from a copy and has thereby
+// lost the newest changes. 0 if the store was never restored.
+using StoreEpoch = Number<struct StoreEpochTag>;
+
 // Times of the decision libraries, which read no clock: the caller passes the time in.
 using Duration = std::chrono::microseconds;
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
--- a/libs/net/include/net/http.h
+++ b/libs/net/include/net/http.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fescuespring {
@@ -33,8 +34,14 @@
 
     // Server side: closes the connection without sending anything, to simulate a lost answer.
     bool dropConnection = false;
+
+    // Client side: all headers received. Server side: sent in addition to the required headers.
+    std::vector<HttpHeader> headers = {};
 };
 
+// Returns the value of a header, empty if it is absent. Names are compared without regard to case.
+std::string headerValue(const std::vector<HttpHeader> &headers, std::string_view name);
+
 // Returns the path of a target, without its query.
 std::string targetPath(const std::string &target);
 
--- a/libs/net/src/http.cpp
+++ b/libs/net/src/http.cpp
@@ -1,5 +1,7 @@
 #include "net/http.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <cctype>
 #include <charconv>
 #include <string_view>
@@ -28,6 +30,15 @@
 
 } // namespace
 
+std::string headerValue(const std::vector<HttpHeader> &headers, std::string_view name)
+{
+    for (const HttpHeader &header : headers) {
+        if (boost::beast::iequals(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
 std::string targetPath(const std::string &target)
 {
     return target.substr(0, target.find('?'));
--- a/libs/net/src/httpclient.cpp
+++ b/libs/net/src/httpclient.cpp
@@ -204,6 +204,8 @@
     auto message = channel->parser->release();
     HttpResponse response{.status = static_cast<int>(message.result_int()),
                           .body = std::move(message.body())};
+    for (const auto &field : message)
+        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     if (!message.keep_alive())
         reset();
     else
--- a/libs/net/src/httpserver.cpp
+++ b/libs/net/src/httpserver.cpp
@@ -264,6 +264,8 @@
     {
         m_response.emplace(static_cast<http::status>(response.status), 11);
         m_response->set(http::field::content_type, response.contentType);
+        for (const HttpHeader &header : response.headers)
+            m_response->set(header.name, header.value);
         m_response->body() = std::move(response.body);
         m_response->keep_alive(m_keepAlive && !m_hooks.isDraining());
         m_response->prepare_payload();
--- a/libs/storefeed/src/kindwatch.cpp
+++ b/libs/storefeed/src/kindwatch.cpp
@@ -45,11 +45,26 @@
             return;
         }
         recovered();
+        logList(all.value());
         version = all.value().storeVersion;
         options.mirror.replaceAll(options.kind, all.value().objects, version);
         watch();
     }
 
+    // Objects of a list that are older than those held are not applied.
+    void logList(const KindList &list) const
+    {
+        const auto older = std::ranges::count_if(list.objects, [this](const StoredObject &object) {
+            const StoredObject *held = options.mirror.find(options.kind, object.key);
+            return held && held->version > object.version;
+        });
+        options.log.info("kind-listed", {{"kind", options.kind},
+                                         {"version", list.storeVersion},
+                                         {"held", options.mirror.version(options.kind)},
+                                         {"objects", list.objects.size()},
+                                         {"older", older}});
+    }
+
     void watch()
     {
         store.watchKind(options.kind, version, options.wait,
