Store restored from a copy: versions rise across the restore (CONFIG)

Cause: versions of the store were taken to rise for ever. After a restore they go back, so the VM's copy of the store dropped the restored objects as older (kind-listed: version=25 held=32 older=1), and a watch from a version that was given out again missed what lay between.

--- a/libs/base/include/base/types.h
+++ b/libs/base/include/base/types.h
@@ -24,7 +24,8 @@
 // Position of an entry in a database's log; the first entry is at 1, 0 means an empty log.
 using LogPosition = Number<struct LogPositionTag>;
 
-// Version of an object in the platform's store; 0 means that the object does not exist.
+// Version of an object in the platform's store; 0 means that the object does not exist. Rises with
+// each change, also across a restore of the store; see store/objectversion.h.
 using ObjectVersion = Number<struct ObjectVersionTag>;
 
 // Epoch of the platform's store; rises each time the store was restored from a copy and has thereby
--- a/libs/storefeed/src/kindpoll.cpp
+++ b/libs/storefeed/src/kindpoll.cpp
@@ -1,5 +1,7 @@
 #include "storefeed/kindpoll.h"
 
+#include "store/objectversion.h"
+
 #include <utility>
 
 namespace fescuespring {
@@ -36,6 +38,9 @@
     void listed(const Result<KindList> &all)
     {
         if (all) {
+            // Lists that may be old may still be from before a restore of the store.
+            if (epochOf(all.value().storeVersion) > epochOf(version))
+                startedAt = options.timers.now();
             // Ignores a list that is older than one already applied.
             if (all.value().storeVersion >= version)
                 options.mirror.replaceAll(options.kind, all.value().objects,
--- a/libs/storefeed/tests/kindwatchtest.cpp
+++ b/libs/storefeed/tests/kindwatchtest.cpp
@@ -1,4 +1,5 @@
 #include "storefeed/kindwatch.h"
+#include "store/objectversion.h"
 #include "storefeed/kindpoll.h"
 #include "support/virtualtimers.h"
 
@@ -83,6 +84,7 @@
     CPPUNIT_TEST(failuresAreRetriedWithBackoff);
     CPPUNIT_TEST(stoppedWatchIgnoresAnswers);
     CPPUNIT_TEST(restartedWatchContinuesFromItsVersion);
+    CPPUNIT_TEST(listOfARestoredStoreReplacesNewerNumbers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +173,33 @@
         CPPUNIT_ASSERT(fixture.store.watchings.at(1).after == ObjectVersion(7));
         CPPUNIT_ASSERT(fixture.store.listings.empty());
     }
+
+    // Guards against a restored store whose objects are taken for older ones, as it gives out
+    // numbers again.
+    void listOfARestoredStoreReplacesNewerNumbers()
+    {
+        Fixture fixture;
+        const auto version = [](std::uint64_t epoch, std::uint64_t number) {
+            return makeObjectVersion(StoreEpoch(epoch), number);
+        };
+        fixture.watch.start();
+        fixture.store.answerList(KindList{{{"servers/a", version(1, 30), "{\"v\":2}"},
+                                           {"servers/lost", version(1, 31), "{}"}},
+                                          version(1, 32)});
+        fixture.store.answerWatch(Error{ErrorCode::NotFound, "restored"});
+        fixture.store.answerList(
+                KindList{{{"servers/a", version(2, 7), "{\"v\":1}"}}, version(2, 25)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.mirror.objects("servers").size());
+        CPPUNIT_ASSERT_EQUAL(std::string("{\"v\":1}"),
+                             fixture.mirror.find("servers", "servers/a")->value);
+        fixture.store.answerWatch(
+                KindChanges{{{{"servers/a", version(2, 26), "{\"v\":3}"}, false}}, version(2, 26)});
+        CPPUNIT_ASSERT_EQUAL(std::string("{\"v\":3}"),
+                             fixture.mirror.find("servers", "servers/a")->value);
+        // An answer that was sent before the restore arrives late.
+        fixture.mirror.apply("servers", {{"servers/a", version(1, 33), "{}"}, false});
+        CPPUNIT_ASSERT(fixture.mirror.find("servers", "servers/a")->version == version(2, 26));
+    }
 };
 
 class KindPollTest : public CppUnit::TestFixture
@@ -179,6 +208,7 @@
     CPPUNIT_TEST(currentListsAtFirstThenCheaperOnes);
     CPPUNIT_TEST(olderListIsIgnored);
     CPPUNIT_TEST(failedListIsRetried);
+    CPPUNIT_TEST(listsAreCurrentAgainAfterARestore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,6 +252,24 @@
         fixture.store.answerList(KindList{{}, ObjectVersion(7)});
         CPPUNIT_ASSERT(fixture.mirror.isKnown("vms"));
     }
+
+    // Guards against a list from before a restore that is taken for one of the restored store.
+    void listsAreCurrentAgainAfterARestore()
+    {
+        Fixture fixture;
+        fixture.poll.start();
+        for (Instant end = fixture.timers.now() + 4s; fixture.timers.now() < end;) {
+            if (!fixture.store.listings.empty())
+                fixture.store.answerList(KindList{{}, makeObjectVersion(StoreEpoch(1), 7)});
+            fixture.timers.advance(10ms);
+        }
+        CPPUNIT_ASSERT(fixture.store.listings.empty());
+        fixture.timers.advance(2s);
+        CPPUNIT_ASSERT(fixture.store.listings.at(0).freshness == ReadFreshness::MayBeOld);
+        fixture.store.answerList(KindList{{}, makeObjectVersion(StoreEpoch(2), 5)});
+        fixture.timers.advance(200ms);
+        CPPUNIT_ASSERT(fixture.store.listings.at(0).freshness == ReadFreshness::Current);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KindWatchTest);
