--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -25,6 +25,9 @@
     // Distinguishes successive runs of this VM.
     std::string incarnation;
 
+    // All VMs of the installation start for the first time, so no record was ever written.
+    bool isFirstStart = false;
+
     // Reads the leadership records, from the store or from a VM that read them recently.
     std::function<void(std::function<void(const Result<DatedRecords> &)>)> readRecords = {};
 
@@ -98,7 +101,10 @@
     void updateStoreReachability(const Result<DatedRecords> &records);
     void apply(const DatedRecords &records);
     void renew();
-    void renewed(Instant sentAt);
+    void renewed(Instant sentAt, ObjectVersion version);
+    void beginEpoch(StoreEpoch epoch);
+    bool mayWriteOrigin() const;
+    void writeOrigin();
     void confirmChangesRead(const LeadershipSnapshot &snapshot);
     void leaseHolders(const std::function<void(std::vector<VmIncarnation>)> &done);
     bool isViewCurrent() const;
@@ -126,14 +132,18 @@
     Instant m_lastRenewalAt;
 
     // Period in which the others see this VM as live.
-    Instant m_presenceFrom;
-    Instant m_presenceUntil;
+    LeadershipView::Presence m_presence;
     std::size_t m_pendingPolls = 0;
     bool m_pollAgain = false;
     Instant m_lastPollAt;
     std::optional<DatedRecords> m_records;
     bool m_isStoreReachable = false;
 
+    // The epoch of the store as last read; empty before the first read.
+    std::optional<StoreEpoch> m_epoch;
+    bool m_wasRestored = false;
+    bool m_isWritingOrigin = false;
+
     // When the store was lost last, and from when on this VM is up to date again.
     Instant m_storeLostAt;
     Instant m_viewCurrentFrom;
--- a/libs/coordination/include/coordination/ownobject.h
+++ b/libs/coordination/include/coordination/ownobject.h
@@ -19,8 +19,9 @@
 class OwnObject
 {
 public:
-    // Called after each successful write with the time at which it was sent. May be empty.
-    using Written = std::function<void(Instant sentAt)>;
+    // Called after each successful write with the time at which it was sent and the version that
+    // it got. May be empty.
+    using Written = std::function<void(Instant sentAt, ObjectVersion version)>;
 
     OwnObject(ObjectStore &store, Timers &timers, std::string key, Written written = {});
     OwnObject(const OwnObject &) = delete;
@@ -28,6 +29,12 @@
 
     void write(std::string value);
 
+    // Whether write was ever called.
+    bool isWritten() const
+    {
+        return !m_value.empty();
+    }
+
 private:
     void send();
     void ended(const Result<WriteAnswer> &answer);
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -1,5 +1,7 @@
 #include "coordination/coordinator.h"
 
+#include "store/objectversion.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -32,6 +34,10 @@
 
 constexpr milliseconds listTimeout{600};
 
+// Time after the start in which a VM that starts for the first time waits for the origin of the
+// records. After that, the primaries are confirmed as after a restore of the store.
+constexpr Duration originTime = milliseconds(8000);
+
 // With more VMs than this, changes wait for leases to expire instead of confirmations, which all
 // VMs would write to the store at once.
 constexpr std::size_t maximumConfirmingVms = 400;
@@ -70,7 +76,7 @@
             .incarnation = m_options.incarnation}
     , m_notice{.vm = m_options.vm, .incarnation = m_options.incarnation}
     , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm),
-                  [this](Instant sentAt) { renewed(sentAt); })
+                  [this](Instant sentAt, ObjectVersion version) { renewed(sentAt, version); })
     , m_ownNotice(store, upstreams.context().timers, noticeKey(m_own.vm))
     , m_startedAt(now())
 {
@@ -135,7 +141,7 @@
 {
     m_upstreams.setLossCheck(
             [this](const DatabaseId &database) { return isLostToObservers(database); });
-    m_upstreams.leadership().limitLease(Instant::max(), Instant::min());
+    m_upstreams.leadership().limitLease({.since = Instant::max(), .end = Instant::min()});
     poll();
     renew();
     tick();
@@ -199,7 +205,11 @@
 
 void Coordinator::considerChanges()
 {
-    if (!m_isStopping && isViewCurrent())
+    if (m_isStopping || !isViewCurrent())
+        return;
+    if (mayWriteOrigin())
+        writeOrigin();
+    else
         m_succession->tick();
 }
 
@@ -259,16 +269,21 @@
 void Coordinator::apply(const DatedRecords &records)
 {
     Log &log = m_upstreams.context().log;
-    const bool isNewer = !m_records || records.askedAt > m_records->askedAt;
+    const bool isNewer =
+            !m_records
+            || (records.askedAt > m_records->askedAt && records.epoch >= m_records->epoch);
     if (!isNewer)
         return;
-    const bool differs = !m_records || records.objects != m_records->objects;
+    if (m_epoch != records.epoch)
+        beginEpoch(records.epoch);
+    const bool differs = !m_records || records.objects != m_records->objects
+                         || records.epoch != m_records->epoch;
     if (!differs) {
         m_records->askedAt = records.askedAt;
         m_upstreams.leadership().revalidate(records.askedAt);
         return;
     }
-    const Result<LeadershipSnapshot> snapshot = decodeSnapshot(records.objects);
+    const Result<LeadershipSnapshot> snapshot = decodeSnapshot(records.objects, records.epoch);
     if (!snapshot) {
         log.error("leadership-unreadable", {{"error", describe(snapshot.error())}});
         return;
@@ -285,6 +300,7 @@
                                      {"age", now() - records.askedAt}});
     }
     m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
+    m_succession->recordsRead();
     m_records = records;
     confirmChangesRead(snapshot.value());
     if (m_options.onRecordsChanged)
@@ -301,14 +317,63 @@
 
 // A VM that announces a change lists the VMs in the store. The lease of this VM is therefore valid
 // only once its record is stored, and ends before the others treat an unrenewed record as expired.
-void Coordinator::renewed(Instant sentAt)
-{
-    if (now() >= m_presenceUntil) {
-        m_presenceFrom = now();
-        m_upstreams.context().log.info("presence-recorded", {{"renewal", m_own.renewal}});
+// So it is after a restore of the store, which may have lost the record.
+void Coordinator::renewed(Instant sentAt, ObjectVersion version)
+{
+    const StoreEpoch epoch = epochOf(version);
+    const bool begins = now() >= m_presence.end || epoch != m_presence.epoch;
+    if (begins) {
+        m_presence.since = now();
+        m_presence.epoch = epoch;
+        m_upstreams.context().log.info("presence-recorded",
+                                       {{"renewal", m_own.renewal}, {"epoch", epoch}});
     }
-    m_presenceUntil = sentAt + vmPresenceLease;
-    m_upstreams.leadership().limitLease(m_presenceFrom, m_presenceUntil);
+    m_presence.end = sentAt + vmPresenceLease;
+    m_upstreams.leadership().limitLease(m_presence);
+    if (begins)
+        leadershipChanged();
+}
+
+// Called with the first epoch read, and with each later one: the store was restored and may have
+// lost what this VM wrote, and what others wrote may be from before the restore.
+void Coordinator::beginEpoch(StoreEpoch epoch)
+{
+    const std::optional<StoreEpoch> before = std::exchange(m_epoch, epoch);
+    if (!before)
+        return;
+    m_wasRestored = true;
+    m_viewCurrentFrom = now() + catchUpTime;
+    m_upstreams.context().log.warning("store-restored", {{"before", *before}, {"now", epoch}});
+    m_upstreams.context().counters.counter("fescuespring_store_restores_total").add();
+    renew();
+    if (m_ownNotice.isWritten())
+        m_ownNotice.write(encodeVmNotice(m_notice));
+}
+
+// Whether the records tell that no group ever had a change of primary. A VM that has seen a
+// restore, or has run before, cannot tell that.
+bool Coordinator::mayWriteOrigin() const
+{
+    const bool isFirstEpoch = m_epoch && *m_epoch != StoreEpoch() && !m_wasRestored;
+    return m_options.isFirstStart && isFirstEpoch && !m_isRestart && m_records
+           && m_records->objects.empty() && now() - m_startedAt < originTime;
+}
+
+void Coordinator::writeOrigin()
+{
+    const bool isFirst = m_isSettled && m_vms.rank(m_options.vm, now()) == 0;
+    if (!isFirst || std::exchange(m_isWritingOrigin, true))
+        return;
+    m_store.write({originKey(), encodeOrigin(*m_epoch), ObjectVersion()}, writeTimeout,
+                  [this, alive = std::weak_ptr(m_alive)](const Result<WriteAnswer> &answer) {
+                      if (alive.expired())
+                          return;
+                      m_isWritingOrigin = false;
+                      m_upstreams.context().log.info(
+                              "origin-recorded",
+                              {{"epoch", *m_epoch}, {"written", answer && answer.value().written}});
+                      leadershipChanged();
+                  });
 }
 
 // Confirms to the VM that announced a change that it was read here, so that it need not wait for
--- a/libs/coordination/src/ownobject.cpp
+++ b/libs/coordination/src/ownobject.cpp
@@ -52,7 +52,7 @@
     m_version = answer.value().version;
     m_isWriting = false;
     if (answer.value().written && m_written)
-        m_written(m_sentAt);
+        m_written(m_sentAt, m_version);
     if (!answer.value().written || m_isWritePending)
         send();
 }
--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -1,5 +1,7 @@
 #include "coordination/coordinator.h"
 
+#include "store/objectversion.h"
+
 #include "statementproxy/statementsession.h"
 #include "support/fakegroup.h"
 
@@ -63,14 +65,27 @@
                 done(WriteAnswer{false, object.version});
                 return;
             }
-            object = {write.key, ObjectVersion(++m_version), write.value};
+            object = {write.key, makeObjectVersion(epoch, ++m_version), write.value};
             done(WriteAnswer{true, object.version});
             if (onWritten)
                 onWritten(object);
         });
     }
 
+    // Replaces the objects by an earlier copy of them, in the next epoch; versions go back too.
+    void restore(std::map<std::string, StoredObject> copy)
+    {
+        epoch = epoch.next();
+        objects = std::move(copy);
+        m_version = 100;
+        for (auto &[key, object] : objects) {
+            m_version = std::max(m_version, numberOf(object.version));
+            object.version = makeObjectVersion(epoch, numberOf(object.version));
+        }
+    }
+
     std::map<std::string, StoredObject> objects;
+    StoreEpoch epoch;
     std::function<void(const StoredObject &)> onWritten;
     bool isDown = false;
 
@@ -100,6 +115,7 @@
     FakeGroup databases{timers};
     MemoryStore store{timers};
     std::vector<DatabaseId> promotionRequests;
+    bool isFirstStart = false;
 };
 
 // A connection of a VM that may be partitioned from databases: nothing passes meanwhile, and a
@@ -168,6 +184,7 @@
                       {.vm = VmId(name),
                        .dataCentre = DataCentreId("north"),
                        .incarnation = name,
+                       .isFirstStart = world.isFirstStart,
                        .readRecords = [this](auto done) { readRecords(done); },
                        .order =
                                [this](const GroupId &, const DatabaseId &database, std::uint64_t,
@@ -193,9 +210,9 @@
     {
         const Instant askedAt = world.timers.now();
         world.store.list(std::string(leadershipKeyPrefix), 1000ms,
-                         [askedAt, done](const Result<std::vector<StoredObject>> &objects) {
+                         [this, askedAt, done](const Result<std::vector<StoredObject>> &objects) {
                              if (objects)
-                                 done(DatedRecords{objects.value(), askedAt});
+                                 done(DatedRecords{objects.value(), askedAt, world.store.epoch});
                              else
                                  done(objects.error());
                          });
@@ -316,6 +333,11 @@
     CPPUNIT_TEST(lostAnnouncementDoesNotLoseThePromotionLock);
     CPPUNIT_TEST(leavingPrimaryIsReplacedInTime);
     CPPUNIT_TEST(outageOfTheStoreDoesNotStopWrites);
+    CPPUNIT_TEST(restoreOfTheStoreDoesNotStopWrites);
+    CPPUNIT_TEST(lostPresenceIsRecordedAgainBeforeALease);
+    CPPUNIT_TEST(lostReportIsWrittenAgain);
+    CPPUNIT_TEST(originIsRecordedOnceAtTheFirstStart);
+    CPPUNIT_TEST(originIsNotRecordedAfterARestore);
     CPPUNIT_TEST(restartedVmDoesNotWaitForOthers);
     CPPUNIT_TEST(startingVmsWaitForOneAnother);
     CPPUNIT_TEST(startingVmOpensNoConnectionsToPrimaries);
@@ -456,6 +478,92 @@
         CPPUNIT_ASSERT(fleet.promotionRequests.empty());
     }
 
+    void restoreOfTheStoreDoesNotStopWrites()
+    {
+        Fleet fleet(3);
+        const auto copy = fleet.store.objects;
+        fleet.longestGap(2s);
+        fleet.store.restore(copy);
+        CPPUNIT_ASSERT(fleet.longestGap(8s) < 100ms);
+        CPPUNIT_ASSERT(fleet.promotionRequests.empty());
+        CPPUNIT_ASSERT(fleet.vms[0]->upstreams.leadership().isLeading(group, DatabaseId("a"),
+                                                                      fleet.timers.now()));
+    }
+
+    // Guards against a lease that a change of primary does not wait for, as the store lacks the
+    // record of the VM that holds it.
+    void lostPresenceIsRecordedAgainBeforeALease()
+    {
+        Fleet fleet(2);
+        Vm &vm = *fleet.vms[1];
+        const std::string key = vmKey(VmId("vm-1"));
+        auto copy = fleet.store.objects;
+        copy.erase(key);
+        fleet.store.unwritableKey = key;
+        fleet.store.restore(copy);
+        const Instant restoredAt = fleet.timers.now();
+        bool hasRead = false;
+        while (fleet.timers.now() < restoredAt + 4s) {
+            fleet.timers.advance(10ms);
+            hasRead = hasRead || vm.upstreams.leadership().epoch() == StoreEpoch(1);
+            CPPUNIT_ASSERT(!hasRead || !vm.upstreams.leadership().holdsLease(fleet.timers.now()));
+        }
+        CPPUNIT_ASSERT(hasRead);
+        fleet.store.unwritableKey.clear();
+        fleet.timers.advance(3s);
+        CPPUNIT_ASSERT(fleet.store.objects.contains(key));
+        CPPUNIT_ASSERT(vm.upstreams.leadership().holdsLease(fleet.timers.now()));
+    }
+
+    void lostReportIsWrittenAgain()
+    {
+        Fleet fleet(3);
+        const auto copy = fleet.store.objects;
+        fleet.databases["a"].isSilent = true;
+        while (!fleet.store.objects.contains(noticeKey(VmId("vm-0"))))
+            fleet.timers.advance(1ms);
+        fleet.store.restore(copy);
+        fleet.timers.advance(5s);
+        CPPUNIT_ASSERT(fleet.store.objects.contains(noticeKey(VmId("vm-0"))));
+        CPPUNIT_ASSERT(!fleet.promotionRequests.empty());
+        CPPUNIT_ASSERT(fleet.longestGap(1s) < 100ms);
+    }
+
+    void originIsRecordedOnceAtTheFirstStart()
+    {
+        World world;
+        world.store.epoch = StoreEpoch(3);
+        world.isFirstStart = true;
+        int written = 0;
+        world.store.onWritten = [&written](const StoredObject &object) {
+            written += object.key.starts_with(leadershipKeyPrefix) ? 1 : 0;
+        };
+        Vm vm(world, "vm-0");
+        vm.coordinator.vmChanged({.vm = VmId("vm-0"), .incarnation = "vm-0", .renewal = 1});
+        world.timers.advance(10s);
+        CPPUNIT_ASSERT_EQUAL(1, written);
+        CPPUNIT_ASSERT(world.store.objects.contains(originKey()));
+        CPPUNIT_ASSERT(
+                vm.upstreams.leadership().isLeading(group, DatabaseId("a"), world.timers.now()));
+    }
+
+    // The lost records may have told of changes of primary.
+    void originIsNotRecordedAfterARestore()
+    {
+        World world;
+        world.store.epoch = StoreEpoch(3);
+        world.isFirstStart = true;
+        Vm vm(world, "vm-0");
+        world.timers.advance(500ms);
+        world.store.restore({});
+        vm.coordinator.vmChanged({.vm = VmId("vm-0"), .incarnation = "vm-0", .renewal = 1});
+        world.timers.advance(12s);
+        CPPUNIT_ASSERT(!world.store.objects.contains(originKey()));
+        CPPUNIT_ASSERT(world.store.objects.contains(leadershipKey(group)));
+        CPPUNIT_ASSERT(
+                vm.upstreams.leadership().isLeading(group, DatabaseId("a"), world.timers.now()));
+    }
+
     void restartedVmDoesNotWaitForOthers()
     {
         World world;
--- a/libs/leadership/include/leadership/leadershiprecord.h
+++ b/libs/leadership/include/leadership/leadershiprecord.h
@@ -26,9 +26,13 @@
     DatabaseId primary;
     Term term;
 
-    // Version of the stored object; 0 if the object was never written.
+    // Version of the stored object; 0 if the object does not exist.
     ObjectVersion version = {};
 
+    // Epoch of the store in which the record was written. A record that a restore of the store
+    // brought back is of an earlier one, and may lack changes.
+    StoreEpoch epoch = {};
+
     bool operator==(const LeadershipRecord &) const = default;
 };
 
@@ -42,6 +46,9 @@
     std::string incarnation;
 
     ObjectVersion version = {};
+
+    // Epoch of the store in which the lock was written. A lock of an earlier epoch is not held.
+    StoreEpoch epoch = {};
 };
 
 // All leadership records and the promotion lock at one moment.
@@ -49,19 +56,29 @@
 {
     std::vector<LeadershipRecord> records;
     std::optional<PromotionLock> promotionLock;
+
+    // Epoch of the store at that moment.
+    StoreEpoch epoch = {};
+
+    // Epoch in which the installation started for the first time: in that epoch, a group without a
+    // record never had a change of primary. Empty if it was not written, or was lost.
+    std::optional<StoreEpoch> origin = {};
 };
 
 // Keys of the objects in the store.
 inline constexpr std::string_view leadershipKeyPrefix = "fescue-leadership/";
 std::string leadershipKey(const GroupId &group);
 std::string promotionLockKey();
+std::string originKey();
 
 // The objects as JSON.
 std::string encodeLeadership(const LeadershipRecord &record);
 std::string encodePromotionLock(const PromotionLock &lock);
+std::string encodeOrigin(StoreEpoch origin);
 
 // Decodes a listing of the objects. If one object is unreadable, the whole snapshot is Malformed,
-// as nothing may be concluded from part of the records.
-Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects);
+// as nothing may be concluded from part of the records. The epoch is that of the listing.
+Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects,
+                                          StoreEpoch epoch = {});
 
 } // namespace fescuespring
--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -25,7 +25,8 @@
     // Lowest term that it can lead; 0 while no term is known.
     Term term;
 
-    // A change of primary is announced.
+    // A change of primary is announced, or may be in progress, as the store was restored and the
+    // primary has not been confirmed since.
     bool isChanging = false;
 };
 
@@ -39,18 +40,23 @@
 //     if (const auto floor = view.floor(group, bound, now))
 //         readAfter(*floor);
 //
+// After a restore of the store, the records may lack changes. What this VM knew of later terms is
+// kept, but no group has a confirmed primary until its record was written again.
+//
 // One thread only.
 class LeadershipView
 {
 public:
-    // Applies the records as they were at some moment after askedAt.
+    // Applies the records as they were at some moment after askedAt. Ignored if a later snapshot,
+    // or one of a later epoch of the store, was applied.
     void snapshot(const LeadershipSnapshot &snapshot, Instant askedAt);
 
     // Extends the lease: the records of the last snapshot were still current at some moment after
     // askedAt.
     void revalidate(Instant askedAt);
 
-    // Applies a single record that was written or read. Does not extend the lease.
+    // Applies a single record that was written or read. Does not extend the lease. Ignored if the
+    // store was restored since.
     void applyRecord(const LeadershipRecord &record);
 
     // Sets the database that reports itself as primary; used for groups without a record.
@@ -61,18 +67,40 @@
     // The higher of the term of the record and that of the newest position; 0 if there is neither.
     Term knownTerm(const GroupId &group) const;
 
-    // The stored record; if there is none, one with version 0.
+    // The stored record; if there is none, one with version 0. If the store was restored, primary
+    // and term may be later than those stored.
     LeadershipRecord record(const GroupId &group) const;
 
+    // Whether the record of the group, or its absence, is of the present epoch of the store.
+    bool isConfirmed(const GroupId &group) const;
+
+    // Whether the store has lost nothing since the installation first started.
+    bool isStoreOriginal() const;
+
+    // Epoch of the store in the last snapshot.
+    StoreEpoch epoch() const
+    {
+        return m_epoch;
+    }
+
     const std::optional<PromotionLock> &promotionLock() const
     {
         return m_promotionLock;
     }
 
-    // Restricts the lease to the time in which this VM is present to the other VMs: it is valid
-    // only if its records were requested at `since` or later, and only until `end`. Unlimited by
+    // The presence of this VM to the other VMs: since when and until when, and in which epoch of
+    // the store its record was written.
+    struct Presence
+    {
+        Instant since;
+        Instant end;
+        StoreEpoch epoch;
+    };
+
+    // Restricts the lease to a presence: it is valid only if its records were requested at the
+    // beginning or later, in the same epoch of the store, and only until the end. Unlimited by
     // default.
-    void limitLease(Instant since, Instant end);
+    void limitLease(const Presence &presence);
 
     // Whether the lease on the last snapshot is valid.
     bool holdsLease(Instant now) const;
@@ -121,12 +149,15 @@
     };
 
     static DatabaseId primaryOf(const Group &group);
+    void beginEpoch(StoreEpoch epoch);
+    bool isConfirmed(const Group &group) const;
 
     std::map<GroupId, Group> m_groups;
     std::optional<PromotionLock> m_promotionLock;
     std::optional<Instant> m_askedAt;
-    Instant m_leaseSince = Instant::min();
-    Instant m_leaseEnd = Instant::max();
+    StoreEpoch m_epoch;
+    std::optional<StoreEpoch> m_origin;
+    std::optional<Presence> m_presence;
 };
 
 } // namespace fescuespring
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -106,7 +106,8 @@
 
 namespace detail {
 class LeadershipChange;
-}
+class PrimaryConfirmation;
+} // namespace detail
 
 // Replaces the primary of a group where that is due, while this VM holds the promotion lock. Takes
 // the lock over if its holder does not carry out a due change. The steps are:
@@ -126,6 +127,11 @@
 // A holder that has not needed the lock for some seconds releases it, so that the next change need
 // not wait for the lease of a holder that may have been lost together with the primary.
 //
+// After a restore of the store, the records may lack changes, and a holder of the lock in the
+// previous epoch may still act on its lease. The holder in the present epoch waits until no such
+// lease is left; then it asks the databases of each group who leads, and writes the record anew.
+// Until then the VMs treat the group as one whose change is announced.
+//
 // A holder does nothing unless it has read the lock as its own within the last lease. After taking
 // the lock over, it requests no promotion and keeps no returned primary until the previous holder's
 // lease has expired and its calls have ended.
@@ -143,6 +149,9 @@
 
     void tick();
 
+    // Called after each read of the records, also while this VM must not act yet.
+    void recordsRead();
+
     // Releases the promotion lock, for example before this VM stops, unless a change is in
     // progress.
     void release();
@@ -153,6 +162,7 @@
 
 private:
     friend class detail::LeadershipChange;
+    friend class detail::PrimaryConfirmation;
 
     // Why a group needs another primary.
     enum class ChangeReason {
@@ -160,14 +170,23 @@
         Planned,
         Lost,
         AnnouncedEarlier,
+
+        // The store was restored, and the primary has not been recorded since.
+        Unconfirmed,
     };
 
     ChangeReason changeReason(const GroupId &group) const;
     void evaluateGroup(const GroupId &group);
     Duration takeoverDelay(bool isAnnounced) const;
-    void trackLockVersion();
+    bool isLockHeld() const;
     void acquireLock(Instant neededSince, bool isAnnounced);
+    void lockAcquired(ObjectVersion version, bool hadPrevious, Instant quietFrom);
     bool mayPromote() const;
+    void confirmPrimary(const GroupId &group);
+    void confirmationEnded(const GroupId &group);
+    void startChange(const GroupId &group, bool isPlanned, Term seenTerm = {},
+                     bool hasNoOtherPromoter = false);
+    Instant leasesOverAt() const;
     void demotePreviousPrimaries(const GroupId &group);
     void changeEnded(const GroupId &group);
     void releaseIfIdle();
@@ -176,6 +195,7 @@
     SuccessionPorts m_ports;
     std::map<GroupId, Instant> m_neededSince;
     std::map<GroupId, std::shared_ptr<detail::LeadershipChange>> m_changes;
+    std::map<GroupId, std::shared_ptr<detail::PrimaryConfirmation>> m_confirmations;
     std::map<DatabaseId, Instant> m_demotedAt;
     bool m_isAcquiring = false;
     bool m_isReleasing = false;
@@ -188,6 +208,13 @@
     ObjectVersion m_observedLockVersion;
     Instant m_holderSince;
     Instant m_mayPromoteFrom;
+
+    // The epoch of the store as last read, and when it was first observed.
+    StoreEpoch m_observedEpoch;
+    Instant m_epochSince;
+
+    // When the primary of a group was last confirmed in this epoch.
+    Instant m_confirmedAt;
 };
 
 } // namespace fescuespring
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -21,10 +21,10 @@
 
 } // namespace
 
-LeadershipChange::LeadershipChange(Succession &owner, GroupId group, bool isPlanned)
+LeadershipChange::LeadershipChange(Succession &owner, GroupId group, Options options)
     : m_owner(&owner)
     , m_group(std::move(group))
-    , m_isPlanned(isPlanned)
+    , m_options(options)
     , m_startedAt(owner.m_options.timers.now())
 {}
 
@@ -66,12 +66,15 @@
 void LeadershipChange::start()
 {
     m_record = m_owner->m_options.view.record(m_group);
-    m_previousTerm = std::max(m_record.term, m_owner->m_options.view.knownTerm(m_group));
-    m_owner->m_options.log.info("leadership-change-started", {{"group", m_group},
-                                                              {"primary", m_record.primary},
-                                                              {"term", m_record.term},
-                                                              {"planned", m_isPlanned},
-                                                              {"resumed", m_record.isChanging}});
+    m_previousTerm = std::max(
+            {m_record.term, m_options.seenTerm, m_owner->m_options.view.knownTerm(m_group)});
+    m_owner->m_options.log.info("leadership-change-started",
+                                {{"group", m_group},
+                                 {"primary", m_record.primary},
+                                 {"term", m_record.term},
+                                 {"planned", m_options.isPlanned},
+                                 {"resumed", m_record.isChanging},
+                                 {"confirmed", m_owner->m_options.view.isConfirmed(m_group)}});
     if (m_previousTerm == Term())
         requestTerms();
     else
@@ -116,13 +119,15 @@
 void LeadershipChange::announce()
 {
     LeadershipRecord record = m_owner->m_options.view.record(m_group);
-    if (record.isChanging) {
+    // Nobody relies on an unconfirmed record, so the change of its primary needs no announcement.
+    if (record.isChanging || !m_owner->m_options.view.isConfirmed(m_group)) {
         m_record = record;
         announced();
         return;
     }
     record.isChanging = true;
     record.term = m_previousTerm;
+    record.epoch = m_owner->m_options.view.epoch();
     m_owner->m_ports.write({leadershipKey(m_group), encodeLeadership(record), record.version},
                            [weak = weak_from_this(), record](const Result<WriteAnswer> &answer) {
                                const auto self = weak.lock();
@@ -156,15 +161,23 @@
     }
     // In a planned change the primary serves until the leases have expired. A lost primary does not
     // serve, so the change is prepared in the meantime.
-    if (m_isPlanned)
+    if (m_options.isPlanned)
         stopWhenSafe();
     else
         stopPreviousPrimary();
 }
 
+bool LeadershipChange::mayPromote() const
+{
+    return m_options.hasNoOtherPromoter ? m_owner->holdsPromotionLock() : m_owner->mayPromote();
+}
+
 // Whether no VM relies any more on records that it read before the announcement.
 bool LeadershipChange::areOldRecordsObsolete() const
 {
+    const bool isAnnounced = m_owner->m_options.view.isConfirmed(m_group);
+    if (!isAnnounced)
+        return now() >= m_owner->leasesOverAt();
     return now() >= m_announcedAt + leadershipLease + leadershipMargin || haveAllRead();
 }
 
@@ -265,7 +278,7 @@
         // The previous primary is leaving, was lost, or is being replaced: it is excluded from a
         // planned change, and from any other change if more than one database was queried.
         const bool isPrevious = answer.database == m_record.primary;
-        if (isPrevious && (m_isPlanned || answers.size() > 1))
+        if (isPrevious && (m_options.isPlanned || answers.size() > 1))
             continue;
         if (!best || answer.status->received > best->status->received
             || (answer.status->received == best->status->received && isDraining(best->database)))
@@ -297,7 +310,7 @@
 void LeadershipChange::keepReturnedPrimary(const DatabaseId &database,
                                            const std::vector<Answer> &answers)
 {
-    if (!m_owner->mayPromote()) {
+    if (!mayPromote()) {
         after(stepRetry, &LeadershipChange::queryDatabases);
         return;
     }
@@ -387,7 +400,7 @@
 
 void LeadershipChange::promote(const DatabaseId &database)
 {
-    if (!m_owner->mayPromote()) {
+    if (!mayPromote()) {
         after(stepRetry, &LeadershipChange::queryDatabases);
         return;
     }
@@ -458,6 +471,7 @@
     record.isChanging = false;
     record.primary = database;
     record.term = term;
+    record.epoch = m_owner->m_options.view.epoch();
     m_owner->m_ports.write(
             {leadershipKey(m_group), encodeLeadership(record), record.version},
             [weak = weak_from_this(), record, database, term](const Result<WriteAnswer> &answer) {
@@ -474,7 +488,9 @@
                     return;
                 }
                 const LeadershipRecord seen = self->m_owner->m_options.view.record(self->m_group);
-                if (!seen.isChanging) {
+                const bool isRecorded = !seen.isChanging
+                                        && self->m_owner->m_options.view.isConfirmed(self->m_group);
+                if (isRecorded) {
                     self->end("recorded-already");
                     return;
                 }
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -10,7 +10,18 @@
 class LeadershipChange : public std::enable_shared_from_this<LeadershipChange>
 {
 public:
-    LeadershipChange(Succession &owner, GroupId group, bool isPlanned);
+    struct Options
+    {
+        bool isPlanned = false;
+
+        // A term that a database has reported; 0 if none.
+        Term seenTerm = {};
+
+        // The databases have shown that no promotion request of another holder is in flight.
+        bool hasNoOtherPromoter = false;
+    };
+
+    LeadershipChange(Succession &owner, GroupId group, Options options);
 
     void start();
 
@@ -34,6 +45,7 @@
     void announced();
     void promoteWhenSafe();
     void stopWhenSafe();
+    bool mayPromote() const;
     bool areOldRecordsObsolete() const;
     bool haveAllRead() const;
     void stopPreviousPrimary();
@@ -54,7 +66,7 @@
 
     Succession *m_owner;
     GroupId m_group;
-    bool m_isPlanned;
+    Options m_options;
     Instant m_startedAt;
     Instant m_announcedAt;
 
--- a/libs/leadership/src/leadershiprecord.cpp
+++ b/libs/leadership/src/leadershiprecord.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view lockName = "duty";
+constexpr std::string_view originName = "origin";
 constexpr std::string_view groupPrefix = "group-";
 
 Error unreadable(const StoredObject &object)
@@ -22,13 +23,25 @@
     return value ? value->if_string() : nullptr;
 }
 
+// Empty if the field is invalid; 0 if it is missing, as in the objects of earlier versions.
+std::optional<StoreEpoch> epochField(const json::object &fields)
+{
+    const json::value *value = fields.if_contains("epoch");
+    if (!value)
+        return StoreEpoch();
+    if (!value->is_int64() || value->get_int64() < 0)
+        return std::nullopt;
+    return StoreEpoch(static_cast<std::uint64_t>(value->get_int64()));
+}
+
 std::optional<PromotionLock> decodePromotionLock(const json::object &fields, ObjectVersion version)
 {
     const json::string *holder = textField(fields, "holder");
     const json::string *incarnation = textField(fields, "incarnation");
-    if (!holder || !incarnation)
+    const auto epoch = epochField(fields);
+    if (!holder || !incarnation || !epoch)
         return std::nullopt;
-    return PromotionLock{VmId(std::string(*holder)), std::string(*incarnation), version};
+    return PromotionLock{VmId(std::string(*holder)), std::string(*incarnation), version, *epoch};
 }
 
 std::optional<LeadershipRecord> decodeLeadership(const json::object &fields, std::string_view group,
@@ -37,13 +50,15 @@
     const json::string *primary = textField(fields, "primary");
     const json::value *term = fields.if_contains("term");
     const json::value *moving = fields.if_contains("moving");
-    if (!primary || !term || !term->is_int64() || !moving || !moving->is_bool())
+    const auto epoch = epochField(fields);
+    if (!primary || !term || !term->is_int64() || !moving || !moving->is_bool() || !epoch)
         return std::nullopt;
     return LeadershipRecord{.group = GroupId(std::string(group)),
                             .isChanging = moving->as_bool(),
                             .primary = DatabaseId(std::string(*primary)),
                             .term = Term(static_cast<std::uint64_t>(term->as_int64())),
-                            .version = version};
+                            .version = version,
+                            .epoch = *epoch};
 }
 
 } // namespace
@@ -58,22 +73,35 @@
     return std::string(leadershipKeyPrefix) + std::string(lockName);
 }
 
+std::string originKey()
+{
+    return std::string(leadershipKeyPrefix) + std::string(originName);
+}
+
 std::string encodeLeadership(const LeadershipRecord &record)
 {
     return json::serialize(json::object{{"moving", record.isChanging},
                                         {"primary", record.primary.value()},
-                                        {"term", record.term.value()}});
+                                        {"term", record.term.value()},
+                                        {"epoch", record.epoch.value()}});
 }
 
 std::string encodePromotionLock(const PromotionLock &lock)
 {
-    return json::serialize(
-            json::object{{"holder", lock.holder.value()}, {"incarnation", lock.incarnation}});
+    return json::serialize(json::object{{"holder", lock.holder.value()},
+                                        {"incarnation", lock.incarnation},
+                                        {"epoch", lock.epoch.value()}});
 }
 
-Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects)
+std::string encodeOrigin(StoreEpoch origin)
 {
-    LeadershipSnapshot snapshot;
+    return json::serialize(json::object{{"epoch", origin.value()}});
+}
+
+Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects,
+                                          StoreEpoch epoch)
+{
+    LeadershipSnapshot snapshot{.epoch = epoch};
     for (const StoredObject &object : objects) {
         boost::system::error_code error;
         const json::value value = json::parse(object.value, error);
@@ -87,6 +115,12 @@
                 return unreadable(object);
             continue;
         }
+        if (name == originName) {
+            snapshot.origin = epochField(value.get_object());
+            if (!snapshot.origin)
+                return unreadable(object);
+            continue;
+        }
         if (!name.starts_with(groupPrefix))
             return unreadable(object);
         const auto record = decodeLeadership(value.get_object(), name.substr(groupPrefix.size()),
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -1,5 +1,7 @@
 #include "leadership/leadershipview.h"
 
+#include "store/objectversion.h"
+
 #include <algorithm>
 
 namespace fescuespring {
@@ -20,14 +22,43 @@
 
 void LeadershipView::snapshot(const LeadershipSnapshot &snapshot, Instant askedAt)
 {
-    if (m_askedAt && askedAt < *m_askedAt)
+    if ((m_askedAt && askedAt < *m_askedAt) || snapshot.epoch < m_epoch)
         return;
+    if (snapshot.epoch > m_epoch)
+        beginEpoch(snapshot.epoch);
     m_askedAt = askedAt;
     m_promotionLock = snapshot.promotionLock;
+    m_origin = snapshot.origin;
     for (const LeadershipRecord &record : snapshot.records)
         applyRecord(record);
 }
 
+// The restored store may lack records, so none of them counts as stored until it is read again.
+void LeadershipView::beginEpoch(StoreEpoch epoch)
+{
+    m_epoch = epoch;
+    for (auto &[group, known] : m_groups) {
+        if (known.record)
+            known.record->version = ObjectVersion();
+    }
+}
+
+bool LeadershipView::isStoreOriginal() const
+{
+    return m_epoch == StoreEpoch() || m_origin == m_epoch;
+}
+
+bool LeadershipView::isConfirmed(const Group &group) const
+{
+    return group.record ? group.record->epoch == m_epoch : isStoreOriginal();
+}
+
+bool LeadershipView::isConfirmed(const GroupId &group) const
+{
+    const auto found = m_groups.find(group);
+    return found == m_groups.end() ? isStoreOriginal() : isConfirmed(found->second);
+}
+
 void LeadershipView::revalidate(Instant askedAt)
 {
     if (m_askedAt && askedAt > *m_askedAt)
@@ -37,8 +68,16 @@
 void LeadershipView::applyRecord(const LeadershipRecord &record)
 {
     Group &group = m_groups[record.group];
-    if (group.record && group.record->version >= record.version)
+    const bool isOutdated = epochOf(record.version) < m_epoch
+                            || (group.record && group.record->version >= record.version);
+    if (isOutdated)
+        return;
+    // A restored record lacks the change of primary that this VM has already read.
+    if (group.record && record.epoch < m_epoch && record.term < group.record->term) {
+        group.record->version = record.version;
+        group.record->epoch = record.epoch;
         return;
+    }
     const bool changed = primaryOf(group) != record.primary;
     group.record = record;
     // Points of a replaced primary may be lost; those that survived are in the new primary's log.
@@ -72,8 +111,9 @@
     if (found == m_groups.end() || primaryOf(found->second).isEmpty())
         return std::nullopt;
     const auto &record = found->second.record;
+    const bool isAnnounced = record && record->isChanging;
     return LastKnownPrimary{primaryOf(found->second), record ? record->term : Term(),
-                            record && record->isChanging};
+                            isAnnounced || !isConfirmed(found->second)};
 }
 
 LeadershipRecord LeadershipView::record(const GroupId &group) const
@@ -87,16 +127,18 @@
     return record;
 }
 
-void LeadershipView::limitLease(Instant since, Instant end)
+void LeadershipView::limitLease(const Presence &presence)
 {
-    m_leaseSince = since;
-    m_leaseEnd = end;
+    m_presence = presence;
 }
 
 bool LeadershipView::holdsLease(Instant now) const
 {
-    return m_askedAt && *m_askedAt >= m_leaseSince && now < *m_askedAt + leadershipLease
-           && now < m_leaseEnd;
+    if (!m_askedAt || now >= *m_askedAt + leadershipLease)
+        return false;
+    return !m_presence
+           || (*m_askedAt >= m_presence->since && now < m_presence->end
+               && m_presence->epoch == m_epoch);
 }
 
 bool LeadershipView::isLeading(const GroupId &group, const DatabaseId &database, Instant now) const
--- /dev/null
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -0,0 +1,226 @@
+#include "primaryconfirmation.h"
+
+#include "leadershipchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuespring::detail {
+
+namespace {
+
+constexpr Duration stepRetry = std::chrono::milliseconds(100);
+constexpr Duration commandTimeout = std::chrono::milliseconds(250);
+
+// A confirmation that takes longer makes room for those of other groups, and starts again.
+constexpr Duration confirmationTime = std::chrono::seconds(3);
+
+} // namespace
+
+PrimaryConfirmation::PrimaryConfirmation(Succession &owner, GroupId group)
+    : m_owner(&owner)
+    , m_group(std::move(group))
+    , m_startedAt(owner.m_options.timers.now())
+{}
+
+void PrimaryConfirmation::abandon()
+{
+    m_isRunning = false;
+    m_owner = nullptr;
+}
+
+void PrimaryConfirmation::after(Duration delay, void (PrimaryConfirmation::*step)())
+{
+    m_owner->m_options.timers.after(delay, [weak = weak_from_this(), step] {
+        const auto self = weak.lock();
+        if (self && self->canContinue())
+            (self.get()->*step)();
+    });
+}
+
+bool PrimaryConfirmation::canContinue()
+{
+    if (!m_isRunning)
+        return false;
+    if (!m_owner->holdsPromotionLock()) {
+        end("duty-lost");
+        return false;
+    }
+    if (m_owner->m_options.view.isConfirmed(m_group)) {
+        end("recorded-already");
+        return false;
+    }
+    if (m_owner->m_options.timers.now() - m_startedAt > confirmationTime) {
+        end("timeout");
+        return false;
+    }
+    return true;
+}
+
+void PrimaryConfirmation::start()
+{
+    const Duration wait = m_owner->leasesOverAt() - m_owner->m_options.timers.now();
+    if (wait > Duration(0))
+        after(wait, &PrimaryConfirmation::queryDatabases);
+    else
+        queryDatabases();
+}
+
+void PrimaryConfirmation::queryDatabases()
+{
+    const std::vector<SuccessionCandidate> candidates = m_owner->m_ports.databases(m_group);
+    if (candidates.empty()) {
+        after(stepRetry, &PrimaryConfirmation::queryDatabases);
+        return;
+    }
+    const auto answers = std::make_shared<Answers>();
+    for (const SuccessionCandidate &candidate : candidates) {
+        m_owner->m_ports.command(
+                candidate.database, {.kind = StatementKind::Status}, commandTimeout,
+                [weak = weak_from_this(), answers, requested = candidates.size(),
+                 candidate](const std::optional<StatementReply> &reply) {
+                    const auto self = weak.lock();
+                    answers->push_back({candidate, reply ? reply->status : std::nullopt});
+                    if (answers->size() == requested && self && self->canContinue())
+                        self->evaluate(*answers);
+                });
+    }
+}
+
+// The database that leads the latest term; null if none leads.
+const PrimaryConfirmation::Answer *PrimaryConfirmation::leader(const Answers &answers)
+{
+    const Answer *latest = nullptr;
+    for (const Answer &answer : answers) {
+        const bool leads = answer.status && answer.status->role == Role::Primary;
+        if (leads && (!latest || answer.status->term > latest->status->term))
+            latest = &answer;
+    }
+    return latest;
+}
+
+// Whether a majority of the group is in this term or an earlier one, and no database in a later
+// one.
+bool PrimaryConfirmation::isConfirmed(const Answers &answers, Term term) const
+{
+    std::size_t supporting = 0;
+    for (const Answer &answer : answers) {
+        if (!answer.status)
+            continue;
+        if (answer.status->term > term)
+            return false;
+        supporting += answer.candidate.isDraining ? 0 : 1;
+    }
+    return supporting * 2 > m_owner->m_ports.groupSize(m_group);
+}
+
+// Whether no promotion request of another holder can be in flight: its time is over, or a majority
+// of the group answers and no database is paused.
+bool PrimaryConfirmation::isQuiet(const Answers &answers, Term term) const
+{
+    if (m_owner->mayPromote())
+        return true;
+    const auto answering = std::ranges::count_if(
+            answers, [](const Answer &answer) { return answer.status.has_value(); });
+    const bool isPaused = std::ranges::any_of(answers, [term](const Answer &answer) {
+        return answer.status && answer.status->heldTerm > term;
+    });
+    return !isPaused
+           && static_cast<std::size_t>(answering) * 2 > m_owner->m_ports.groupSize(m_group);
+}
+
+// Resumes the databases that a change of primary paused which did not end before the restore.
+bool PrimaryConfirmation::resumePaused(const Answers &answers, Term term)
+{
+    bool hasPaused = false;
+    for (const Answer &answer : answers) {
+        if (!answer.status || answer.status->heldTerm <= term)
+            continue;
+        hasPaused = true;
+        m_owner->m_ports.command(answer.candidate.database, {.kind = StatementKind::Resume},
+                                 commandTimeout, [](const std::optional<StatementReply> &) {});
+    }
+    return hasPaused;
+}
+
+// Whether the group needs another primary: the known one is lost to its observers or gone; or all
+// databases answer and none leads, as a change of primary stopped it that did not end.
+bool PrimaryConfirmation::isLost(const Answers &answers) const
+{
+    const DatabaseId known = m_owner->m_options.view.record(m_group).primary;
+    const auto primary = std::ranges::find(
+            answers, known, [](const Answer &answer) { return answer.candidate.database; });
+    if (primary == answers.end() || primary->candidate.isLost)
+        return true;
+    return std::ranges::all_of(answers, [](const Answer &answer) {
+        return answer.status && answer.status->role != Role::Primary;
+    });
+}
+
+void PrimaryConfirmation::evaluate(const Answers &answers)
+{
+    Term latest;
+    for (const Answer &answer : answers)
+        latest = std::max(latest, answer.status ? answer.status->term : Term());
+    const Answer *leading = leader(answers);
+    const bool leadsLatest = leading && leading->status->term == latest;
+    if (!isQuiet(answers, latest)) {
+        after(stepRetry, &PrimaryConfirmation::queryDatabases);
+        return;
+    }
+    if (leadsLatest && isConfirmed(answers, latest)) {
+        if (resumePaused(answers, latest))
+            after(stepRetry, &PrimaryConfirmation::queryDatabases);
+        else
+            recordPrimary(leading->candidate.database, latest);
+        return;
+    }
+    if (leadsLatest || !isLost(answers)) {
+        after(stepRetry, &PrimaryConfirmation::queryDatabases);
+        return;
+    }
+    Succession &owner = *m_owner;
+    const GroupId group = m_group;
+    end("no-primary");
+    owner.startChange(group, false, latest, true);
+}
+
+void PrimaryConfirmation::recordPrimary(const DatabaseId &database, Term term)
+{
+    LeadershipView &view = m_owner->m_options.view;
+    const LeadershipRecord record{.group = m_group,
+                                  .primary = database,
+                                  .term = term,
+                                  .version = view.record(m_group).version,
+                                  .epoch = view.epoch()};
+    m_owner->m_ports.write({leadershipKey(m_group), encodeLeadership(record), record.version},
+                           [weak = weak_from_this(), record](const Result<WriteAnswer> &answer) {
+                               const auto self = weak.lock();
+                               if (!self || !self->m_isRunning)
+                                   return;
+                               self->m_owner->m_ports.refresh();
+                               if (answer && answer.value().written) {
+                                   LeadershipRecord written = record;
+                                   written.version = answer.value().version;
+                                   self->m_owner->m_options.view.applyRecord(written);
+                               }
+                               // Otherwise the next read shows whether the record was written.
+                               if (self->canContinue())
+                                   self->after(stepRetry, &PrimaryConfirmation::queryDatabases);
+                           });
+}
+
+void PrimaryConfirmation::end(const char *outcome)
+{
+    m_isRunning = false;
+    const LeadershipRecord record = m_owner->m_options.view.record(m_group);
+    m_owner->m_options.log.info("primary-confirmation-ended",
+                                {{"group", m_group},
+                                 {"outcome", outcome},
+                                 {"primary", record.primary},
+                                 {"term", record.term},
+                                 {"age", m_owner->m_options.timers.now() - m_startedAt}});
+    m_owner->confirmationEnded(m_group);
+}
+
+} // namespace fescuespring::detail
--- /dev/null
+++ b/libs/leadership/src/primaryconfirmation.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "leadership/succession.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace fescuespring::detail {
+
+// Finds out which database leads a group whose record was lost or brought back by a restore of the
+// store, and records it. Starts a change of primary if none leads.
+//
+// A holder of the lock in an earlier epoch requests a promotion only under its lease and after a
+// majority of the group has paused. So once all leases of that epoch are over, a majority that is
+// not paused shows that no such request is in flight.
+class PrimaryConfirmation : public std::enable_shared_from_this<PrimaryConfirmation>
+{
+public:
+    PrimaryConfirmation(Succession &owner, GroupId group);
+
+    void start();
+
+    // Ends the confirmation, as the owner is being destroyed; pending callbacks have no effect.
+    void abandon();
+
+private:
+    struct Answer
+    {
+        SuccessionCandidate candidate;
+        std::optional<UpstreamStatus> status;
+    };
+    using Answers = std::vector<Answer>;
+
+    void after(Duration delay, void (PrimaryConfirmation::*step)());
+    bool canContinue();
+    void queryDatabases();
+    void evaluate(const Answers &answers);
+    static const Answer *leader(const Answers &answers);
+    bool isConfirmed(const Answers &answers, Term term) const;
+    bool isQuiet(const Answers &answers, Term term) const;
+    bool resumePaused(const Answers &answers, Term term);
+    bool isLost(const Answers &answers) const;
+    void recordPrimary(const DatabaseId &database, Term term);
+    void end(const char *outcome);
+
+    Succession *m_owner;
+    GroupId m_group;
+    Instant m_startedAt;
+    bool m_isRunning = true;
+};
+
+} // namespace fescuespring::detail
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -1,6 +1,8 @@
 #include "leadership/succession.h"
 
 #include "leadershipchange.h"
+#include "primaryconfirmation.h"
+#include "store/objectversion.h"
 
 #include <algorithm>
 #include <array>
@@ -33,6 +35,13 @@
 // Time after which no call of the previous lock holder is in flight.
 constexpr Duration previousHolderCallTime = std::chrono::milliseconds(1100);
 
+// Time after which no VM relies any more on a lease or a lock from before, and no call made under
+// them is in flight.
+constexpr Duration previousHolderTime = leadershipLease + leadershipMargin + previousHolderCallTime;
+
+// Groups whose primaries are confirmed at once after a restore of the store.
+constexpr std::size_t maximumConfirmations = 16;
+
 constexpr Duration demoteInterval = std::chrono::milliseconds(500);
 constexpr Duration demoteTimeout = std::chrono::milliseconds(300);
 
@@ -53,13 +62,16 @@
 {
     for (const auto &[group, change] : m_changes)
         change->abandon();
+    for (const auto &[group, confirmation] : m_confirmations)
+        confirmation->abandon();
 }
 
 bool Succession::holdsPromotionLock() const
 {
     const auto &lock = m_options.view.promotionLock();
     return lock && lock->holder == m_options.self && lock->incarnation == m_options.incarnation
-           && lock->version == m_lockVersion && m_options.view.holdsLease(m_options.timers.now());
+           && lock->version == m_lockVersion && lock->epoch == m_options.view.epoch()
+           && m_options.view.holdsLease(m_options.timers.now());
 }
 
 bool Succession::mayPromote() const
@@ -71,7 +83,7 @@
 {
     if (!m_options.view.holdsLease(m_options.timers.now()))
         return;
-    trackLockVersion();
+    recordsRead();
     const std::vector<GroupId> groups = m_ports.groups();
     std::set<GroupId> due(groups.begin(), groups.end());
     for (const auto &[group, since] : m_neededSince)
@@ -84,7 +96,7 @@
 void Succession::releaseIfIdle()
 {
     const Instant now = m_options.timers.now();
-    if (!m_changes.empty() || !m_neededSince.empty())
+    if (!m_changes.empty() || !m_confirmations.empty() || !m_neededSince.empty())
         m_lastNeededAt = now;
     if (now - m_lastNeededAt >= idleLockTime && !m_isReleasing)
         release();
@@ -95,6 +107,8 @@
     const auto known = m_options.view.primary(group);
     if (!known)
         return ChangeReason::None;
+    if (!m_options.view.isConfirmed(group))
+        return ChangeReason::Unconfirmed;
     if (known->isChanging)
         return ChangeReason::AnnouncedEarlier;
     const std::vector<SuccessionCandidate> candidates = m_ports.databases(group);
@@ -110,7 +124,7 @@
 
 void Succession::evaluateGroup(const GroupId &group)
 {
-    if (m_changes.contains(group))
+    if (m_changes.contains(group) || m_confirmations.contains(group))
         return;
     const ChangeReason reason = changeReason(group);
     if (reason == ChangeReason::None) {
@@ -120,39 +134,87 @@
     }
     const Instant since = m_neededSince.try_emplace(group, m_options.timers.now()).first->second;
     if (!holdsPromotionLock()) {
-        acquireLock(since, reason == ChangeReason::AnnouncedEarlier);
+        // While another VM confirms primaries, it need not have come to this group yet.
+        const bool isUnconfirmed = reason == ChangeReason::Unconfirmed;
+        acquireLock(isUnconfirmed ? std::max(since, m_confirmedAt) : since,
+                    isUnconfirmed || reason == ChangeReason::AnnouncedEarlier);
         return;
     }
-    const auto change = std::make_shared<detail::LeadershipChange>(*this, group,
-                                                                   reason == ChangeReason::Planned);
+    if (reason == ChangeReason::Unconfirmed)
+        confirmPrimary(group);
+    else
+        startChange(group, reason == ChangeReason::Planned);
+}
+
+// When no VM relies on a lease of an earlier epoch any more.
+Instant Succession::leasesOverAt() const
+{
+    return m_epochSince + leadershipLease + leadershipMargin;
+}
+
+void Succession::startChange(const GroupId &group, bool isPlanned, Term seenTerm,
+                             bool hasNoOtherPromoter)
+{
+    const auto change = std::make_shared<detail::LeadershipChange>(
+            *this, group,
+            detail::LeadershipChange::Options{.isPlanned = isPlanned,
+                                              .seenTerm = seenTerm,
+                                              .hasNoOtherPromoter = hasNoOtherPromoter});
     m_changes[group] = change;
     change->start();
 }
 
+void Succession::confirmPrimary(const GroupId &group)
+{
+    if (m_confirmations.size() >= maximumConfirmations)
+        return;
+    const auto confirmation = std::make_shared<detail::PrimaryConfirmation>(*this, group);
+    m_confirmations[group] = confirmation;
+    confirmation->start();
+}
+
+void Succession::confirmationEnded(const GroupId &group)
+{
+    m_confirmedAt = m_options.timers.now();
+    m_neededSince.erase(group);
+    m_confirmations.erase(group);
+}
+
 Duration Succession::takeoverDelay(bool isAnnounced) const
 {
-    const std::optional<PromotionLock> &lock = m_options.view.promotionLock();
-    const bool isHeld = lock && !lock->holder.isEmpty();
-    if (!isHeld || lock->holder == m_options.self)
+    if (!isLockHeld() || m_options.view.promotionLock()->holder == m_options.self)
         return unheldTakeoverDelay;
     return isAnnounced ? announcedTakeoverDelay : unannouncedTakeoverDelay;
 }
 
-void Succession::trackLockVersion()
+void Succession::recordsRead()
 {
+    const Instant now = m_options.timers.now();
+    if (m_options.view.epoch() != m_observedEpoch) {
+        m_observedEpoch = m_options.view.epoch();
+        m_epochSince = now;
+        m_confirmedAt = now;
+    }
     const std::optional<PromotionLock> &lock = m_options.view.promotionLock();
     const ObjectVersion version = lock ? lock->version : ObjectVersion();
     if (version == m_observedLockVersion)
         return;
     m_observedLockVersion = version;
-    m_holderSince = m_options.timers.now();
+    m_holderSince = now;
+}
+
+bool Succession::isLockHeld() const
+{
+    const std::optional<PromotionLock> &lock = m_options.view.promotionLock();
+    return lock && !lock->holder.isEmpty() && lock->epoch == m_options.view.epoch();
 }
 
 void Succession::acquireLock(Instant neededSince, bool isAnnounced)
 {
     const Instant now = m_options.timers.now();
     const std::optional<PromotionLock> previous = m_options.view.promotionLock();
-    const bool isHeld = previous && !previous->holder.isEmpty();
+    const StoreEpoch epoch = m_options.view.epoch();
+    const bool isHeld = isLockHeld();
     const bool isMine = isHeld && previous->holder == m_options.self;
     const std::size_t steps = isMine ? 0 : std::min(m_ports.rank(), maximumRankSteps);
     const Instant since = isHeld ? std::max(neededSince, m_holderSince) : neededSince;
@@ -160,31 +222,43 @@
     if (m_isAcquiring || now < since + wait)
         return;
     m_isAcquiring = true;
-    const PromotionLock lock{.holder = m_options.self, .incarnation = m_options.incarnation};
+    const PromotionLock lock{
+            .holder = m_options.self, .incarnation = m_options.incarnation, .epoch = epoch};
     const ObjectVersion before = previous ? previous->version : ObjectVersion();
-    m_ports.write({promotionLockKey(), encodePromotionLock(lock), before},
-                  [this, hadPrevious = isHeld](const Result<WriteAnswer> &answer) {
-                      m_isAcquiring = false;
-                      m_ports.refresh();
-                      if (!answer || !answer.value().written)
-                          return;
-                      m_lockVersion = answer.value().version;
-                      m_mayPromoteFrom = m_options.timers.now();
-                      m_lastNeededAt = m_options.timers.now();
-                      if (hadPrevious)
-                          m_mayPromoteFrom +=
-                                  leadershipLease + leadershipMargin + previousHolderCallTime;
-                      m_options.log.info("duty-taken",
-                                         {{"token", m_lockVersion}, {"had-previous", hadPrevious}});
-                  });
+    // Without a lock of this epoch, a holder of an earlier one may still act.
+    const bool isHistoryKnown =
+            previous ? previous->epoch == epoch : m_options.view.isStoreOriginal();
+    const Instant quietFrom = isHistoryKnown ? now : m_epochSince + previousHolderTime;
+    m_ports.write(
+            {promotionLockKey(), encodePromotionLock(lock), before},
+            [this, quietFrom, epoch, hadPrevious = isHeld](const Result<WriteAnswer> &answer) {
+                m_isAcquiring = false;
+                m_ports.refresh();
+                if (!answer || !answer.value().written || epochOf(answer.value().version) != epoch)
+                    return;
+                lockAcquired(answer.value().version, hadPrevious, quietFrom);
+            });
+}
+
+// From quietFrom on, no holder of an earlier epoch acts.
+void Succession::lockAcquired(ObjectVersion version, bool hadPrevious, Instant quietFrom)
+{
+    const Instant now = m_options.timers.now();
+    m_lockVersion = version;
+    m_mayPromoteFrom = std::max(hadPrevious ? now + previousHolderTime : now, quietFrom);
+    m_lastNeededAt = now;
+    m_options.log.info(
+            "duty-taken",
+            {{"token", version}, {"had-previous", hadPrevious}, {"wait", m_mayPromoteFrom - now}});
 }
 
 void Succession::release()
 {
-    if (!holdsPromotionLock() || !m_changes.empty())
+    // A released lock tells its next holder that nobody else acts.
+    if (!mayPromote() || !m_changes.empty() || !m_confirmations.empty())
         return;
     m_isReleasing = true;
-    const PromotionLock nobody{};
+    const PromotionLock nobody{.epoch = m_options.view.epoch()};
     m_ports.write({promotionLockKey(), encodePromotionLock(nobody), m_lockVersion},
                   [this](const Result<WriteAnswer> &answer) {
                       m_isReleasing = false;
--- a/libs/leadership/tests/leadershipviewtest.cpp
+++ b/libs/leadership/tests/leadershipviewtest.cpp
@@ -1,5 +1,7 @@
 #include "leadership/leadershipview.h"
 
+#include "store/objectversion.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace fescuespring;
@@ -26,6 +28,17 @@
             .version = ObjectVersion(version)};
 }
 
+// A record that was written in an epoch and is stored in the same or a later one.
+LeadershipRecord recordOf(const DatabaseId &primary, std::uint64_t term, std::uint64_t writtenIn,
+                          std::uint64_t storedIn)
+{
+    return {.group = group,
+            .primary = primary,
+            .term = Term(term),
+            .version = makeObjectVersion(StoreEpoch(storedIn), 10 + term),
+            .epoch = StoreEpoch(writtenIn)};
+}
+
 } // namespace
 
 class LeadershipViewTest : public CppUnit::TestFixture
@@ -38,6 +51,10 @@
     CPPUNIT_TEST(floorsOfAReplacedPrimaryAreDropped);
     CPPUNIT_TEST(encodedRecordsAreDecoded);
     CPPUNIT_TEST(unreadableRecordFailsTheSnapshot);
+    CPPUNIT_TEST(restoredRecordLacksTheChange);
+    CPPUNIT_TEST(missingRecordIsEvidenceInTheOriginalStoreOnly);
+    CPPUNIT_TEST(presenceOfAnEarlierEpochGivesNoLease);
+    CPPUNIT_TEST(answerFromBeforeTheRestoreIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,6 +80,66 @@
         CPPUNIT_ASSERT(view.isLeading(group, b, start + 2ms));
     }
 
+    // Guards against a replaced primary that is trusted again because the store was restored to a
+    // copy from before the change.
+    void restoredRecordLacksTheChange()
+    {
+        for (const bool isRecordLost : {false, true}) {
+            LeadershipView view;
+            view.snapshot({.records = {recordOf(b, 2, 1, 1)}, .epoch = StoreEpoch(1)}, start);
+            CPPUNIT_ASSERT(view.isLeading(group, b, start));
+            LeadershipSnapshot restored{.epoch = StoreEpoch(2)};
+            if (!isRecordLost)
+                restored.records = {recordOf(a, 1, 1, 2)};
+            view.snapshot(restored, start + 1s);
+            CPPUNIT_ASSERT(!view.isLeading(group, a, start + 1s));
+            CPPUNIT_ASSERT(!view.isLeading(group, b, start + 1s));
+            CPPUNIT_ASSERT(view.primary(group)->database == b && view.primary(group)->isChanging);
+            CPPUNIT_ASSERT(view.record(group).term == Term(2));
+            // What the next write of the record depends on.
+            const ObjectVersion stored =
+                    isRecordLost ? ObjectVersion() : restored.records.front().version;
+            CPPUNIT_ASSERT(view.record(group).version == stored);
+            view.snapshot({.records = {recordOf(b, 2, 2, 2)}, .epoch = StoreEpoch(2)}, start + 2s);
+            CPPUNIT_ASSERT(view.isLeading(group, b, start + 2s));
+        }
+    }
+
+    void missingRecordIsEvidenceInTheOriginalStoreOnly()
+    {
+        LeadershipView view;
+        view.setReportedPrimary(group, a);
+        view.snapshot({.epoch = StoreEpoch(4), .origin = StoreEpoch(4)}, start);
+        CPPUNIT_ASSERT(view.isLeading(group, a, start));
+        view.snapshot({.epoch = StoreEpoch(5), .origin = StoreEpoch(4)}, start + 1ms);
+        CPPUNIT_ASSERT(!view.isLeading(group, a, start + 1ms));
+        LeadershipView other;
+        other.setReportedPrimary(group, a);
+        other.snapshot({.epoch = StoreEpoch(4)}, start);
+        CPPUNIT_ASSERT(!other.isLeading(group, a, start));
+    }
+
+    // Guards against a lease that nobody waits for, as the record of this VM was lost.
+    void presenceOfAnEarlierEpochGivesNoLease()
+    {
+        LeadershipView view;
+        view.limitLease({.since = start, .end = start + 20s, .epoch = StoreEpoch(1)});
+        view.snapshot({.records = {recordOf(a, 1, 2, 2)}, .epoch = StoreEpoch(2)}, start + 1s);
+        CPPUNIT_ASSERT(!view.holdsLease(start + 1s));
+        view.limitLease({.since = start + 1s, .end = start + 21s, .epoch = StoreEpoch(2)});
+        CPPUNIT_ASSERT(view.holdsLease(start + 1s));
+    }
+
+    void answerFromBeforeTheRestoreIsIgnored()
+    {
+        LeadershipView view;
+        view.snapshot({.records = {recordOf(b, 2, 2, 2)}, .epoch = StoreEpoch(2)}, start);
+        view.snapshot({.records = {recordOf(a, 3, 1, 1)}, .epoch = StoreEpoch(1)}, start + 1s);
+        view.applyRecord(recordOf(a, 3, 1, 1));
+        CPPUNIT_ASSERT(view.primary(group)->database == b);
+        CPPUNIT_ASSERT(view.askedAt() == start);
+    }
+
     void olderSnapshotIsIgnored()
     {
         LeadershipView view;
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -41,6 +41,9 @@
     // Time for which a database goes on serving after it has announced that it will leave.
     std::chrono::milliseconds departureNotice{7000};
 
+    // All VMs of the installation start for the first time, and nothing was written to the store.
+    bool isFirstStart = false;
+
     // Maximum number of open caller connections.
     std::uint32_t maxCallerConnections = 3000;
 
--- a/libs/settings/src/section.cpp
+++ b/libs/settings/src/section.cpp
@@ -71,6 +71,17 @@
         target = static_cast<std::uint32_t>(*found);
 }
 
+void Section::boolean(std::string_view field, bool &target)
+{
+    const auto found = scalar(field, Presence::Optional);
+    if (!found)
+        return;
+    if (*found == "true" || *found == "false")
+        target = *found == "true";
+    else
+        addError(field, "must be true or false");
+}
+
 void Section::milliseconds(std::string_view field, std::chrono::milliseconds &target,
                            Range<std::chrono::milliseconds> range)
 {
--- a/libs/settings/src/section.h
+++ b/libs/settings/src/section.h
@@ -54,6 +54,7 @@
               Presence presence);
     void number(std::string_view field, std::uint32_t &target, Range<std::uint32_t> range,
                 Presence presence = Presence::Optional);
+    void boolean(std::string_view field, bool &target);
     void milliseconds(std::string_view field, std::chrono::milliseconds &target,
                       Range<std::chrono::milliseconds> range);
 
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -26,6 +26,7 @@
                          {milliseconds(100), milliseconds(600'000)});
     section.milliseconds("departureNoticeMs", settings.departureNotice,
                          {milliseconds(0), milliseconds(3'600'000)});
+    section.boolean("firstStart", settings.isFirstStart);
     section.number("maxCallerConnections", settings.maxCallerConnections, {1, 1'000'000});
     section.section("logging", Presence::Optional,
                     [&](Section &inner) { detail::readLogging(inner, settings.logging); });
--- a/libs/settings/tests/statementsettingstest.cpp
+++ b/libs/settings/tests/statementsettingstest.cpp
@@ -31,15 +31,17 @@
 public:
     void validSettingsAreRead()
     {
-        const auto settings = parseStatementSettings(
-                validSettings
-                + "stopDeadlineMs: 4000\ndepartureNoticeMs: 10000\nlogging:\n  level: warning\n  "
-                  "linesPerSecond: 5\n");
+        const auto settings =
+                parseStatementSettings(validSettings
+                                       + "stopDeadlineMs: 4000\ndepartureNoticeMs: "
+                                         "10000\nfirstStart: true\nlogging:\n  level: warning\n  "
+                                         "linesPerSecond: 5\n");
         CPPUNIT_ASSERT(settings);
         CPPUNIT_ASSERT(settings.value().vm == VmId("front-1"));
         CPPUNIT_ASSERT(settings.value().store == (Endpoint{"10.200.1.7", 8783}));
         CPPUNIT_ASSERT(settings.value().stopDeadline == 4s);
         CPPUNIT_ASSERT(settings.value().departureNotice == 10s);
+        CPPUNIT_ASSERT(settings.value().isFirstStart);
         CPPUNIT_ASSERT(settings.value().logging.level == LogLevel::Warning);
         CPPUNIT_ASSERT(settings.value().logging.standardOutput);
         CPPUNIT_ASSERT_EQUAL(5U, settings.value().logging.linesPerSecond);
@@ -50,9 +52,11 @@
         std::string text = validSettings;
         text.replace(text.find("10.1.0.8:8785"), 13, "10.1.0.8:0");
         text.replace(text.find("10.200.1.7:8783"), 15, "store:8783");
-        const auto settings = parseStatementSettings(text + "maxCallerConnections: 0\n");
+        const auto settings =
+                parseStatementSettings(text + "maxCallerConnections: 0\nfirstStart: 1\n");
         CPPUNIT_ASSERT(!settings);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, settings.error().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, settings.error().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("firstStart"), settings.error()[3].field);
         CPPUNIT_ASSERT_EQUAL(std::string("readiness"), settings.error()[0].field);
         CPPUNIT_ASSERT_EQUAL(4, settings.error()[0].line);
         CPPUNIT_ASSERT_EQUAL(std::string("store"), settings.error()[1].field);
--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -55,6 +55,9 @@
     // if the reader has no records.
     Duration age{-1};
 
+    // Of Answer and Unchanged: epoch of the store in which the records were read.
+    StoreEpoch epoch = {};
+
     // Of Question: digest of the records that the follower holds; 0 if it holds none.
     std::uint64_t digest = 0;
 
--- a/libs/storefeed/include/storefeed/feedreader.h
+++ b/libs/storefeed/include/storefeed/feedreader.h
@@ -18,6 +18,9 @@
 {
     std::vector<StoredObject> objects;
     Instant askedAt;
+
+    // Epoch of the store in which they were read.
+    StoreEpoch epoch = {};
 };
 
 // Serves to other VMs what this VM has of the store: the objects of its mirror, and the leadership
--- a/libs/storefeed/include/storefeed/storemirror.h
+++ b/libs/storefeed/include/storefeed/storemirror.h
@@ -14,6 +14,10 @@
 {
     StoredObject object;
     bool isRemoved = false;
+
+    // With isRemoved: the store was restored since and lacks the object, which may be written
+    // again.
+    bool isLost = false;
 };
 
 // This VM's copy of the store objects of some kinds, from any source. Versions of an object only
@@ -59,7 +63,7 @@
     }
 
 private:
-    void remove(const std::string &kind, const std::string &key);
+    void remove(const std::string &kind, const std::string &key, ObjectVersion storeVersion);
     void notify(const std::string &kind, const StoreChange &change);
 
     struct Kind
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -174,7 +174,8 @@
             finish(message.number, Error{ErrorCode::Unavailable, "reader has no records"});
             return;
         }
-        finish(message.number, DatedRecords{objects, question->second.askedAt - message.age});
+        finish(message.number,
+               DatedRecords{objects, question->second.askedAt - message.age, message.epoch});
     }
 
     void finish(std::uint64_t number, const Result<DatedRecords> &end)
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -107,6 +107,7 @@
     FeedMessage message{.kind = *kind};
     message.number = static_cast<std::uint64_t>(integerOr(fields, "number", 0));
     message.age = Duration(integerOr(fields, "ageUs", -1));
+    message.epoch = StoreEpoch(static_cast<std::uint64_t>(integerOr(fields, "epoch", 0)));
     message.digest = static_cast<std::uint64_t>(integerOr(fields, "digest", 0));
     message.storeVersion = ObjectVersion(static_cast<std::uint64_t>(integerOr(fields, "upTo", 0)));
     message.patchedVersion =
@@ -177,8 +178,10 @@
         fields["number"] = message.number;
     const bool isAnswer = message.kind == FeedMessage::Kind::Answer
                           || message.kind == FeedMessage::Kind::Unchanged;
-    if (isAnswer)
+    if (isAnswer) {
         fields["ageUs"] = message.age.count();
+        fields["epoch"] = message.epoch.value();
+    }
     if (message.digest != 0)
         fields["digest"] = static_cast<std::int64_t>(message.digest);
     if (!message.parts.empty())
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -151,6 +151,7 @@
         if (!known)
             return message;
         message.age = timers.now() - known->askedAt;
+        message.epoch = known->epoch;
         if (question.digest == digestOf(known->objects))
             message.kind = FeedMessage::Kind::Unchanged;
         else
--- a/libs/storefeed/src/storemirror.cpp
+++ b/libs/storefeed/src/storemirror.cpp
@@ -1,5 +1,7 @@
 #include "storefeed/storemirror.h"
 
+#include "store/objectversion.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -28,7 +30,7 @@
     for (const StoredObject &known : this->objects(kind)) {
         const bool isInScope = !scope || scope(known);
         if (isInScope && known.version <= storeVersion && !listed.contains(known.key))
-            remove(kind, known.key);
+            remove(kind, known.key, storeVersion);
     }
     advanceVersion(kind, storeVersion);
 }
@@ -40,7 +42,7 @@
     if (change.isRemoved) {
         // A late removal must not remove an object that was created after it.
         if (known != objects.end() && known->second.version <= change.object.version)
-            remove(kind, change.object.key);
+            remove(kind, change.object.key, change.object.version);
         return;
     }
     if (known != objects.end() && known->second.version >= change.object.version)
@@ -61,13 +63,15 @@
     return known == m_kinds.end() ? ObjectVersion() : known->second.version;
 }
 
-void StoreMirror::remove(const std::string &kind, const std::string &key)
+void StoreMirror::remove(const std::string &kind, const std::string &key,
+                         ObjectVersion storeVersion)
 {
     auto &objects = m_kinds[kind].objects;
     const auto known = objects.find(key);
     if (known == objects.end())
         return;
-    const StoreChange change{std::move(known->second), true};
+    const bool isLost = epochOf(known->second.version) < epochOf(storeVersion);
+    const StoreChange change{std::move(known->second), true, isLost};
     objects.erase(known);
     notify(kind, change);
 }
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -91,6 +91,7 @@
         const FeedMessage sent{.kind = FeedMessage::Kind::Answer,
                                .number = 12,
                                .age = 345us,
+                               .epoch = StoreEpoch(6),
                                .objects = {object("fescue-leadership/duty", 9, R"({"a":"\n"})")}};
         const std::string text = encodeFeedMessage(sent);
         CPPUNIT_ASSERT_EQUAL('\n', text.back());
@@ -98,6 +99,7 @@
         const auto got = decodeFeedMessage(std::string_view(text).substr(0, text.size() - 1));
         CPPUNIT_ASSERT(got);
         CPPUNIT_ASSERT(got.value().kind == sent.kind && got.value().number == sent.number);
+        CPPUNIT_ASSERT(got.value().epoch == sent.epoch);
         CPPUNIT_ASSERT(got.value().age == sent.age && got.value().objects == sent.objects);
     }
 
--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -195,7 +195,11 @@
 void VmRegistry::update(const VmRecord &record, Instant now)
 {
     const auto found = m_vms.find(record.vm);
-    if (found != m_vms.end() && found->second.record == record)
+    // A record with an earlier renewal was brought back by a restore of the store.
+    const bool isKnown = found != m_vms.end()
+                         && found->second.record.incarnation == record.incarnation
+                         && found->second.record.renewal >= record.renewal;
+    if (isKnown)
         return;
     m_vms[record.vm] = {record, now};
     m_isStale = true;
