Restored store: a database that has left or is leaving does not return with an older entry (DRAIN)

The other side of the same cause: a database whose announcement is lost counts as ready again, and gets requests until it is gone. Now the directory keeps what a database announced for its incarnation, also for two minutes after it left. Both tests were red without the change.

--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -19,6 +19,10 @@
 // that it was leaving: it may still be running but unable to reach the store.
 inline constexpr Duration lostDatabaseRetention = std::chrono::seconds(15);
 
+// How long a database that left after announcing it is remembered: a restore of the store may bring
+// its entry back.
+inline constexpr Duration departedDatabaseRetention = std::chrono::seconds(120);
+
 // A database as described by its own entry in the store.
 struct UpstreamEntry
 {
@@ -39,7 +43,8 @@
 };
 
 // The known databases. An entry that vanishes is kept for missingEntryGrace, unless another
-// database of the group takes its address. Not thread-safe; reads no clock.
+// database of the group takes its address. A database that announced that it is leaving does not
+// return in the same incarnation, whatever an older entry says. Not thread-safe; reads no clock.
 class UpstreamDirectory
 {
 public:
@@ -102,6 +107,15 @@
         Instant lostAt;
     };
 
+    // A database that announced that it was leaving and is gone.
+    struct Departed
+    {
+        std::int64_t startedAt = 0;
+
+        // When expire was first called after that.
+        std::optional<Instant> goneAt = {};
+    };
+
     void removeFromGroup(const UpstreamEntry &entry);
     void removeReplaced(const UpstreamEntry &entry);
     UpstreamEntry remove(const DatabaseId &database);
@@ -112,6 +126,7 @@
     std::map<DatabaseId, Instant> m_missingSince;
     std::map<GroupId, std::set<DatabaseId>> m_groups;
     std::map<DatabaseId, Lost> m_lost;
+    std::map<DatabaseId, Departed> m_departed;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -10,9 +10,13 @@
     : m_hooks(std::move(hooks))
 {}
 
-void UpstreamDirectory::update(const UpstreamEntry &entry)
+void UpstreamDirectory::update(const UpstreamEntry &updated)
 {
+    UpstreamEntry entry = updated;
     const DatabaseId &database = entry.target.database;
+    const auto departed = m_departed.find(database);
+    if (departed != m_departed.end() && departed->second.startedAt == entry.startedAt)
+        return;
     const auto found = m_entries.find(database);
     bool isNewIncarnation = true;
     if (found != m_entries.end()) {
@@ -20,6 +24,7 @@
         isNewIncarnation = previous.startedAt != entry.startedAt
                            || previous.target.endpoint != entry.target.endpoint
                            || previous.target.group != entry.target.group;
+        entry.isDraining = entry.isDraining || (!isNewIncarnation && previous.isDraining);
         removeFromGroup(previous);
     }
     m_lost.erase(database);
@@ -67,6 +72,8 @@
 {
     UpstreamEntry removed = std::move(m_entries.extract(database).mapped());
     m_missingSince.erase(database);
+    if (removed.isDraining)
+        m_departed[database] = {.startedAt = removed.startedAt};
     removeFromGroup(removed);
     m_hooks.onGone(removed);
     return removed;
@@ -103,6 +110,11 @@
         if (!removed.isDraining)
             m_lost[database] = {removed.target.group, removed.target.endpoint, now};
     }
+    for (auto &[database, departed] : m_departed)
+        departed.goneAt = departed.goneAt.value_or(now);
+    std::erase_if(m_departed, [now](const auto &departed) {
+        return now >= *departed.second.goneAt + departedDatabaseRetention;
+    });
 }
 
 const UpstreamEntry *UpstreamDirectory::find(const DatabaseId &database) const
--- a/libs/directory/tests/directorytest.cpp
+++ b/libs/directory/tests/directorytest.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(lostDatabaseCountsDuringRetention);
     CPPUNIT_TEST(databaseAtSameAddressReplacesLostDatabase);
     CPPUNIT_TEST(olderConfigurationIsRejected);
+    CPPUNIT_TEST(leavingDatabaseStaysSoDespiteAnOlderEntry);
+    CPPUNIT_TEST(departedDatabaseDoesNotReturnWithAnOlderEntry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +64,44 @@
         CPPUNIT_ASSERT(recording.gone == std::vector<std::string>{"a"});
     }
 
+    // Guards against requests to a database that is about to stop, as the restored store holds its
+    // entry from before it announced that.
+    void leavingDatabaseStaysSoDespiteAnOlderEntry()
+    {
+        RecordingDirectory recording;
+        UpstreamEntry leaving = entry("a");
+        leaving.isDraining = true;
+        recording.directory.update(entry("a"));
+        recording.directory.update(leaving);
+        recording.directory.update(entry("a"));
+        CPPUNIT_ASSERT(recording.directory.find(DatabaseId("a"))->isDraining);
+        // A later incarnation is not leaving.
+        recording.directory.update(entry("a", 2));
+        CPPUNIT_ASSERT(!recording.directory.find(DatabaseId("a"))->isDraining);
+    }
+
+    // Guards against a group that counts databases of the past, so that no majority is left.
+    void departedDatabaseDoesNotReturnWithAnOlderEntry()
+    {
+        RecordingDirectory recording;
+        UpstreamEntry leaving = entry("a");
+        leaving.isDraining = true;
+        recording.directory.update(leaving);
+        recording.directory.update(entry("b"));
+        recording.directory.vanished(DatabaseId("a"), start);
+        recording.directory.expire(start + missingEntryGrace);
+        recording.directory.update(entry("a"));
+        CPPUNIT_ASSERT(!recording.directory.find(DatabaseId("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             recording.directory.groupSize(GroupId("herd"), start + 3s));
+        recording.directory.update(entry("a", 2));
+        CPPUNIT_ASSERT(recording.directory.find(DatabaseId("a")));
+        // Memory of departed databases is bounded.
+        recording.directory.expire(start + 1h);
+        recording.directory.update(entry("a"));
+        CPPUNIT_ASSERT(recording.directory.find(DatabaseId("a")));
+    }
+
     void returningEntryIsKept()
     {
         RecordingDirectory recording;
