--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -71,6 +71,9 @@
     // and term may be later than those stored.
     LeadershipRecord record(const GroupId &group) const;
 
+    // Whether the last record of the group that was read announces a change of primary.
+    bool isChangeAnnounced(const GroupId &group) const;
+
     // Whether the record of the group, or its absence, is of the present epoch of the store.
     bool isConfirmed(const GroupId &group) const;
 
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -43,6 +43,12 @@
     }
 }
 
+bool LeadershipView::isChangeAnnounced(const GroupId &group) const
+{
+    const auto found = m_groups.find(group);
+    return found != m_groups.end() && found->second.record && found->second.record->isChanging;
+}
+
 bool LeadershipView::isStoreOriginal() const
 {
     return m_epoch == StoreEpoch() || m_origin == m_epoch;
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -100,7 +100,7 @@
 }
 
 // Whether a majority of the group is in this term or an earlier one, and no database in a later
-// one.
+// one. A database that is leaving still counts, as it answers now.
 bool PrimaryConfirmation::isConfirmed(const Answers &answers, Term term) const
 {
     std::size_t supporting = 0;
@@ -109,7 +109,7 @@
             continue;
         if (answer.status->term > term)
             return false;
-        supporting += answer.candidate.isDraining ? 0 : 1;
+        ++supporting;
     }
     return supporting * 2 > m_owner->m_ports.groupSize(m_group);
 }
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -318,7 +318,8 @@
 {
     const auto primary = m_leadership.primary(group);
     const auto linkPool = primary ? pool(primary->database) : nullptr;
-    if (!linkPool || primary->isChanging || m_isLostToObservers(primary->database))
+    const bool isReplaced = m_leadership.isChangeAnnounced(group);
+    if (!linkPool || isReplaced || m_isLostToObservers(primary->database))
         return false;
     return unresponsiveTime(*linkPool) > isolatedAfter;
 }
@@ -330,7 +331,8 @@
     const Instant now = m_context.timers.now();
     const auto failingSince = m_evidenceFailingSince.find(group);
     const auto primary = m_leadership.primary(group);
-    return failingSince != m_evidenceFailingSince.end() && primary && !primary->isChanging
+    return failingSince != m_evidenceFailingSince.end() && primary
+           && !m_leadership.isChangeAnnounced(group)
            && now - failingSince->second > isolatedAfter
            && !m_leadership.isLeading(group, primary->database, now);
 }
