--- a/libs/statementproxy/tests/upstreamstest.cpp
+++ b/libs/statementproxy/tests/upstreamstest.cpp
@@ -1,4 +1,6 @@
 #include "statementproxy/upstreams.h"
+
+#include "store/objectversion.h"
 #include "support/fakegroup.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,6 +14,7 @@
     CPPUNIT_TEST_SUITE(UpstreamsTest);
     CPPUNIT_TEST(runningStatementEndsWithUpstreams);
     CPPUNIT_TEST(vmThatCannotConfirmThePrimaryIsIsolated);
+    CPPUNIT_TEST(vmIsIsolatedDespiteARestoreOfTheStore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +88,42 @@
         upstreams.leadership().snapshot({.records = {record}}, timers.now());
         CPPUNIT_ASSERT(!upstreams.isIsolatedFromMost());
     }
+
+    // Guards against callers that stay with a cut-off VM, as it takes its unconfirmed primary for
+    // one that is being replaced.
+    void vmIsIsolatedDespiteARestoreOfTheStore()
+    {
+        VirtualTimers timers;
+        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+        Counters counters;
+        FakeGroup databases(timers);
+        databases["a"].role = Role::Primary;
+        Upstreams upstreams({.timers = timers,
+                             .log = log,
+                             .counters = counters,
+                             .connect = databases.connector()});
+        const GroupId group("herd");
+        for (const char *name : {"a", "b", "c"}) {
+            upstreams.directory().update(
+                    {.target = {group, DatabaseId(name), {}}, .role = databases[name].role});
+            databases[name].isSilent = std::string(name) != "a";
+        }
+        upstreams.leadership().snapshot({.epoch = StoreEpoch(2)}, timers.now());
+        for (const Instant end = timers.now() + 1s; timers.now() < end;) {
+            upstreams.confirmCommit(group, DatabaseId("a"), Term(1), [](bool) {});
+            timers.advance(100ms);
+        }
+        CPPUNIT_ASSERT(upstreams.isIsolatedFromMost());
+        const LeadershipRecord announced{.group = group,
+                                         .isChanging = true,
+                                         .primary = DatabaseId("a"),
+                                         .term = Term(1),
+                                         .version = makeObjectVersion(StoreEpoch(3), 5),
+                                         .epoch = StoreEpoch(3)};
+        upstreams.leadership().snapshot({.records = {announced}, .epoch = StoreEpoch(3)},
+                                        timers.now());
+        CPPUNIT_ASSERT(!upstreams.isIsolatedFromMost());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamsTest);
