A restore during an announcement waits for all leases; pages on a restored store

The list of VMs that may hold a lease is of use only in the epoch of the announcement: a restored store may lack a VM. Found by reading; restoreDuringAnAnnouncementWaitsForAllLeases was not seen red, as the holder usually reads of the restore first and stops.

--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -404,8 +404,9 @@
                      std::vector<VmIncarnation> holders;
                      for (const StoredObject &object : objects.value()) {
                          const auto record = decodeVmRecord(object.key, object.value);
-                         // An invalid record may belong to any VM, so the lease is waited for.
-                         if (!record)
+                         // An invalid record may belong to any VM, and a restored store may lack
+                         // records, so the leases are waited for.
+                         if (!record || epochOf(object.version) != m_epoch)
                              return;
                          if (!m_vms.isExpired(record.value(), now()))
                              holders.push_back({record.value().vm, record.value().incarnation});
--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -336,6 +336,7 @@
     CPPUNIT_TEST(restoreOfTheStoreDoesNotStopWrites);
     CPPUNIT_TEST(lostPresenceIsRecordedAgainBeforeALease);
     CPPUNIT_TEST(lostReportIsWrittenAgain);
+    CPPUNIT_TEST(restoreDuringAnAnnouncementWaitsForAllLeases);
     CPPUNIT_TEST(originIsRecordedOnceAtTheFirstStart);
     CPPUNIT_TEST(originIsNotRecordedAfterARestore);
     CPPUNIT_TEST(restartedVmDoesNotWaitForOthers);
@@ -529,6 +530,29 @@
         CPPUNIT_ASSERT(fleet.longestGap(1s) < 100ms);
     }
 
+    // Guards against a promotion that does not wait for the lease of a VM whose record the store
+    // has lost since the announcement.
+    void restoreDuringAnAnnouncementWaitsForAllLeases()
+    {
+        Fleet fleet(2);
+        auto copy = fleet.store.objects;
+        copy.erase(vmKey(VmId("vm-1")));
+        std::optional<Instant> announcedAt;
+        fleet.store.onWritten = [&, written = fleet.store.onWritten](const StoredObject &object) {
+            const bool isFirst = object.key == leadershipKey(group) && !announcedAt;
+            written(object);
+            if (!isFirst)
+                return;
+            announcedAt = fleet.timers.now();
+            fleet.timers.after(0ms, [&] { fleet.store.restore(copy); });
+        };
+        fleet.databases["a"].isSilent = true;
+        for (Duration waited{0}; waited < 10s && fleet.promotionRequests.empty(); waited += 1ms)
+            fleet.timers.advance(1ms);
+        CPPUNIT_ASSERT(announcedAt && !fleet.promotionRequests.empty());
+        CPPUNIT_ASSERT(fleet.timers.now() >= *announcedAt + leadershipLease + leadershipMargin);
+    }
+
     void originIsRecordedOnceAtTheFirstStart()
     {
         World world;
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -203,8 +203,10 @@
                                    LeadershipRecord written = record;
                                    written.version = answer.value().version;
                                    self->m_owner->m_options.view.applyRecord(written);
+                                   self->end("recorded");
+                                   return;
                                }
-                               // Otherwise the next read shows whether the record was written.
+                               // The next read shows whether the record was written.
                                if (self->canContinue())
                                    self->after(stepRetry, &PrimaryConfirmation::queryDatabases);
                            });
