--- a/libs/leadership/include/leadership/leadershipview.h
+++ b/libs/leadership/include/leadership/leadershipview.h
@@ -80,6 +80,12 @@
     // Whether the store has lost nothing since the installation first started.
     bool isStoreOriginal() const;
 
+    // The highest version of the records read.
+    ObjectVersion newestRecordVersion() const
+    {
+        return m_newestVersion;
+    }
+
     // Epoch of the store in the last snapshot.
     StoreEpoch epoch() const
     {
@@ -158,6 +164,7 @@
     std::map<GroupId, Group> m_groups;
     std::optional<PromotionLock> m_promotionLock;
     std::optional<Instant> m_askedAt;
+    ObjectVersion m_newestVersion;
     StoreEpoch m_epoch;
     std::optional<StoreEpoch> m_origin;
     std::optional<Presence> m_presence;
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -180,13 +180,12 @@
     Duration takeoverDelay(bool isAnnounced) const;
     bool isLockHeld() const;
     void acquireLock(Instant neededSince, bool isAnnounced);
-    void lockAcquired(ObjectVersion version, bool hadPrevious, Instant quietFrom);
+    void lockAcquired(ObjectVersion version, bool hadPrevious, bool isHistoryKnown);
     bool mayPromote() const;
     void confirmPrimary(const GroupId &group);
     void confirmationEnded(const GroupId &group);
     void startChange(const GroupId &group, bool isPlanned, Term seenTerm = {},
                      bool hasNoOtherPromoter = false);
-    Instant leasesOverAt() const;
     void demotePreviousPrimaries(const GroupId &group);
     void changeEnded(const GroupId &group);
     void releaseIfIdle();
@@ -207,14 +206,18 @@
     // Version of the lock as last read, and when this version was first observed.
     ObjectVersion m_observedLockVersion;
     Instant m_holderSince;
+
+    // When the lease of every earlier holder is over, and when its calls have ended too.
+    Instant m_earlierLeasesEndAt;
     Instant m_mayPromoteFrom;
 
     // The epoch of the store as last read, and when it was first observed.
     StoreEpoch m_observedEpoch;
     Instant m_epochSince;
 
-    // When the primary of a group was last confirmed in this epoch.
-    Instant m_confirmedAt;
+    // The newest version of a record as last read, and when it changed last.
+    ObjectVersion m_observedRecordVersion;
+    Instant m_recordChangedAt;
 };
 
 } // namespace fescuespring
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -177,7 +177,7 @@
 {
     const bool isAnnounced = m_owner->m_options.view.isConfirmed(m_group);
     if (!isAnnounced)
-        return now() >= m_owner->leasesOverAt();
+        return now() >= m_owner->m_earlierLeasesEndAt;
     return now() >= m_announcedAt + leadershipLease + leadershipMargin || haveAllRead();
 }
 
--- a/libs/leadership/src/leadershipview.cpp
+++ b/libs/leadership/src/leadershipview.cpp
@@ -78,6 +78,7 @@
                             || (group.record && group.record->version >= record.version);
     if (isOutdated)
         return;
+    m_newestVersion = std::max(m_newestVersion, record.version);
     // A restored record lacks the change of primary that this VM has already read.
     if (group.record && record.epoch < m_epoch && record.term < group.record->term) {
         group.record->version = record.version;
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -59,7 +59,7 @@
 
 void PrimaryConfirmation::start()
 {
-    const Duration wait = m_owner->leasesOverAt() - m_owner->m_options.timers.now();
+    const Duration wait = m_owner->m_earlierLeasesEndAt - m_owner->m_options.timers.now();
     if (wait > Duration(0))
         after(wait, &PrimaryConfirmation::queryDatabases);
     else
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -35,10 +35,6 @@
 // Time after which no call of the previous lock holder is in flight.
 constexpr Duration previousHolderCallTime = std::chrono::milliseconds(1100);
 
-// Time after which no VM relies any more on a lease or a lock from before, and no call made under
-// them is in flight.
-constexpr Duration previousHolderTime = leadershipLease + leadershipMargin + previousHolderCallTime;
-
 // Groups whose primaries are confirmed at once after a restore of the store.
 constexpr std::size_t maximumConfirmations = 16;
 
@@ -136,7 +132,7 @@
     if (!holdsPromotionLock()) {
         // While another VM confirms primaries, it need not have come to this group yet.
         const bool isUnconfirmed = reason == ChangeReason::Unconfirmed;
-        acquireLock(isUnconfirmed ? std::max(since, m_confirmedAt) : since,
+        acquireLock(isUnconfirmed ? std::max(since, m_recordChangedAt) : since,
                     isUnconfirmed || reason == ChangeReason::AnnouncedEarlier);
         return;
     }
@@ -146,12 +142,6 @@
         startChange(group, reason == ChangeReason::Planned);
 }
 
-// When no VM relies on a lease of an earlier epoch any more.
-Instant Succession::leasesOverAt() const
-{
-    return m_epochSince + leadershipLease + leadershipMargin;
-}
-
 void Succession::startChange(const GroupId &group, bool isPlanned, Term seenTerm,
                              bool hasNoOtherPromoter)
 {
@@ -175,7 +165,6 @@
 
 void Succession::confirmationEnded(const GroupId &group)
 {
-    m_confirmedAt = m_options.timers.now();
     m_neededSince.erase(group);
     m_confirmations.erase(group);
 }
@@ -193,7 +182,10 @@
     if (m_options.view.epoch() != m_observedEpoch) {
         m_observedEpoch = m_options.view.epoch();
         m_epochSince = now;
-        m_confirmedAt = now;
+    }
+    if (m_options.view.newestRecordVersion() != m_observedRecordVersion) {
+        m_observedRecordVersion = m_options.view.newestRecordVersion();
+        m_recordChangedAt = now;
     }
     const std::optional<PromotionLock> &lock = m_options.view.promotionLock();
     const ObjectVersion version = lock ? lock->version : ObjectVersion();
@@ -228,24 +220,27 @@
     // Without a lock of this epoch, a holder of an earlier one may still act.
     const bool isHistoryKnown =
             previous ? previous->epoch == epoch : m_options.view.isStoreOriginal();
-    const Instant quietFrom = isHistoryKnown ? now : m_epochSince + previousHolderTime;
     m_ports.write(
             {promotionLockKey(), encodePromotionLock(lock), before},
-            [this, quietFrom, epoch, hadPrevious = isHeld](const Result<WriteAnswer> &answer) {
+            [this, isHistoryKnown, epoch, hadPrevious = isHeld](const Result<WriteAnswer> &answer) {
                 m_isAcquiring = false;
                 m_ports.refresh();
                 if (!answer || !answer.value().written || epochOf(answer.value().version) != epoch)
                     return;
-                lockAcquired(answer.value().version, hadPrevious, quietFrom);
+                lockAcquired(answer.value().version, hadPrevious, isHistoryKnown);
             });
 }
 
-// From quietFrom on, no holder of an earlier epoch acts.
-void Succession::lockAcquired(ObjectVersion version, bool hadPrevious, Instant quietFrom)
+// An earlier holder read the lock as its own until now at the latest, or, if it is one of an
+// earlier epoch, until this epoch began.
+void Succession::lockAcquired(ObjectVersion version, bool hadPrevious, bool isHistoryKnown)
 {
     const Instant now = m_options.timers.now();
     m_lockVersion = version;
-    m_mayPromoteFrom = std::max(hadPrevious ? now + previousHolderTime : now, quietFrom);
+    m_earlierLeasesEndAt = (hadPrevious ? now : m_epochSince) + leadershipLease + leadershipMargin;
+    const bool mayOthersAct = hadPrevious || !isHistoryKnown;
+    m_mayPromoteFrom =
+            mayOthersAct ? std::max(now, m_earlierLeasesEndAt + previousHolderCallTime) : now;
     m_lastNeededAt = now;
     m_options.log.info(
             "duty-taken",
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -249,6 +249,7 @@
     CPPUNIT_TEST(vmThatStartsAfterARestoreFindsTheReplacedPrimary);
     CPPUNIT_TEST(healthyPrimaryIsKeptAfterARestore);
     CPPUNIT_TEST(holderOfTheLostLockIsWaitedFor);
+    CPPUNIT_TEST(holderOfTheSameEpochIsWaitedFor);
     CPPUNIT_TEST(tokensRiseAcrossARestore);
     CPPUNIT_TEST(groupThatAnInterruptedChangeStoppedGetsAPrimary);
     CPPUNIT_TEST(primaryLostWithTheRecordsIsReplaced);
@@ -631,6 +632,31 @@
         CPPUNIT_ASSERT(hasSucceeded);
     }
 
+    // Guards against two holders that act at once: the second takes the lock over, as the first
+    // could not confirm the primary in time.
+    void holderOfTheSameEpochIsWaitedFor()
+    {
+        World world;
+        Vm one(world, "one", 0);
+        Vm two(world, "two", 1);
+        world.timers.advance(1s);
+        world.databases["b"].isSilent = true;
+        world.databases["c"].isSilent = true;
+        world.store.restore(world.store);
+        const Instant restoredAt = world.timers.now();
+        while (!two.succession.holdsPromotionLock() && world.timers.now() < restoredAt + 20s)
+            world.timers.advance(1ms);
+        const Instant takenAt = world.timers.now();
+        CPPUNIT_ASSERT(two.succession.holdsPromotionLock());
+        world.databases["b"].isSilent = false;
+        world.databases["c"].isSilent = false;
+        losePrimary(world);
+        while (world.promotionRequests.empty() && world.timers.now() < takenAt + 10s)
+            world.timers.advance(1ms);
+        CPPUNIT_ASSERT(!world.promotionRequests.empty());
+        CPPUNIT_ASSERT(world.promotionRequests.front().at >= takenAt + leadershipLease);
+    }
+
     // Guards against a fencing token that is given out twice.
     void tokensRiseAcrossARestore()
     {
