--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -332,8 +332,7 @@
     const auto failingSince = m_evidenceFailingSince.find(group);
     const auto primary = m_leadership.primary(group);
     return failingSince != m_evidenceFailingSince.end() && primary
-           && !m_leadership.isChangeAnnounced(group)
-           && now - failingSince->second > isolatedAfter
+           && !m_leadership.isChangeAnnounced(group) && now - failingSince->second > isolatedAfter
            && !m_leadership.isLeading(group, primary->database, now);
 }
 
