--- a/libs/storefeed/include/storefeed/kindsource.h
+++ b/libs/storefeed/include/storefeed/kindsource.h
@@ -4,17 +4,22 @@
 #include "storefeed/storemirror.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
 
 namespace fescuespring {
 
-// All objects of a kind, and the store version after which to watch for changes.
+// All objects of a kind, and the store version after which to watch for changes. An object whose
+// value cannot be read, as other writers may leave, has an empty value.
 struct KindList
 {
     std::vector<StoredObject> objects;
     ObjectVersion storeVersion = {};
+
+    // Objects that were left out because their name or version could not be read.
+    std::size_t unreadable = 0;
 };
 
 // Changes of a kind, in order, and the store version up to which they are complete.
@@ -22,6 +27,9 @@
 {
     std::vector<StoreChange> changes;
     ObjectVersion storeVersion = {};
+
+    // Changes that were left out because the object's name or version could not be read.
+    std::size_t unreadable = 0;
 };
 
 // Required freshness of an answer of the store.
--- a/libs/storefeed/src/kindpoll.cpp
+++ b/libs/storefeed/src/kindpoll.cpp
@@ -38,6 +38,7 @@
     void listed(const Result<KindList> &all)
     {
         if (all) {
+            logUnreadable(all.value().unreadable);
             // Lists that may be old may still be from before a restore of the store.
             if (epochOf(all.value().storeVersion) > epochOf(version))
                 startedAt = options.timers.now();
@@ -60,12 +61,22 @@
                              });
     }
 
+    // The lists repeat what cannot be read, so only changes of the count are logged.
+    void logUnreadable(std::size_t count)
+    {
+        if (std::exchange(unreadable, count) != count && count > 0)
+            options.log.warning("objects-unreadable", {{"kind", options.kind}, {"count", count}});
+    }
+
     KindSource &store;
     Options options;
     Instant startedAt;
     ObjectVersion version;
     bool isLost = false;
 
+    // Objects of the last list that could not be read.
+    std::size_t unreadable = 0;
+
     // Distinguishes answers to the current poll from those to a stopped one; 0 while stopped.
     std::uint64_t run = 0;
     std::uint64_t lastRun = 0;
--- a/libs/storefeed/src/kindwatch.cpp
+++ b/libs/storefeed/src/kindwatch.cpp
@@ -46,6 +46,7 @@
         }
         recovered();
         logList(all.value());
+        logUnreadable(all.value().unreadable);
         version = all.value().storeVersion;
         options.mirror.replaceAll(options.kind, all.value().objects, version);
         watch();
@@ -65,6 +66,12 @@
                                          {"older", older}});
     }
 
+    void logUnreadable(std::size_t count) const
+    {
+        if (count > 0)
+            options.log.warning("objects-unreadable", {{"kind", options.kind}, {"count", count}});
+    }
+
     void watch()
     {
         store.watchKind(options.kind, version, options.wait,
@@ -87,6 +94,7 @@
             return;
         }
         recovered();
+        logUnreadable(events.value().unreadable);
         version = std::max(version, events.value().storeVersion);
         for (const StoreChange &change : events.value().changes)
             options.mirror.apply(options.kind, change);
