Relay: texts that are not UTF-8 do not end the connection between two VMs

Callers would see: a caller whose statement holds bytes that are not UTF-8, or a database whose row does, ends the connection between its VM and the owner, and with it the statements of all others on it. Cause: the receiver's JSON parser refuses such bytes, and a message that cannot be read ends the connection. Change: they are allowed; texts are forwarded as they are. Evidence: bytesThatAreNotUtf8RoundTrip red before, green after.

--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -273,8 +273,11 @@
 
 Result<RelayMessage> decodeRelayMessage(std::string_view line)
 {
+    // Texts of callers and databases need not be UTF-8, and are forwarded as they are.
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
     boost::system::error_code error;
-    const json::value value = json::parse(line, error);
+    const json::value value = json::parse(line, error, {}, options);
     Reader fields(error ? nullptr : &value);
     RelayMessage message{.kind = fields.enumerator("is", RelayMessage::Kind::Pong),
                          .lease = static_cast<std::uint64_t>(fields.integer("lease"))};
--- a/libs/relay/tests/relaymessagestest.cpp
+++ b/libs/relay/tests/relaymessagestest.cpp
@@ -42,11 +42,29 @@
     CPPUNIT_TEST_SUITE(RelayMessagesTest);
     CPPUNIT_TEST(runRoundTrips);
     CPPUNIT_TEST(outcomeRoundTrips);
+    CPPUNIT_TEST(bytesThatAreNotUtf8RoundTrip);
     CPPUNIT_TEST(errorNamesTheMissingField);
     CPPUNIT_TEST(malformedTextsAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a caller, or a database, whose bytes end the connection between two VMs, and
+    // with it the statements of all others.
+    void bytesThatAreNotUtf8RoundTrip()
+    {
+        const std::string bytes = "\xff\xfe \xc3(\xed\xa0\x80";
+        RelayMessage run = completeRun();
+        run.command.statement.argument = bytes;
+        run.values[bytes] = bytes;
+        const RelayMessage received = decoded(encodeRelayMessage(run));
+        CPPUNIT_ASSERT(received.command.statement == run.command.statement);
+        CPPUNIT_ASSERT(received.values == run.values);
+        const RelayMessage outcome{.kind = RelayMessage::Kind::Outcome,
+                                   .outcome = {.reply = {.rows = {bytes}, .signature = bytes}}};
+        const StatementReply reply = decoded(encodeRelayMessage(outcome)).outcome.reply;
+        CPPUNIT_ASSERT(reply.rows == outcome.outcome.reply.rows && reply.signature == bytes);
+    }
+
     void runRoundTrips()
     {
         const RelayMessage sent = completeRun();
