--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -40,6 +40,15 @@
         return 0;
     }
 
+    std::uint16_t port(std::string_view name)
+    {
+        const std::int64_t number = integer(name);
+        if (number > 0 && number <= UINT16_MAX)
+            return static_cast<std::uint16_t>(number);
+        m_isComplete = false;
+        return 0;
+    }
+
     bool boolean(std::string_view name)
     {
         const json::value *value = find(name);
@@ -155,8 +164,8 @@
     const std::string ip = fields.text("ip");
     const VmRecord record{.vm = VmId(std::string(key.substr(vmKeyPrefix.size()))),
                           .dataCentre = DataCentreId(fields.text("dataCentre")),
-                          .peers = {ip, static_cast<std::uint16_t>(fields.integer("port"))},
-                          .relay = {ip, static_cast<std::uint16_t>(fields.integer("relayPort"))},
+                          .peers = {ip, fields.port("port")},
+                          .relay = {ip, fields.port("relayPort")},
                           .incarnation = fields.text("incarnation"),
                           .renewal = static_cast<std::uint64_t>(fields.integer("renewal"))};
     if (!fields.isComplete())
--- a/libs/vmregistry/tests/vmregistrytest.cpp
+++ b/libs/vmregistry/tests/vmregistrytest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(VmRegistryTest);
     CPPUNIT_TEST(recordRoundTrips);
     CPPUNIT_TEST(errorOfAnInvalidRecordNamesItsKey);
+    CPPUNIT_TEST(recordWithAPortOutOfRangeIsRejected);
     CPPUNIT_TEST(vmWithoutRenewalIsGone);
     CPPUNIT_TEST(presenceLeaseEndsBeforeTheRecordExpires);
     CPPUNIT_TEST(stoppingVmIsNotLive);
@@ -50,6 +51,18 @@
         CPPUNIT_ASSERT(!registry.isExpired(record("two"), start + vmRecordExpiry));
     }
 
+    // Guards against a port that is truncated to that of another service.
+    void recordWithAPortOutOfRangeIsRejected()
+    {
+        const std::string text = encodeVmRecord(record("one"));
+        for (const char *port : {"72976", "-1", "0", "1e400"}) {
+            std::string odd = text;
+            odd.replace(odd.find("7440"), 4, port);
+            CPPUNIT_ASSERT_MESSAGE(port, !decodeVmRecord(vmKey(VmId("one")), odd));
+        }
+        CPPUNIT_ASSERT(!decodeVmRecord(vmKey(VmId("one")), std::string(200, '[')));
+    }
+
     void recordRoundTrips()
     {
         VmRecord sent = record("one", 9);
