fescuespringd: an odd VM or object in a list of the platform costs that one alone

Cause: one element that could not be decoded (port 70000, a number beyond any range, nested deeply, bytes that are not UTF-8) made the whole list malformed, for as long as it stood: the VM followed no list of VMs any more. Change: lists are cut into elements (codec/jsonparts), each is decoded alone; the number of those left out is logged when it changes (list-entries-unreadable).

--- a/libs/httpstore/include/httpstore/httpobjectstore.h
+++ b/libs/httpstore/include/httpstore/httpobjectstore.h
@@ -3,6 +3,8 @@
 #include "net/eventloop.h"
 #include "store/objectstore.h"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -13,8 +15,13 @@
 class HttpObjectStore : public ObjectStore
 {
 public:
+    // Called when the number of elements of a list that cannot be decoded changes; they are left
+    // out. The list is named by its prefix, or "vms".
+    using UnreadableChanged = std::function<void(const std::string &list, std::size_t count)>;
+
     // Connections are bound to localIp; if empty, the system chooses the address.
-    HttpObjectStore(EventLoop &loop, const Endpoint &platform, const std::string &localIp = {});
+    HttpObjectStore(EventLoop &loop, const Endpoint &platform, const std::string &localIp = {},
+                    UnreadableChanged unreadableChanged = {});
     ~HttpObjectStore() override;
 
     void read(const std::string &key, std::chrono::milliseconds timeout, ReadDone done) override;
--- a/libs/httpstore/include/httpstore/platformcodec.h
+++ b/libs/httpstore/include/httpstore/platformcodec.h
@@ -2,6 +2,7 @@
 
 #include "store/objectstore.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,9 +11,12 @@
 
 // JSON of the platform's requests and replies. Unknown fields are ignored; no function throws.
 Result<StoredObject> decodeObject(std::string_view text);
-Result<std::vector<StoredObject>> decodeObjects(std::string_view text);
+
+// Elements that cannot be decoded are left out and counted in unreadable.
+Result<std::vector<StoredObject>> decodeObjects(std::string_view text, std::size_t &unreadable);
+Result<std::vector<PlatformVm>> decodeVms(std::string_view text, std::size_t &unreadable);
+
 Result<ObjectVersion> decodeVersion(std::string_view text);
-Result<std::vector<PlatformVm>> decodeVms(std::string_view text);
 
 std::string encodeWrite(const ObjectWrite &write);
 
--- a/libs/httpstore/src/httpobjectstore.cpp
+++ b/libs/httpstore/src/httpobjectstore.cpp
@@ -1,7 +1,10 @@
 #include "httpstore/httpobjectstore.h"
 
+#include "httpstore/platformcodec.h"
 #include "net/httpclient.h"
-#include "platformcodec.h"
+
+#include <map>
+#include <utility>
 
 namespace fescuespring {
 
@@ -14,6 +17,7 @@
 // Time allowed for the reply to a watch beyond its wait, after which the watch counts as lost.
 constexpr std::chrono::milliseconds watchGrace{2000};
 
+constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
@@ -49,20 +53,50 @@
 
 struct HttpObjectStore::Data
 {
-    Data(EventLoop &loop, const Endpoint &platform, const std::string &localIp)
-        : client(loop, {.endpoint = platform,
+    Data(EventLoop &loop, const Endpoint &platform, const std::string &localIp,
+         UnreadableChanged changed)
+        : unreadableChanged(std::move(changed))
+        , client(loop, {.endpoint = platform,
                         .localIp = localIp,
                         .connectTimeout = connectTimeout,
                         .maxConnections = maximumConnections,
                         .maxBodyBytes = maximumListBytes})
     {}
 
+    // Passes the decoded list, or the error, to done.
+    template <typename T>
+    HttpCallback decodeListWith(const std::string &list,
+                                Result<std::vector<T>> (*decode)(std::string_view, std::size_t &),
+                                std::function<void(const Result<std::vector<T>> &)> done)
+    {
+        return [this, list, decode, done = std::move(done)](const Result<HttpResponse> &response) {
+            if (!response || response.value().status != statusOk) {
+                done(response ? errorOf(response.value().status) : response.error());
+                return;
+            }
+            std::size_t count = 0;
+            const Result<std::vector<T>> decoded = decode(response.value().body, count);
+            noteUnreadable(list, count);
+            done(decoded);
+        };
+    }
+
+    void noteUnreadable(const std::string &list, std::size_t count)
+    {
+        if (std::exchange(unreadable[list], count) != count && unreadableChanged)
+            unreadableChanged(list, count);
+    }
+
+    UnreadableChanged unreadableChanged;
+
+    // Elements that could not be decoded when a list was last read, by list.
+    std::map<std::string, std::size_t> unreadable;
     HttpClient client;
 };
 
 HttpObjectStore::HttpObjectStore(EventLoop &loop, const Endpoint &platform,
-                                 const std::string &localIp)
-    : m_data(std::make_unique<Data>(loop, platform, localIp))
+                                 const std::string &localIp, UnreadableChanged unreadableChanged)
+    : m_data(std::make_unique<Data>(loop, platform, localIp, std::move(unreadableChanged)))
 {}
 
 HttpObjectStore::~HttpObjectStore() = default;
@@ -75,7 +109,7 @@
                                 done(Result<StoredObject>(response.error()));
                             else if (response.value().status == statusNotFound)
                                 done(Result<StoredObject>(StoredObject{.key = key}));
-                            else if (response.value().status != 200)
+                            else if (response.value().status != statusOk)
                                 done(Result<StoredObject>(errorOf(response.value().status)));
                             else
                                 done(decodeObject(response.value().body));
@@ -85,42 +119,36 @@
 void HttpObjectStore::list(const std::string &prefix, std::chrono::milliseconds timeout,
                            ListDone done)
 {
-    using Objects = Result<std::vector<StoredObject>>;
-    m_data->client.send({.target = "/v1/objects?prefix=" + percentEncode(prefix)}, timeout,
-                        [done = std::move(done)](const Result<HttpResponse> &response) {
-                            if (!response)
-                                done(Objects(response.error()));
-                            else if (response.value().status != 200)
-                                done(Objects(errorOf(response.value().status)));
-                            else
-                                done(decodeObjects(response.value().body));
-                        });
+    m_data->client.send(
+            {.target = "/v1/objects?prefix=" + percentEncode(prefix)}, timeout,
+            m_data->decodeListWith<StoredObject>(prefix, decodeObjects, std::move(done)));
 }
 
 void HttpObjectStore::write(const ObjectWrite &write, std::chrono::milliseconds timeout,
                             WriteDone done)
 {
     using Answer = Result<WriteAnswer>;
-    m_data->client.send(
-            {.method = "PUT",
-             .target = "/v1/objects/" + keyPath(write.key),
-             .body = encodeWrite(write)},
-            timeout, [done = std::move(done)](const Result<HttpResponse> &response) {
-                if (!response) {
-                    done(Answer(response.error()));
-                    return;
-                }
-                const int status = response.value().status;
-                if (status != 200 && status != statusConflict) {
-                    done(Answer(errorOf(status)));
-                    return;
-                }
-                const Result<ObjectVersion> version = decodeVersion(response.value().body);
-                if (!version)
-                    done(Answer(version.error()));
-                else
-                    done(Answer(WriteAnswer{.written = status == 200, .version = version.value()}));
-            });
+    m_data->client.send({.method = "PUT",
+                         .target = "/v1/objects/" + keyPath(write.key),
+                         .body = encodeWrite(write)},
+                        timeout, [done = std::move(done)](const Result<HttpResponse> &response) {
+                            if (!response) {
+                                done(Answer(response.error()));
+                                return;
+                            }
+                            const int status = response.value().status;
+                            if (status != statusOk && status != statusConflict) {
+                                done(Answer(errorOf(status)));
+                                return;
+                            }
+                            const Result<ObjectVersion> version =
+                                    decodeVersion(response.value().body);
+                            if (!version)
+                                done(Answer(version.error()));
+                            else
+                                done(Answer(WriteAnswer{.written = status == statusOk,
+                                                        .version = version.value()}));
+                        });
 }
 
 void HttpObjectStore::watch(const std::string &key, ObjectVersion after,
@@ -136,7 +164,7 @@
                     done(Result<StoredObject>(response.error()));
                 else if (response.value().status == statusNotModified)
                     done(Result<StoredObject>(StoredObject{.key = key, .version = after}));
-                else if (response.value().status != 200)
+                else if (response.value().status != statusOk)
                     done(Result<StoredObject>(errorOf(response.value().status)));
                 else
                     done(decodeObject(response.value().body));
@@ -145,16 +173,8 @@
 
 void HttpObjectStore::vms(std::chrono::milliseconds timeout, VmsDone done)
 {
-    using Vms = Result<std::vector<PlatformVm>>;
     m_data->client.send({.target = "/v1/vms"}, timeout,
-                        [done = std::move(done)](const Result<HttpResponse> &response) {
-                            if (!response)
-                                done(Vms(response.error()));
-                            else if (response.value().status != 200)
-                                done(Vms(errorOf(response.value().status)));
-                            else
-                                done(decodeVms(response.value().body));
-                        });
+                        m_data->decodeListWith<PlatformVm>("vms", decodeVms, std::move(done)));
 }
 
 } // namespace fescuespring
--- a/libs/httpstore/src/platformcodec.cpp
+++ b/libs/httpstore/src/platformcodec.cpp
@@ -1,4 +1,6 @@
-#include "platformcodec.h"
+#include "httpstore/platformcodec.h"
+
+#include "codec/jsonparts.h"
 
 #include <boost/json.hpp>
 
@@ -28,6 +30,26 @@
     }
 }
 
+// Decodes the elements of the list in a member, one by one.
+template <typename T, typename Decode>
+Result<std::vector<T>> decodeList(std::string_view text, const char *member, Decode decode,
+                                  std::size_t &unreadable)
+{
+    const auto members = jsonMembers(text);
+    const auto elements = members ? jsonElements(memberText(*members, member)) : std::nullopt;
+    if (!elements)
+        return malformed(std::string("no list of ") + member);
+    std::vector<T> decoded;
+    for (const std::string_view element : *elements) {
+        Result<T> one = decodeWith<T>(element, decode);
+        if (one)
+            decoded.push_back(std::move(one.value()));
+        else
+            ++unreadable;
+    }
+    return decoded;
+}
+
 std::string textOf(const json::object &object, const char *name)
 {
     const json::value *value = object.if_contains(name);
@@ -60,14 +82,9 @@
     return decodeWith<StoredObject>(text, objectOf);
 }
 
-Result<std::vector<StoredObject>> decodeObjects(std::string_view text)
+Result<std::vector<StoredObject>> decodeObjects(std::string_view text, std::size_t &unreadable)
 {
-    return decodeWith<std::vector<StoredObject>>(text, [](const json::object &object) {
-        std::vector<StoredObject> objects;
-        for (const json::value &element : object.at("objects").as_array())
-            objects.push_back(objectOf(element.as_object()));
-        return objects;
-    });
+    return decodeList<StoredObject>(text, "objects", objectOf, unreadable);
 }
 
 Result<ObjectVersion> decodeVersion(std::string_view text)
@@ -77,14 +94,9 @@
     });
 }
 
-Result<std::vector<PlatformVm>> decodeVms(std::string_view text)
+Result<std::vector<PlatformVm>> decodeVms(std::string_view text, std::size_t &unreadable)
 {
-    return decodeWith<std::vector<PlatformVm>>(text, [](const json::object &object) {
-        std::vector<PlatformVm> vms;
-        for (const json::value &element : object.at("vms").as_array())
-            vms.push_back(vmOf(element.as_object()));
-        return vms;
-    });
+    return decodeList<PlatformVm>(text, "vms", vmOf, unreadable);
 }
 
 std::string encodeWrite(const ObjectWrite &write)
--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -59,7 +59,10 @@
     , m_state(state)
     , m_log(log)
     , m_hooks(std::move(hooks))
-    , m_objectStore(loop, settings.platformEndpoint, settings.peerEndpoint.ip)
+    , m_objectStore(loop, settings.platformEndpoint, settings.peerEndpoint.ip,
+                    [&log](const std::string &list, std::size_t count) {
+                        log.warning("list-entries-unreadable", {{"list", list}, {"count", count}});
+                    })
     , m_store(m_objectStore,
               {.callTimeout = settings.timings.platformTimeout,
                .watchWait = settings.timings.platformWatch,
