Watches that fail: the kind is listed in between (CONFIG)

Cause: a watch that failed was repeated from the same version for ever, whatever the error. Change: a watch that fails is repeated once, then the kind is listed in turn with watches; at once if the answer could not be read. Backoff as before.

--- a/libs/storefeed/include/storefeed/kindwatch.h
+++ b/libs/storefeed/include/storefeed/kindwatch.h
@@ -12,7 +12,8 @@
 namespace fescuespring {
 
 // Follows all objects of one kind: lists them, then watches for changes, and lists again if the
-// store no longer has the required history. Failures are retried with backoff.
+// store no longer has the required history. Failures are retried with backoff; while watches fail,
+// the kind is listed instead.
 //
 //     KindWatch watch(store, {.timers = timers, .log = log, .kind = "servers", ...});
 //     watch.start();
--- a/libs/storefeed/src/kindwatch.cpp
+++ b/libs/storefeed/src/kindwatch.cpp
@@ -22,6 +22,11 @@
 
 struct KindWatch::Data : std::enable_shared_from_this<KindWatch::Data>
 {
+    enum class Step {
+        List,
+        Watch,
+    };
+
     Data(KindSource &kindSource, Options watchOptions)
         : store(kindSource)
         , options(std::move(watchOptions))
@@ -41,10 +46,11 @@
     void listed(const Result<KindList> &all)
     {
         if (!all) {
-            retry(all.error(), &Data::list);
+            retry(all.error(), Step::List);
             return;
         }
-        recovered();
+        if (!isWatchFailing)
+            recovered();
         logList(all.value());
         logUnreadable(all.value().unreadable);
         version = all.value().storeVersion;
@@ -90,9 +96,11 @@
             return;
         }
         if (!events) {
-            retry(events.error(), &Data::watch);
+            isWatchFailing = true;
+            retry(events.error(), Step::Watch);
             return;
         }
+        isWatchFailing = false;
         recovered();
         logUnreadable(events.value().unreadable);
         version = std::max(version, events.value().storeVersion);
@@ -102,28 +110,38 @@
         if (events.value().changes.empty())
             watch();
         else
-            scheduleStep(changePause, &Data::watch);
+            scheduleStep(changePause, Step::Watch);
     }
 
-    void retry(const Error &error, void (Data::*step)())
+    // A watch that fails is repeated once, then the kind is listed: so changes arrive while only
+    // watches fail, and although a change cannot be read.
+    void retry(const Error &error, Step failed)
     {
-        if (backoff == milliseconds(0)) {
+        const bool isFirst = backoff == milliseconds(0);
+        if (isFirst) {
             options.log.warning("watch-lost", {{"kind", options.kind}, {"error", error.message}});
             backoff = firstBackoff;
         }
+        const bool isUnreadable = error.code == ErrorCode::Malformed;
+        const bool useWatch =
+                failed == Step::Watch ? isFirst && !isUnreadable : version != ObjectVersion();
         using Count = Duration::rep;
         const Count longest = Duration(backoff).count();
         const Duration wait(std::uniform_int_distribution<Count>(longest / 2, longest)(random));
         backoff = std::min(backoff * 2, maximumBackoff);
-        scheduleStep(wait, step);
+        scheduleStep(wait, useWatch ? Step::Watch : Step::List);
     }
 
-    void scheduleStep(Duration wait, void (Data::*step)())
+    void scheduleStep(Duration wait, Step step)
     {
         options.timers.after(wait, [weak = weak_from_this(), step, run = run] {
             const auto self = weak.lock();
-            if (self && self->run == run)
-                (self.get()->*step)();
+            if (!self || self->run != run)
+                return;
+            if (step == Step::List)
+                self->list();
+            else
+                self->watch();
         });
     }
 
@@ -137,7 +155,10 @@
     Options options;
     std::mt19937_64 random;
     ObjectVersion version;
+
+    // 0 unless a request has failed since the last successful watch.
     milliseconds backoff{0};
+    bool isWatchFailing = false;
 
     // Distinguishes answers to the current watch from those to a stopped one; 0 while stopped.
     std::uint64_t run = 0;
--- a/libs/storefeed/tests/kindwatchtest.cpp
+++ b/libs/storefeed/tests/kindwatchtest.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(watchContinuesFromTheListedVersion);
     CPPUNIT_TEST(burstOfChangesNeedsFewRequests);
     CPPUNIT_TEST(missingHistoryLeadsToANewList);
+    CPPUNIT_TEST(unreadableChangesLeadToANewList);
+    CPPUNIT_TEST(changesArriveWhileWatchesFail);
     CPPUNIT_TEST(failuresAreRetriedWithBackoff);
     CPPUNIT_TEST(stoppedWatchIgnoresAnswers);
     CPPUNIT_TEST(restartedWatchContinuesFromItsVersion);
@@ -135,6 +137,48 @@
         CPPUNIT_ASSERT(fixture.store.watchings.at(0).after == ObjectVersion(40));
     }
 
+    // Guards against a watch that is repeated although the same answer cannot be read again.
+    void unreadableChangesLeadToANewList()
+    {
+        Fixture fixture;
+        fixture.watch.start();
+        fixture.store.answerList(KindList{{object("servers/a", 3)}, ObjectVersion(7)});
+        fixture.store.answerWatch(Error{ErrorCode::Malformed, "not JSON"});
+        fixture.timers.advance(100ms);
+        CPPUNIT_ASSERT(fixture.store.watchings.empty());
+        fixture.store.answerList(KindList{{object("servers/a", 8)}, ObjectVersion(9)});
+        CPPUNIT_ASSERT(fixture.mirror.find("servers", "servers/a")->version == ObjectVersion(8));
+        CPPUNIT_ASSERT(fixture.store.watchings.at(0).after == ObjectVersion(9));
+    }
+
+    // Guards against a configuration that never comes into force while the store refuses watches
+    // and answers all other calls, so that nothing else shows that this VM is behind.
+    void changesArriveWhileWatchesFail()
+    {
+        Fixture fixture;
+        fixture.watch.start();
+        fixture.store.answerList(KindList{{object("servers/a", 3)}, ObjectVersion(7)});
+        std::uint64_t version = 7;
+        int calls = 0;
+        const Instant end = fixture.timers.now() + 6s;
+        while (fixture.timers.now() < end) {
+            if (!fixture.store.watchings.empty()) {
+                ++calls;
+                fixture.store.answerWatch(Error{ErrorCode::Refused, "too many calls"});
+            }
+            if (!fixture.store.listings.empty()) {
+                ++calls;
+                ++version;
+                fixture.store.answerList(
+                        KindList{{object("servers/a", version)}, ObjectVersion(version)});
+            }
+            fixture.timers.advance(10ms);
+        }
+        // A list at least each 1.2 s, two backoffs, and no more calls than with failing lists.
+        CPPUNIT_ASSERT(version >= 7 + 5);
+        CPPUNIT_ASSERT(calls <= 24 + static_cast<int>(version - 7));
+    }
+
     void failuresAreRetriedWithBackoff()
     {
         Fixture fixture;
