--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -288,6 +288,8 @@
         log.error("leadership-unreadable", {{"error", describe(snapshot.error())}});
         return;
     }
+    for (const std::string &key : snapshot.value().ignoredKeys)
+        log.warning("leadership-object-ignored", {{"key", key}});
     for (const LeadershipRecord &record : snapshot.value().records) {
         const LeadershipRecord before = m_upstreams.leadership().record(record.group);
         if (before.version == record.version)
--- a/libs/leadership/include/leadership/leadershiprecord.h
+++ b/libs/leadership/include/leadership/leadershiprecord.h
@@ -63,6 +63,9 @@
     // Epoch in which the installation started for the first time: in that epoch, a group without a
     // record never had a change of primary. Empty if it was not written, or was lost.
     std::optional<StoreEpoch> origin = {};
+
+    // Keys of objects that are none of these, as another writer may leave.
+    std::vector<std::string> ignoredKeys = {};
 };
 
 // Keys of the objects in the store.
@@ -76,8 +79,9 @@
 std::string encodePromotionLock(const PromotionLock &lock);
 std::string encodeOrigin(StoreEpoch origin);
 
-// Decodes a listing of the objects. If one object is unreadable, the whole snapshot is Malformed,
-// as nothing may be concluded from part of the records. The epoch is that of the listing.
+// Decodes a listing of the objects. If a record, the lock or the origin is unreadable, the whole
+// snapshot is Malformed, as nothing may be concluded from part of them; objects with other names
+// are ignored. The epoch is that of the listing.
 Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects,
                                           StoreEpoch epoch = {});
 
--- a/libs/leadership/src/leadershiprecord.cpp
+++ b/libs/leadership/src/leadershiprecord.cpp
@@ -103,12 +103,18 @@
 {
     LeadershipSnapshot snapshot{.epoch = epoch};
     for (const StoredObject &object : objects) {
-        boost::system::error_code error;
-        const json::value value = json::parse(object.value, error);
-        if (error || !value.is_object() || !object.key.starts_with(leadershipKeyPrefix))
+        if (!object.key.starts_with(leadershipKeyPrefix))
             return unreadable(object);
         const std::string_view name =
                 std::string_view(object.key).substr(leadershipKeyPrefix.size());
+        if (name != lockName && name != originName && !name.starts_with(groupPrefix)) {
+            snapshot.ignoredKeys.push_back(object.key);
+            continue;
+        }
+        boost::system::error_code error;
+        const json::value value = json::parse(object.value, error);
+        if (error || !value.is_object())
+            return unreadable(object);
         if (name == lockName) {
             snapshot.promotionLock = decodePromotionLock(value.get_object(), object.version);
             if (!snapshot.promotionLock)
@@ -121,8 +127,6 @@
                 return unreadable(object);
             continue;
         }
-        if (!name.starts_with(groupPrefix))
-            return unreadable(object);
         const auto record = decodeLeadership(value.get_object(), name.substr(groupPrefix.size()),
                                              object.version);
         if (!record)
--- a/libs/leadership/tests/leadershipviewtest.cpp
+++ b/libs/leadership/tests/leadershipviewtest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(floorsOfAReplacedPrimaryAreDropped);
     CPPUNIT_TEST(encodedRecordsAreDecoded);
     CPPUNIT_TEST(unreadableRecordFailsTheSnapshot);
+    CPPUNIT_TEST(objectOfAnotherWriterIsIgnored);
     CPPUNIT_TEST(restoredRecordLacksTheChange);
     CPPUNIT_TEST(missingRecordIsEvidenceInTheOriginalStoreOnly);
     CPPUNIT_TEST(presenceOfAnEarlierEpochGivesNoLease);
@@ -186,6 +187,20 @@
         CPPUNIT_ASSERT_EQUAL(lock.incarnation, read.value().promotionLock->incarnation);
     }
 
+    // Guards against VMs that get no lease on any group because of one object of another writer.
+    void objectOfAnotherWriterIsIgnored()
+    {
+        const LeadershipRecord written = record(a, true, 7);
+        const std::string foreignKey = std::string(leadershipKeyPrefix) + "odd";
+        for (const char *text : {"", "[]", "{}"}) {
+            const auto read = decodeSnapshot(
+                    {{leadershipKey(group), written.version, encodeLeadership(written)},
+                     {foreignKey, ObjectVersion(8), text}});
+            CPPUNIT_ASSERT(read && read.value().records.at(0) == written);
+            CPPUNIT_ASSERT(read.value().ignoredKeys == std::vector<std::string>{foreignKey});
+        }
+    }
+
     void unreadableRecordFailsTheSnapshot()
     {
         for (const char *text : {"", "[]", "{}", R"({"moving":1,"primary":"a","term":1})",
