--- a/libs/vmregistry/src/vmregistry.cpp
+++ b/libs/vmregistry/src/vmregistry.cpp
@@ -43,7 +43,7 @@
     std::uint16_t port(std::string_view name)
     {
         const std::int64_t number = integer(name);
-        if (number > 0 && number <= UINT16_MAX)
+        if (number >= 0 && number <= UINT16_MAX)
             return static_cast<std::uint16_t>(number);
         m_isComplete = false;
         return 0;
