--- a/libs/coordination/include/coordination/storeaccess.h
+++ b/libs/coordination/include/coordination/storeaccess.h
@@ -79,6 +79,13 @@
         return m_mode == Mode::Following;
     }
 
+    // The VM from which this VM currently receives objects, or tries to; "store" if it reads the
+    // store.
+    std::string source() const
+    {
+        return m_follower ? m_followed.value() : "store";
+    }
+
 private:
     enum class Mode {
         // Reads and watches the store.
--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -45,7 +45,7 @@
     void handle(const RequestId &id, const Statement &statement);
 
     // Replies Malformed to a statement that could not be parsed; no other may be running.
-    void reject(const std::string &message);
+    void reject(const RequestId &id, const std::string &message);
 
     bool isBusy() const
     {
@@ -90,6 +90,9 @@
     std::optional<Route> currentRoute() const;
 
     Options m_options;
+
+    // Id of the last statement.
+    RequestId m_id;
     SessionContext m_context;
     SessionPhase m_phase = SessionPhase::Idle;
     std::optional<Transaction> m_transaction;
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -316,6 +316,7 @@
              {"kind", toString(m_statement.kind)},
              {"group", m_route.group},
              {"route", m_route.name},
+             {"configuration", m_configuration},
              {"reason", toString(reply.failure)},
              {"message", reply.message},
              {"database", m_attempts.empty() ? DatabaseId() : m_attempts.back()->database},
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -31,6 +31,7 @@
     , m_id(std::move(id))
     , m_statement(std::move(statement))
     , m_route(std::move(route))
+    , m_configuration(session.m_options.routes.configuration().version)
 {
     if (prepared) {
         m_prepared = *prepared;
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -93,6 +93,9 @@
     Statement m_statement;
     std::optional<PreparedStatement> m_prepared;
     Route m_route;
+
+    // Version of the configuration when the statement was received.
+    std::uint64_t m_configuration;
     Instant m_startedAt;
     Instant m_deadline;
     Instant m_holdUntil;
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -27,6 +27,7 @@
 
 void StatementSession::handle(const RequestId &id, const Statement &statement)
 {
+    m_id = id;
     m_options.upstreams.context().timers.cancel(std::exchange(m_idleTimer, 0));
     const bool endsTransaction =
             statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
@@ -63,8 +64,9 @@
     runOnDatabase(id, statement);
 }
 
-void StatementSession::reject(const std::string &message)
+void StatementSession::reject(const RequestId &id, const std::string &message)
 {
+    m_id = id;
     m_options.upstreams.context().timers.cancel(std::exchange(m_idleTimer, 0));
     replyFailure(StatementFailure::Malformed, message);
 }
@@ -150,6 +152,16 @@
     const bool failsTransaction = m_phase == SessionPhase::InTransaction;
     if (failsTransaction)
         m_phase = SessionPhase::Failed;
+    const ProxyContext &context = m_options.upstreams.context();
+    context.counters.counter("fescuespring_statements_refused_total", "reason", toString(failure))
+            .add();
+    context.log.info("statement-refused",
+                     {{"id", m_id},
+                      {"route", m_options.name},
+                      {"reason", toString(failure)},
+                      {"message", message},
+                      {"transaction", failsTransaction},
+                      {"configuration", m_options.routes.configuration().version}});
     reply({.failure = failure, .message = message, .phase = m_phase});
 }
 
