--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -105,6 +105,8 @@
 };
 
 namespace detail {
+template <typename Task>
+class GroupTask;
 class LeadershipChange;
 class PrimaryConfirmation;
 } // namespace detail
@@ -161,6 +163,8 @@
     bool holdsPromotionLock() const;
 
 private:
+    template <typename Task>
+    friend class detail::GroupTask;
     friend class detail::LeadershipChange;
     friend class detail::PrimaryConfirmation;
 
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -22,45 +22,13 @@
 } // namespace
 
 LeadershipChange::LeadershipChange(Succession &owner, GroupId group, Options options)
-    : m_owner(&owner)
-    , m_group(std::move(group))
+    : GroupTask(owner, std::move(group))
     , m_options(options)
-    , m_startedAt(owner.m_options.timers.now())
 {}
 
-void LeadershipChange::abandon()
+const char *LeadershipChange::reasonToEnd() const
 {
-    m_isRunning = false;
-    m_owner = nullptr;
-}
-
-Instant LeadershipChange::now() const
-{
-    return m_owner->m_options.timers.now();
-}
-
-void LeadershipChange::after(Duration delay, void (LeadershipChange::*step)())
-{
-    m_owner->m_options.timers.after(delay, [weak = weak_from_this(), step] {
-        const auto self = weak.lock();
-        if (self && self->canContinue())
-            (self.get()->*step)();
-    });
-}
-
-bool LeadershipChange::canContinue()
-{
-    if (!m_isRunning)
-        return false;
-    if (!m_owner->holdsPromotionLock()) {
-        end("duty-lost");
-        return false;
-    }
-    if (now() - m_startedAt > changeTime) {
-        end("timeout");
-        return false;
-    }
-    return true;
+    return now() - m_startedAt > changeTime ? "timeout" : nullptr;
 }
 
 void LeadershipChange::start()
@@ -119,7 +87,7 @@
 void LeadershipChange::announce()
 {
     LeadershipRecord record = m_owner->m_options.view.record(m_group);
-    // Nobody relies on an unconfirmed record, so the change of its primary needs no announcement.
+    // No lease covers an unconfirmed record, so the change of its primary needs no announcement.
     if (record.isChanging || !m_owner->m_options.view.isConfirmed(m_group)) {
         m_record = record;
         announced();
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "leadership/succession.h"
+#include "grouptask.h"
 
 #include <set>
 
 namespace fescuespring::detail {
 
 // One change of primary of one group, from the announcement to the record of the new primary.
-class LeadershipChange : public std::enable_shared_from_this<LeadershipChange>
+class LeadershipChange : public GroupTask<LeadershipChange>
 {
 public:
     struct Options
@@ -25,20 +25,16 @@
 
     void start();
 
-    // Ends the change, as the owner is being destroyed; pending callbacks have no effect.
-    void abandon();
-
 private:
+    friend class GroupTask<LeadershipChange>;
+
     struct Answer
     {
         DatabaseId database;
         std::optional<UpstreamStatus> status;
     };
 
-    Instant now() const;
-    void after(Duration delay, void (LeadershipChange::*step)());
-    bool canContinue();
-
+    const char *reasonToEnd() const;
     void requestTerms();
     void announceIfTermKnown();
     void announce();
@@ -64,10 +60,7 @@
     void recordPrimary(const DatabaseId &database, Term term);
     void end(const char *outcome);
 
-    Succession *m_owner;
-    GroupId m_group;
     Options m_options;
-    Instant m_startedAt;
     Instant m_announcedAt;
 
     // VMs that may hold a lease without having read the announcement; empty until known.
@@ -90,7 +83,6 @@
     // The status last reported by the chosen database, for the log.
     std::string m_lastStatusRow;
     std::set<DatabaseId> m_refused;
-    bool m_isRunning = true;
 };
 
 } // namespace fescuespring::detail
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -18,43 +18,14 @@
 } // namespace
 
 PrimaryConfirmation::PrimaryConfirmation(Succession &owner, GroupId group)
-    : m_owner(&owner)
-    , m_group(std::move(group))
-    , m_startedAt(owner.m_options.timers.now())
+    : GroupTask(owner, std::move(group))
 {}
 
-void PrimaryConfirmation::abandon()
+const char *PrimaryConfirmation::reasonToEnd() const
 {
-    m_isRunning = false;
-    m_owner = nullptr;
-}
-
-void PrimaryConfirmation::after(Duration delay, void (PrimaryConfirmation::*step)())
-{
-    m_owner->m_options.timers.after(delay, [weak = weak_from_this(), step] {
-        const auto self = weak.lock();
-        if (self && self->canContinue())
-            (self.get()->*step)();
-    });
-}
-
-bool PrimaryConfirmation::canContinue()
-{
-    if (!m_isRunning)
-        return false;
-    if (!m_owner->holdsPromotionLock()) {
-        end("duty-lost");
-        return false;
-    }
-    if (m_owner->m_options.view.isConfirmed(m_group)) {
-        end("recorded-already");
-        return false;
-    }
-    if (m_owner->m_options.timers.now() - m_startedAt > confirmationTime) {
-        end("timeout");
-        return false;
-    }
-    return true;
+    if (m_owner->m_options.view.isConfirmed(m_group))
+        return "recorded-already";
+    return now() - m_startedAt > confirmationTime ? "timeout" : nullptr;
 }
 
 void PrimaryConfirmation::start()
--- a/libs/leadership/src/primaryconfirmation.h
+++ b/libs/leadership/src/primaryconfirmation.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "leadership/succession.h"
+#include "grouptask.h"
 
-#include <memory>
 #include <optional>
 #include <vector>
 
@@ -14,17 +13,16 @@
 // A holder of the lock in an earlier epoch requests a promotion only under its lease and after a
 // majority of the group has paused. So once all leases of that epoch are over, a majority that is
 // not paused shows that no such request is in flight.
-class PrimaryConfirmation : public std::enable_shared_from_this<PrimaryConfirmation>
+class PrimaryConfirmation : public GroupTask<PrimaryConfirmation>
 {
 public:
     PrimaryConfirmation(Succession &owner, GroupId group);
 
     void start();
 
-    // Ends the confirmation, as the owner is being destroyed; pending callbacks have no effect.
-    void abandon();
-
 private:
+    friend class GroupTask<PrimaryConfirmation>;
+
     struct Answer
     {
         SuccessionCandidate candidate;
@@ -32,8 +30,7 @@
     };
     using Answers = std::vector<Answer>;
 
-    void after(Duration delay, void (PrimaryConfirmation::*step)());
-    bool canContinue();
+    const char *reasonToEnd() const;
     void queryDatabases();
     void evaluate(const Answers &answers);
     static const Answer *leader(const Answers &answers);
@@ -43,11 +40,6 @@
     bool isLost(const Answers &answers) const;
     void recordPrimary(const DatabaseId &database, Term term);
     void end(const char *outcome);
-
-    Succession *m_owner;
-    GroupId m_group;
-    Instant m_startedAt;
-    bool m_isRunning = true;
 };
 
 } // namespace fescuespring::detail
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -249,7 +249,7 @@
 
 void Succession::release()
 {
-    // A released lock tells its next holder that nobody else acts.
+    // The next holder of a released lock need not wait for the calls of another.
     if (!mayPromote() || !m_changes.empty() || !m_confirmations.empty())
         return;
     m_isReleasing = true;
--- a/libs/leadership/tests/leadershipviewtest.cpp
+++ b/libs/leadership/tests/leadershipviewtest.cpp
@@ -120,7 +120,7 @@
         CPPUNIT_ASSERT(!other.isLeading(group, a, start));
     }
 
-    // Guards against a lease that nobody waits for, as the record of this VM was lost.
+    // Guards against a lease that other VMs do not wait for, as the record of this VM was lost.
     void presenceOfAnEarlierEpochGivesNoLease()
     {
         LeadershipView view;
