--- a/libs/coordination/tests/coordinatortest.cpp
+++ b/libs/coordination/tests/coordinatortest.cpp
@@ -571,7 +571,7 @@
                 vm.upstreams.leadership().isLeading(group, DatabaseId("a"), world.timers.now()));
     }
 
-    // The lost records may have told of changes of primary.
+    // The lost records may have held changes of primary.
     void originIsNotRecordedAfterARestore()
     {
         World world;
