--- a/libs/codec/tests/jsonpartstest.cpp
+++ b/libs/codec/tests/jsonpartstest.cpp
@@ -1,6 +1,7 @@
 #include "codec/jsonparts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <random>
 #include <string>
 
 using namespace fescuespring;
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(cutsMembers);
     CPPUNIT_TEST(partsNeedNotBeValid);
     CPPUNIT_TEST(unclosedTextHasNoParts);
+    CPPUNIT_TEST(randomTextsNeverCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +55,32 @@
                        == (Texts{"1", deep, "1e99999999999", "\"\xff\"", "nonsense", "2"}));
     }
 
+    // Parts of texts that were changed at random lie within them, one behind the other.
+    void randomTextsNeverCrash()
+    {
+        std::mt19937 random(27);
+        const std::string pieces = "[]{},:\"\\ a1\n";
+        for (int i = 0; i < 20'000; ++i) {
+            std::string text = i % 2 == 0 ? "[" : "{";
+            for (auto length = random() % 24; length > 0; --length)
+                text += pieces[random() % pieces.size()];
+            text += i % 2 == 0 ? "]" : "}";
+            const char *end = text.data();
+            const auto expectBehind = [&](std::string_view part) {
+                CPPUNIT_ASSERT(part.data() >= end);
+                end = part.data() + part.size();
+                CPPUNIT_ASSERT(end <= text.data() + text.size());
+            };
+            for (const std::string_view element : jsonElements(text).value_or(Texts()))
+                expectBehind(element);
+            end = text.data();
+            for (const JsonMember &member : jsonMembers(text).value_or(std::vector<JsonMember>())) {
+                expectBehind(member.name);
+                expectBehind(member.value);
+            }
+        }
+    }
+
     void unclosedTextHasNoParts()
     {
         for (const char *text : {"", "[", "[1", "[1,", "[\"a]", "[\"a\\\"]", "[[1]", "[1]]", "{\"a",
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -44,7 +44,7 @@
 
 // The known databases. An entry that vanishes is kept for missingEntryGrace, unless another
 // database of the group takes its address. A database that announced that it is leaving does not
-// return in the same incarnation, whatever an older entry says. Not thread-safe; reads no clock.
+// return in the same incarnation, even with an older entry. Not thread-safe; reads no clock.
 class UpstreamDirectory
 {
 public:
