fescuespringd: a list of objects with an odd one fails again, and says which

Lists of objects are read by fescuectl alone, which checks an edit against all customers' lists and looks there whether it was made already: with one left out, an edit could be accepted against a part of them, or made twice. The list of VMs stays as mended.

--- a/libs/httpstore/include/httpstore/httpobjectstore.h
+++ b/libs/httpstore/include/httpstore/httpobjectstore.h
@@ -15,9 +15,8 @@
 class HttpObjectStore : public ObjectStore
 {
 public:
-    // Called when the number of elements of a list that cannot be decoded changes; they are left
-    // out. The list is named by its prefix, or "vms".
-    using UnreadableChanged = std::function<void(const std::string &list, std::size_t count)>;
+    // Called when the number of VMs that cannot be decoded changes; they are left out of the list.
+    using UnreadableChanged = std::function<void(std::size_t count)>;
 
     // Connections are bound to localIp; if empty, the system chooses the address.
     HttpObjectStore(EventLoop &loop, const Endpoint &platform, const std::string &localIp = {},
--- a/libs/httpstore/include/httpstore/platformcodec.h
+++ b/libs/httpstore/include/httpstore/platformcodec.h
@@ -12,8 +12,10 @@
 // JSON of the platform's requests and replies. Unknown fields are ignored; no function throws.
 Result<StoredObject> decodeObject(std::string_view text);
 
-// Elements that cannot be decoded are left out and counted in unreadable.
-Result<std::vector<StoredObject>> decodeObjects(std::string_view text, std::size_t &unreadable);
+// Fails if one of the objects cannot be decoded, and says which: an edit is checked against all.
+Result<std::vector<StoredObject>> decodeObjects(std::string_view text);
+
+// VMs that cannot be decoded are left out and counted in unreadable.
 Result<std::vector<PlatformVm>> decodeVms(std::string_view text, std::size_t &unreadable);
 
 Result<ObjectVersion> decodeVersion(std::string_view text);
--- a/libs/httpstore/src/httpobjectstore.cpp
+++ b/libs/httpstore/src/httpobjectstore.cpp
@@ -3,7 +3,6 @@
 #include "httpstore/platformcodec.h"
 #include "net/httpclient.h"
 
-#include <map>
 #include <utility>
 
 namespace fescuespring {
@@ -63,34 +62,23 @@
                         .maxBodyBytes = maximumListBytes})
     {}
 
-    // Passes the decoded list, or the error, to done.
-    template <typename T>
-    HttpCallback decodeListWith(const std::string &list,
-                                Result<std::vector<T>> (*decode)(std::string_view, std::size_t &),
-                                std::function<void(const Result<std::vector<T>> &)> done)
+    void vmsReceived(const Result<HttpResponse> &response, const VmsDone &done)
     {
-        return [this, list, decode, done = std::move(done)](const Result<HttpResponse> &response) {
-            if (!response || response.value().status != statusOk) {
-                done(response ? errorOf(response.value().status) : response.error());
-                return;
-            }
-            std::size_t count = 0;
-            const Result<std::vector<T>> decoded = decode(response.value().body, count);
-            noteUnreadable(list, count);
-            done(decoded);
-        };
-    }
-
-    void noteUnreadable(const std::string &list, std::size_t count)
-    {
-        if (std::exchange(unreadable[list], count) != count && unreadableChanged)
-            unreadableChanged(list, count);
+        if (!response || response.value().status != statusOk) {
+            done(response ? errorOf(response.value().status) : response.error());
+            return;
+        }
+        std::size_t count = 0;
+        const Result<std::vector<PlatformVm>> vms = decodeVms(response.value().body, count);
+        if (std::exchange(unreadableVms, count) != count && unreadableChanged)
+            unreadableChanged(count);
+        done(vms);
     }
 
     UnreadableChanged unreadableChanged;
 
-    // Elements that could not be decoded when a list was last read, by list.
-    std::map<std::string, std::size_t> unreadable;
+    // VMs that could not be decoded when the list was last read.
+    std::size_t unreadableVms = 0;
     HttpClient client;
 };
 
@@ -119,9 +107,15 @@
 void HttpObjectStore::list(const std::string &prefix, std::chrono::milliseconds timeout,
                            ListDone done)
 {
-    m_data->client.send(
-            {.target = "/v1/objects?prefix=" + percentEncode(prefix)}, timeout,
-            m_data->decodeListWith<StoredObject>(prefix, decodeObjects, std::move(done)));
+    m_data->client.send({.target = "/v1/objects?prefix=" + percentEncode(prefix)}, timeout,
+                        [done = std::move(done)](const Result<HttpResponse> &response) {
+                            if (!response)
+                                done(response.error());
+                            else if (response.value().status != statusOk)
+                                done(errorOf(response.value().status));
+                            else
+                                done(decodeObjects(response.value().body));
+                        });
 }
 
 void HttpObjectStore::write(const ObjectWrite &write, std::chrono::milliseconds timeout,
@@ -173,8 +167,11 @@
 
 void HttpObjectStore::vms(std::chrono::milliseconds timeout, VmsDone done)
 {
-    m_data->client.send({.target = "/v1/vms"}, timeout,
-                        m_data->decodeListWith<PlatformVm>("vms", decodeVms, std::move(done)));
+    m_data->client.send(
+            {.target = "/v1/vms"}, timeout,
+            [data = m_data.get(), done = std::move(done)](const Result<HttpResponse> &response) {
+                data->vmsReceived(response, done);
+            });
 }
 
 } // namespace fescuespring
--- a/libs/httpstore/src/platformcodec.cpp
+++ b/libs/httpstore/src/platformcodec.cpp
@@ -30,24 +30,14 @@
     }
 }
 
-// Decodes the elements of the list in a member, one by one.
-template <typename T, typename Decode>
-Result<std::vector<T>> decodeList(std::string_view text, const char *member, Decode decode,
-                                  std::size_t &unreadable)
+// The elements of the list in a member.
+Result<std::vector<std::string_view>> elementsOf(std::string_view text, const char *member)
 {
     const auto members = jsonMembers(text);
-    const auto elements = members ? jsonElements(memberText(*members, member)) : std::nullopt;
+    auto elements = members ? jsonElements(memberText(*members, member)) : std::nullopt;
     if (!elements)
         return malformed(std::string("no list of ") + member);
-    std::vector<T> decoded;
-    for (const std::string_view element : *elements) {
-        Result<T> one = decodeWith<T>(element, decode);
-        if (one)
-            decoded.push_back(std::move(one.value()));
-        else
-            ++unreadable;
-    }
-    return decoded;
+    return std::move(*elements);
 }
 
 std::string textOf(const json::object &object, const char *name)
@@ -82,9 +72,18 @@
     return decodeWith<StoredObject>(text, objectOf);
 }
 
-Result<std::vector<StoredObject>> decodeObjects(std::string_view text, std::size_t &unreadable)
+Result<std::vector<StoredObject>> decodeObjects(std::string_view text)
 {
-    return decodeList<StoredObject>(text, "objects", objectOf, unreadable);
+    BOOST_OUTCOME_TRY(const auto elements, elementsOf(text, "objects"));
+    std::vector<StoredObject> objects;
+    for (const std::string_view element : elements) {
+        Result<StoredObject> object = decodeObject(element);
+        if (!object)
+            return malformed("object " + std::to_string(objects.size() + 1)
+                             + " of the list: " + object.error().message);
+        objects.push_back(std::move(object.value()));
+    }
+    return objects;
 }
 
 Result<ObjectVersion> decodeVersion(std::string_view text)
@@ -96,7 +95,16 @@
 
 Result<std::vector<PlatformVm>> decodeVms(std::string_view text, std::size_t &unreadable)
 {
-    return decodeList<PlatformVm>(text, "vms", vmOf, unreadable);
+    BOOST_OUTCOME_TRY(const auto elements, elementsOf(text, "vms"));
+    std::vector<PlatformVm> vms;
+    for (const std::string_view element : elements) {
+        Result<PlatformVm> vm = decodeWith<PlatformVm>(element, vmOf);
+        if (vm)
+            vms.push_back(std::move(vm.value()));
+        else
+            ++unreadable;
+    }
+    return vms;
 }
 
 std::string encodeWrite(const ObjectWrite &write)
--- a/libs/httpstore/tests/platformcodectest.cpp
+++ b/libs/httpstore/tests/platformcodectest.cpp
@@ -43,7 +43,7 @@
 {
     CPPUNIT_TEST_SUITE(PlatformCodecTest);
     CPPUNIT_TEST(oddVmDoesNotCostTheOthers);
-    CPPUNIT_TEST(oddObjectDoesNotCostTheOthers);
+    CPPUNIT_TEST(listWithAnOddObjectFails);
     CPPUNIT_TEST(textsThatAreNoListsAreMalformed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -62,17 +62,15 @@
         }
     }
 
-    // The same for the list of objects.
-    void oddObjectDoesNotCostTheOthers()
+    // Guards against an edit of the lists that is checked against a part of them, or made twice.
+    void listWithAnOddObjectFails()
     {
         for (const std::string &odd : oddElements()) {
-            std::size_t unreadable = 0;
-            const auto objects =
-                    decodeObjects(R"({"objects":[{"key":"a","version":1,"value":"x"},)" + odd
-                                          + R"(,{"key":"b","version":2,"value":"y"}]})",
-                                  unreadable);
-            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 60), objects);
-            CPPUNIT_ASSERT(objects.value().size() == 2 && unreadable == 1);
+            const auto objects = decodeObjects(R"({"objects":[{"key":"a","version":1,"value":"x"},)"
+                                               + odd + R"(,{"key":"b","version":2,"value":"y"}]})");
+            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 60), !objects);
+            CPPUNIT_ASSERT(objects.error().message.find("object 2 of the list")
+                           != std::string::npos);
         }
     }
 
@@ -82,7 +80,7 @@
         for (const char *text :
              {"", "[]", "{}", R"({"vms":7})", R"({"vms":[)", R"({"objects":null})"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !decodeVms(text, unreadable));
-            CPPUNIT_ASSERT_MESSAGE(text, !decodeObjects(text, unreadable));
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeObjects(text));
         }
     }
 };
--- a/libs/proxy/src/controlthread.cpp
+++ b/libs/proxy/src/controlthread.cpp
@@ -60,8 +60,8 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_objectStore(loop, settings.platformEndpoint, settings.peerEndpoint.ip,
-                    [&log](const std::string &list, std::size_t count) {
-                        log.warning("list-entries-unreadable", {{"list", list}, {"count", count}});
+                    [&log](std::size_t count) {
+                        log.warning("list-entries-unreadable", {{"list", "vms"}, {"count", count}});
                     })
     , m_store(m_objectStore,
               {.callTimeout = settings.timings.platformTimeout,
