--- a/review/lib.sh
+++ b/review/lib.sh
@@ -9,6 +9,8 @@
 work=$(mktemp -d)
 record="$here/record.txt"
 : > "$record"
+# Lines of the stand-in's output that go into the record.
+recordedLines=2000
 declare -A pidOf=()
 
 # A pair of octets and a port of this run's own.
@@ -24,7 +26,8 @@
     wait
     if [ -s "$work/site.log" ]; then
         { echo "--- what the databases and the platform ran (ms since their start)"
-          cat "$work/site.log"; } >> "$record"
+          head -n "$recordedLines" "$work/site.log" | cut -c1-300
+          echo "($(wc -l < "$work/site.log") lines in all)"; } >> "$record"
     fi
     rm -rf "$work"
 }
@@ -36,10 +39,18 @@
 held() { say "HELD: $*"; exit 0; }
 
 vmIp() { echo "127.$octets.$((10 + $1))"; }
-control() { curl -s --max-time 2 -X POST "http://127.0.0.1:$((base + 1))/control/$1" > /dev/null; }
-state() { curl -s --max-time 2 "http://127.0.0.1:$((base + 1))/control/state"; }
-isReady() { curl -s --max-time 1 -o /dev/null -w '%{http_code}' \
-    "http://$(vmIp "$1"):8785/-/readiness" | grep -q 200; }
+# http METHOD IP PORT PATH: prints the status and the first line of the body.
+http() (
+    exec 2> /dev/null 9<> "/dev/tcp/$2/$3" || exit 1
+    printf '%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n' "$1" "$4" "$2" >&9
+    IFS=' ' read -r -t 2 -u 9 _ status _ || exit 1
+    while IFS= read -r -t 2 -u 9 line && [ "$line" != $'\r' ]; do :; done
+    IFS= read -r -t 0.2 -u 9 body
+    echo "$status $body"
+)
+control() { http POST 127.0.0.1 $((base + 1)) "/control/$1" > /dev/null; }
+state() { http GET 127.0.0.1 $((base + 1)) /control/state; }
+isReady() { [[ $(http GET "$(vmIp "$1")" 8785 /-/readiness) == 200* ]]; }
 waitFor() {
     local end=$((SECONDS + $1))
     shift
@@ -52,9 +63,14 @@
 # startSite SYNC-REPLICAS ROUTE-TIMEOUT-MS
 startSite() {
     [ -x target/review/site ] && [ -x "$program" ] || cannotRun "build the deploy file and review/build.sh first"
-    target/review/site "$base" "$1" "$2" > "$work/site.log" 2>&1 &
-    pidOf[site]=$!
-    waitFor 5 eval 'state | grep -q leader' || cannotRun "the stand-in does not answer"
+    local try
+    for try in 1 2 3 4 5; do
+        target/review/site "$base" "$1" "$2" > "$work/site.log" 2>&1 &
+        pidOf[site]=$!
+        waitFor 3 eval 'state | grep -q leader' && return
+        base=$((20000 + RANDOM % 10000))
+    done
+    cannotRun "the stand-in does not answer"
 }
 # startMachine N: with the settings of deploy/node.yaml and the command of deploy/system.toml.
 startMachine() {
