--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # dark and the other replica receives nothing. An acknowledged commit must be in the log of the
 # database that is promoted.
 cd "$(dirname "$0")/../.." || exit 2
-here=review/3
+record=review/3/record.txt
 . review/lib.sh
 
 startSite 1 2000
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A consumer prepares a shape with blanks; another consumer's prepared read then runs as a write.
 cd "$(dirname "$0")/../.." || exit 2
-here=review/4
+record=review/4/record.txt
 . review/lib.sh
 
 shape="price"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,7 +2,7 @@
 # A planned stop: SIGTERM while a database works on a statement that it answers before the last
 # sixth of GraceS. The consumer's connection must not end before that answer.
 cd "$(dirname "$0")/../.." || exit 2
-here=review/5
+record=review/5/record.txt
 . review/lib.sh
 
 startSite 0 2000
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,13 +1,12 @@
 # Functions for the review's scripts: the stand-in of the platform and the databases, three machines
-# of the deploy file on loopback, and sessions over the wire protocol. A script sets `here` (its
-# folder) before it sources this file, from the root. What was sent, answered and run goes to
-# record.txt in that folder.
+# of the deploy file on loopback, and sessions over the wire protocol. A script sets `record`, the
+# record.txt of its folder, before it sources this file, from the root: what was sent, answered and
+# run goes there.
 set -u -o pipefail
 
 TROUBLE="${TROUBLE:-1}"
 program="target/bin/fescuestatementd"
 work=$(mktemp -d)
-record="$here/record.txt"
 : > "$record"
 # Lines of the stand-in's output that go into the record.
 recordedLines=2000
