A caller's shape is no longer part of a prepared statement's name

Cause: the name at the database was "r" or "w" and the shape as it is. A name ends at the first blank on the wire, a shape may hold blanks.

Change: a connection numbers its prepared statements, and the link puts its own name into the statement it sends. This works because no text of a caller is part of a name, and two shapes cannot share a number.

The fake database reads names as a database does.

--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -33,10 +33,8 @@
     , m_route(std::move(route))
     , m_configuration(session.m_options.routes.configuration().version)
 {
-    if (prepared) {
+    if (prepared)
         m_prepared = *prepared;
-        m_statement.name = sharedName(*prepared);
-    }
 }
 
 StatementRun::~StatementRun() = default;
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -143,6 +143,7 @@
     CPPUNIT_TEST(strictReadsRunAtThePrimary);
     CPPUNIT_TEST(sessionValuesAreIsolated);
     CPPUNIT_TEST(preparedStatementsBelongToTheSession);
+    CPPUNIT_TEST(shapeWithBlanksRedefinesNoOtherPreparedStatement);
     CPPUNIT_TEST(transactionStaysOnOneConnection);
     CPPUNIT_TEST(destroyedSessionRollsBack);
     CPPUNIT_TEST(failedTransactionAcceptsOnlyItsEnd);
@@ -263,8 +264,36 @@
         second.execute(prepare("q2", StatementAccess::Read));
         CPPUNIT_ASSERT(first.failure(executeItem) == StatementFailure::None);
         CPPUNIT_ASSERT(second.failure(executeItem) == StatementFailure::None);
-        CPPUNIT_ASSERT(vm.databases["a"].ran.at(0).starts_with("execute id-3 wq1"));
-        CPPUNIT_ASSERT(vm.databases["a"].ran.at(1).starts_with("execute id-2 rq2"));
+        CPPUNIT_ASSERT(vm.databases["a"].ran.at(0).starts_with("execute id-3 WRITE q1: 1a4 v"));
+        CPPUNIT_ASSERT(vm.databases["a"].ran.at(1).starts_with("execute id-2 READ q2: 1a4 v"));
+    }
+
+    // Guards against a caller's shape with blanks that redefines another caller's prepared
+    // statement on a shared connection, so that a prepared read runs as a write.
+    void shapeWithBlanksRedefinesNoOtherPreparedStatement()
+    {
+        Vm vm;
+        Caller first(vm, "strict");
+        Caller second(vm, "strict");
+        const auto prepare = [](const char *shape) {
+            return Statement{.kind = StatementKind::Prepare,
+                             .name = "s1",
+                             .access = StatementAccess::Read,
+                             .argument = shape};
+        };
+        const Statement executeItem{
+                .kind = StatementKind::Execute, .name = "s1", .argument = "1a4"};
+        first.execute(prepare("price"));
+        CPPUNIT_ASSERT(first.failure(executeItem) == StatementFailure::None);
+        for (const char *shape : {"price WRITE stock", "price READ a", "a b", " price"}) {
+            second.execute(prepare(shape));
+            CPPUNIT_ASSERT_MESSAGE(shape, second.failure(executeItem) == StatementFailure::None);
+            CPPUNIT_ASSERT_MESSAGE(shape, first.failure(executeItem) == StatementFailure::None);
+            const std::vector<std::string> &ran = vm.databases["a"].ran;
+            CPPUNIT_ASSERT(
+                    ran.at(ran.size() - 2).ends_with(std::string(" READ ") + shape + ": 1a4"));
+            CPPUNIT_ASSERT(ran.back().ends_with(" READ price: 1a4"));
+        }
     }
 
     void transactionStaysOnOneConnection()
--- a/libs/statements/include/statements/sessioncontext.h
+++ b/libs/statements/include/statements/sessioncontext.h
@@ -2,8 +2,9 @@
 
 #include "statements/statement.h"
 
+#include <compare>
+#include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
 {
     StatementAccess access = StatementAccess::Read;
     std::string shape;
+
+    auto operator<=>(const PreparedStatement &) const = default;
 };
 
 // State of a caller's session: values, and prepared statements by the caller's names. Kept by this
@@ -39,11 +42,9 @@
     std::map<std::string, PreparedStatement> m_prepared;
 };
 
-// The name of a prepared statement at the databases: the same for all sessions that prepare the
-// same shape with the same access, so that each connection prepares it only once.
-std::string sharedName(const PreparedStatement &prepared);
-
-// Session values and prepared statements currently set on a connection to a database.
+// Session values and prepared statements currently set on a connection to a database. Sessions that
+// prepare the same shape with the same access share one prepared statement of the connection. Its
+// name there is a number, since a shape may contain anything, and is not related to callers' names.
 class ConnectionContext
 {
 public:
@@ -52,6 +53,9 @@
     // Within a transaction nothing is reset, as a session never removes values.
     std::vector<Statement> adopt(const SessionContext &context, const PreparedStatement *prepared);
 
+    // The name on this connection of a prepared statement that it has adopted; empty otherwise.
+    std::string preparedName(const PreparedStatement &prepared) const;
+
     // Approximate number of statements that adopt would return; for choosing a connection.
     std::size_t distance(const SessionContext &context) const;
 
@@ -59,7 +63,8 @@
     bool holdsForeignValues(const SessionContext &context) const;
 
     std::map<std::string, std::string> m_values;
-    std::set<std::string> m_prepared;
+    std::map<PreparedStatement, std::string> m_prepared;
+    std::uint64_t m_lastPreparedNumber = 0;
 };
 
 } // namespace fescuespring
--- a/libs/statements/src/sessioncontext.cpp
+++ b/libs/statements/src/sessioncontext.cpp
@@ -31,11 +31,6 @@
     return found == m_prepared.end() ? nullptr : &found->second;
 }
 
-std::string sharedName(const PreparedStatement &prepared)
-{
-    return (prepared.access == StatementAccess::Write ? "w" : "r") + prepared.shape;
-}
-
 bool ConnectionContext::holdsForeignValues(const SessionContext &context) const
 {
     for (const auto &[name, value] : m_values) {
@@ -63,16 +58,24 @@
     }
     if (!prepared)
         return statements;
-    const std::string name = sharedName(*prepared);
-    if (m_prepared.insert(name).second) {
+    const auto [entry, isNew] = m_prepared.try_emplace(*prepared);
+    if (isNew) {
+        const char *prefix = prepared->access == StatementAccess::Write ? "w" : "r";
+        entry->second = prefix + std::to_string(++m_lastPreparedNumber);
         statements.push_back({.kind = StatementKind::Prepare,
-                              .name = name,
+                              .name = entry->second,
                               .access = prepared->access,
                               .argument = prepared->shape});
     }
     return statements;
 }
 
+std::string ConnectionContext::preparedName(const PreparedStatement &prepared) const
+{
+    const auto found = m_prepared.find(prepared);
+    return found == m_prepared.end() ? std::string() : found->second;
+}
+
 std::size_t ConnectionContext::distance(const SessionContext &context) const
 {
     std::size_t distance = holdsForeignValues(context) ? m_values.size() + 1 : 0;
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -19,7 +19,8 @@
     // The session whose values the link is set to first; null for the VM's own statements.
     const SessionContext *context = nullptr;
 
-    // The prepared statement that the command executes, if any.
+    // The prepared statement that the command executes, if any. The connection replaces the name in
+    // the command by its own name for it.
     const PreparedStatement *prepared = nullptr;
 
     // For the first statement of a transaction: the kind of begin, and the point that the
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -72,6 +72,8 @@
         for (Statement &statement : m_context.adopt(*command.context, command.prepared))
             prologue.push_back({.statement = std::move(statement)});
     }
+    if (command.prepared)
+        m_command.statement.name = m_context.preparedName(*command.prepared);
     m_prologueBegins = command.begin.has_value();
     if (command.begin)
         prologue.push_back({.after = command.beginAfter, .statement = {.kind = *command.begin}});
--- a/tests/support/fakegroup.h
+++ b/tests/support/fakegroup.h
@@ -206,8 +206,7 @@
                 m_values[statement.name] = statement.argument;
                 return {.signature = "-"};
             case StatementKind::Prepare:
-                m_prepared.insert(statement.name);
-                return {.signature = "-"};
+                return prepare(statement);
             default:
                 return runForCaller(command);
             }
@@ -221,14 +220,15 @@
                 database().failures.pop_front();
                 return {.failure = failure};
             }
+            const auto prepared = m_prepared.find(wordOf(statement.name));
+            const bool isExecute = statement.kind == StatementKind::Execute;
+            if (isExecute && prepared == m_prepared.end())
+                return {.failure = StatementFailure::UnknownPrepared};
             const bool writes = statement.kind == StatementKind::Write
                                 || statement.kind == StatementKind::Begin
-                                || (statement.kind == StatementKind::Execute
-                                    && statement.name.starts_with('w'));
+                                || (isExecute && prepared->second.starts_with("WRITE "));
             if (writes && database().role != Role::Primary)
                 return {.failure = StatementFailure::ReadOnly};
-            if (statement.kind == StatementKind::Execute && !m_prepared.contains(statement.name))
-                return {.failure = StatementFailure::UnknownPrepared};
             note(command);
             if (statement.kind == StatementKind::Begin
                 || statement.kind == StatementKind::BeginReadOnly)
@@ -243,12 +243,34 @@
             return {.rows = {"row"}, .signature = "signed-" + m_id.value()};
         }
 
-        // "kind id name argument {value=...}"
+        static std::string wordOf(const std::string &text)
+        {
+            return text.substr(0, text.find(' '));
+        }
+
+        // As a database reads "PREPARE name access shape": the name ends at the first blank.
+        StatementReply prepare(const Statement &statement)
+        {
+            const std::string text =
+                    statement.name
+                    + (statement.access == StatementAccess::Write ? " WRITE " : " READ ")
+                    + statement.argument;
+            const std::string name = wordOf(text);
+            const std::string rest = text.substr(name.size() + 1);
+            if (!rest.starts_with("READ ") && !rest.starts_with("WRITE "))
+                return {.failure = StatementFailure::Malformed};
+            m_prepared[name] = rest;
+            return {.signature = "-"};
+        }
+
+        // "kind id argument {value=...}", and for an execution "kind id access shape: argument".
         void note(const UpstreamCommand &command)
         {
             std::ostringstream text;
-            text << toString(command.statement.kind) << ' ' << command.id.value() << ' '
-                 << command.statement.name << ' ' << command.statement.argument;
+            text << toString(command.statement.kind) << ' ' << command.id.value() << ' ';
+            if (command.statement.kind == StatementKind::Execute)
+                text << m_prepared.at(wordOf(command.statement.name)) << ':';
+            text << ' ' << command.statement.argument;
             for (const auto &[name, value] : m_values)
                 text << " {" << name << '=' << value << '}';
             database().ran.push_back(text.str());
@@ -261,7 +283,9 @@
         bool m_isOpen = false;
         SessionPhase m_phase = SessionPhase::Idle;
         std::map<std::string, std::string> m_values;
-        std::set<std::string> m_prepared;
+
+        // Access and shape by name.
+        std::map<std::string, std::string> m_prepared;
         std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     };
 
