--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -195,7 +195,7 @@
             return candidate.database == m_record.primary;
         });
     }
-    const auto answers = std::make_shared<std::vector<Answer>>();
+    const auto answers = std::make_shared<DatabaseAnswers>();
     // Replicas keep receiving until one has the whole log of the stopped primary or catchUpTime is
     // over. If the previous primary did not report its position, the replicas are paused at once,
     // as it could still send commits to some of them.
@@ -205,93 +205,65 @@
         Statement statement{.kind = StatementKind::Status};
         if (mustPause && candidate.database != m_record.primary)
             statement = {.kind = StatementKind::Pause, .term = m_previousTerm.next()};
-        m_owner->m_ports.command(
-                candidate.database, statement, commandTimeout,
-                [weak = weak_from_this(), answers, requested = candidates.size(),
-                 database = candidate.database](const std::optional<StatementReply> &reply) {
-                    const auto self = weak.lock();
-                    if (!self || !self->canContinue())
-                        return;
-                    self->collectAnswer(
-                            answers, requested,
-                            {database, reply && reply->isSuccess() ? reply->status : std::nullopt});
-                });
+        m_owner->m_ports.command(candidate.database, statement, commandTimeout,
+                                 [weak = weak_from_this(), answers, requested = candidates.size(),
+                                  candidate](const std::optional<StatementReply> &reply) {
+                                     const auto self = weak.lock();
+                                     if (!self || !self->canContinue())
+                                         return;
+                                     self->collectAnswer(answers, requested,
+                                                         {candidate.database, candidate.isDraining,
+                                                          reply && reply->isSuccess()
+                                                                  ? reply->status
+                                                                  : std::nullopt});
+                                 });
     }
 }
 
-void LeadershipChange::collectAnswer(const std::shared_ptr<std::vector<Answer>> &answers,
-                                     std::size_t requested, Answer answer)
+void LeadershipChange::collectAnswer(const std::shared_ptr<DatabaseAnswers> &answers,
+                                     std::size_t requested, DatabaseAnswer answer)
 {
     answers->push_back(std::move(answer));
     if (answers->size() == requested)
         evaluateAnswers(*answers);
 }
 
-bool LeadershipChange::isDraining(const DatabaseId &database) const
+SuccessorChoice LeadershipChange::successorChoice() const
 {
-    for (const SuccessionCandidate &candidate : m_owner->m_ports.databases(m_group)) {
-        if (candidate.database == database)
-            return candidate.isDraining;
-    }
-    return true;
+    return SuccessorChoice({.previousPrimary = m_record.primary,
+                            .previousTerm = m_previousTerm,
+                            .previousPosition = m_previousPosition,
+                            .isPlanned = m_options.isPlanned,
+                            .refused = m_refused,
+                            .groupSize = m_owner->m_ports.groupSize(m_group)});
 }
 
-const LeadershipChange::Answer *
-LeadershipChange::mostAdvanced(const std::vector<Answer> &answers) const
+// Resumes the replicas that this change or an earlier one paused.
+bool LeadershipChange::resumePaused(const DatabaseAnswers &answers)
 {
-    const Answer *best = nullptr;
-    for (const Answer &answer : answers) {
-        if (!answer.status || m_refused.contains(answer.database))
-            continue;
-        // The previous primary is leaving, was lost, or is being replaced: it is excluded from a
-        // planned change, and from any other change if more than one database was queried.
-        const bool isPrevious = answer.database == m_record.primary;
-        if (isPrevious && (m_options.isPlanned || answers.size() > 1))
+    bool hasPaused = false;
+    for (const DatabaseAnswer &answer : answers) {
+        if (!answer.status || answer.status->heldTerm <= m_previousTerm)
             continue;
-        if (!best || answer.status->received > best->status->received
-            || (answer.status->received == best->status->received && isDraining(best->database)))
-            best = &answer;
-    }
-    return best;
-}
-
-// Returns the previous primary if it has restarted under another name, that is, a database that
-// leads the previous term and is not draining. Returns null unless every queried database answers
-// and none reports a later term; otherwise another one may have been promoted in the meantime.
-const LeadershipChange::Answer *
-LeadershipChange::returnedPrimary(const std::vector<Answer> &answers) const
-{
-    const Answer *returned = nullptr;
-    for (const Answer &answer : answers) {
-        if (!answer.status || answer.status->term > m_previousTerm)
-            return nullptr;
-        if (answer.status->role == Role::Primary && answer.status->term == m_previousTerm)
-            returned = &answer;
+        hasPaused = true;
+        m_owner->m_ports.command(answer.database, {.kind = StatementKind::Resume}, commandTimeout,
+                                 [](const std::optional<StatementReply> &) {});
     }
-    const bool isOther = returned && returned->database != m_record.primary;
-    return isOther && !isDraining(returned->database) ? returned : nullptr;
+    m_isResumingReplicas = true;
+    return hasPaused;
 }
 
 // The returned primary has its log, so nothing is lost, and the platform still treats it as the
 // primary. It is recorded as such once no promotion request of a previous lock holder can be in
 // flight and the replicas have resumed.
 void LeadershipChange::keepReturnedPrimary(const DatabaseId &database,
-                                           const std::vector<Answer> &answers)
+                                           const DatabaseAnswers &answers)
 {
     if (!mayPromote()) {
         after(stepRetry, &LeadershipChange::queryDatabases);
         return;
     }
-    bool hasPaused = false;
-    for (const Answer &answer : answers) {
-        if (answer.status->heldTerm <= m_previousTerm)
-            continue;
-        hasPaused = true;
-        m_owner->m_ports.command(answer.database, {.kind = StatementKind::Resume}, commandTimeout,
-                                 [](const std::optional<StatementReply> &) {});
-    }
-    m_isResumingReplicas = true;
-    if (hasPaused) {
+    if (resumePaused(answers)) {
         after(stepRetry, &LeadershipChange::queryDatabases);
         return;
     }
@@ -303,9 +275,9 @@
     recordPrimary(database, m_previousTerm);
 }
 
-void LeadershipChange::evaluateAnswers(const std::vector<Answer> &answers)
+void LeadershipChange::evaluateAnswers(const DatabaseAnswers &answers)
 {
-    for (const Answer &answer : answers) {
+    for (const DatabaseAnswer &answer : answers) {
         const bool leadsLater = answer.status && answer.status->role == Role::Primary
                                 && answer.status->term > m_previousTerm;
         if (leadsLater) {
@@ -313,18 +285,19 @@
             return;
         }
     }
-    if (const Answer *returned = returnedPrimary(answers)) {
+    const SuccessorChoice choice = successorChoice();
+    if (const DatabaseAnswer *returned = choice.returnedPrimary(answers)) {
         keepReturnedPrimary(returned->database, answers);
         return;
     }
-    const Answer *best = mostAdvanced(answers);
+    const DatabaseAnswer *best = choice.mostAdvanced(answers);
     if (!best) {
         m_refused.clear();
         after(stepRetry * 2, &LeadershipChange::queryDatabases);
         return;
     }
     const bool isBehind = m_previousPosition && best->status->received < *m_previousPosition;
-    const bool isStaying = !isDraining(best->database);
+    const bool isStaying = !best->isDraining;
     if ((isBehind || !isStaying) && now() < m_catchUpUntil) {
         after(stepRetry / 2, &LeadershipChange::queryDatabases);
         return;
@@ -334,7 +307,7 @@
         queryDatabases();
         return;
     }
-    if (!isMajorityPaused(answers)) {
+    if (!choice.isMajorityStopped(answers)) {
         m_owner->m_options.counters.counter("fescuespring_changes_without_majority_total").add();
         after(stepRetry, &LeadershipChange::queryDatabases);
         return;
@@ -352,20 +325,6 @@
         after(stepRetry, &LeadershipChange::promoteWhenSafe);
 }
 
-bool LeadershipChange::isMajorityPaused(const std::vector<Answer> &answers) const
-{
-    std::size_t paused = 0;
-    for (const Answer &answer : answers) {
-        if (!answer.status)
-            continue;
-        const bool isStopped =
-                answer.database == m_record.primary && answer.status->role == Role::Replica;
-        if (isStopped || answer.status->heldTerm > m_previousTerm)
-            ++paused;
-    }
-    return paused * 2 > m_owner->m_ports.groupSize(m_group);
-}
-
 void LeadershipChange::promote(const DatabaseId &database)
 {
     if (!mayPromote()) {
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "grouptask.h"
+#include "successorchoice.h"
 
 #include <set>
 
@@ -28,12 +29,6 @@
 private:
     friend class GroupTask<LeadershipChange>;
 
-    struct Answer
-    {
-        DatabaseId database;
-        std::optional<UpstreamStatus> status;
-    };
-
     const char *reasonToEnd() const;
     void requestTerms();
     void announceIfTermKnown();
@@ -46,14 +41,12 @@
     bool haveAllRead() const;
     void stopPreviousPrimary();
     void queryDatabases();
-    void collectAnswer(const std::shared_ptr<std::vector<Answer>> &answers, std::size_t requested,
-                       Answer answer);
-    void evaluateAnswers(const std::vector<Answer> &answers);
-    const Answer *mostAdvanced(const std::vector<Answer> &answers) const;
-    const Answer *returnedPrimary(const std::vector<Answer> &answers) const;
-    void keepReturnedPrimary(const DatabaseId &database, const std::vector<Answer> &answers);
-    bool isDraining(const DatabaseId &database) const;
-    bool isMajorityPaused(const std::vector<Answer> &answers) const;
+    void collectAnswer(const std::shared_ptr<DatabaseAnswers> &answers, std::size_t requested,
+                       DatabaseAnswer answer);
+    void evaluateAnswers(const DatabaseAnswers &answers);
+    SuccessorChoice successorChoice() const;
+    void keepReturnedPrimary(const DatabaseId &database, const DatabaseAnswers &answers);
+    bool resumePaused(const DatabaseAnswers &answers);
     void promote(const DatabaseId &database);
     void promotionAnswered(PromotionOutcome outcome);
     void awaitPromotion();
