A database is promoted only if it holds every acknowledged commit

Cause: the number of replicas that a commit needs was decoded and used nowhere. The choice took the most advanced database that answered, 600 ms after the primary was stopped, although it was known to be behind it.

Same loss in an unplanned change of a group of five (unit test), so the majority, which the claim names too, is not the cause.

Change: SuccessorChoice::holdsAcknowledgedCommits. A candidate is good if it has the whole log of the stopped primary, or if fewer databases than a commit needs could be ahead of it. A change that cannot show it waits and lets replicas receive the stopped primary's log; a primary that is leaving serves until a replica follows it. VMs leave a holder that may wait 4 s before they take the lock. A replica that has just left counts until its log has been taken over. Nothing changes with SyncReplicas 0.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -117,6 +117,7 @@
     bool isReportedByOthers(const DatabaseId &database) const;
     void shareConnections();
     std::vector<SuccessionCandidate> candidates(const GroupId &group) const;
+    std::uint32_t synchronousReplicas(const GroupId &group) const;
     std::vector<GroupId> groupsToConsider();
     Instant now() const;
 
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -83,6 +83,12 @@
                             [this](const GroupId &group) {
                                 return m_upstreams.directory().groupSize(group, now());
                             },
+                    .otherMembers =
+                            [this](const GroupId &group, const DatabaseId &without) {
+                                return m_upstreams.directory().otherMembers(group, without, now());
+                            },
+                    .synchronousReplicas =
+                            [this](const GroupId &group) { return synchronousReplicas(group); },
                     .command =
                             [this](const DatabaseId &database, const Statement &statement,
                                    Duration timeout, Upstreams::CommandDone done) {
@@ -392,6 +398,15 @@
     return candidates;
 }
 
+std::uint32_t Coordinator::synchronousReplicas(const GroupId &group) const
+{
+    // Before the first configuration it is unknown whether commits need a replica.
+    if (!m_configuration)
+        return 1;
+    const auto limits = m_configuration->groups.find(group);
+    return limits == m_configuration->groups.end() ? 0 : limits->second.synchronousReplicas;
+}
+
 bool Coordinator::isReportedByOthers(const DatabaseId &database) const
 {
     return m_vms.unresponsiveCount(database, now()) > 0;
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -98,6 +98,11 @@
     // Number of databases in the group, including those lost within lostDatabaseRetention.
     std::size_t groupSize(const GroupId &group, Instant now) const;
 
+    // Number of databases in the group besides one of them that may hold what was written: those of
+    // groupSize, and those that left after announcing it within lostDatabaseRetention, until another
+    // database has their address and so their log.
+    std::size_t otherMembers(const GroupId &group, const DatabaseId &without, Instant now) const;
+
 private:
     Hooks m_hooks;
     struct Lost
@@ -110,12 +115,19 @@
     // A database that announced that it was leaving and is gone.
     struct Departed
     {
+        GroupId group;
+        Endpoint endpoint;
         std::int64_t startedAt = 0;
 
+        // Another database of the group has its address.
+        bool isReplaced = false;
+
         // When expire was first called after that.
         std::optional<Instant> goneAt = {};
     };
 
+    static bool isRecentlyLost(const Lost &lost, Instant now);
+    static bool isRecentlyDeparted(const Departed &departed, Instant now);
     void removeFromGroup(const UpstreamEntry &entry);
     void removeReplaced(const UpstreamEntry &entry);
     UpstreamEntry remove(const DatabaseId &database);
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -57,14 +57,21 @@
     std::erase_if(m_lost, [&isReplaced](const auto &lost) {
         return isReplaced(lost.first, lost.second.group, lost.second.endpoint);
     });
+    for (auto &[database, departed] : m_departed) {
+        if (isReplaced(database, departed.group, departed.endpoint))
+            departed.isReplaced = true;
+    }
     std::vector<DatabaseId> replaced;
     for (const auto &[database, since] : m_missingSince) {
         const UpstreamTarget &target = m_entries.at(database).target;
         if (isReplaced(database, target.group, target.endpoint))
             replaced.push_back(database);
     }
-    for (const DatabaseId &database : replaced)
+    for (const DatabaseId &database : replaced) {
         remove(database);
+        if (const auto departed = m_departed.find(database); departed != m_departed.end())
+            departed->second.isReplaced = true;
+    }
 }
 
 // Removes an entry and calls onGone.
@@ -73,7 +80,9 @@
     UpstreamEntry removed = std::move(m_entries.extract(database).mapped());
     m_missingSince.erase(database);
     if (removed.isDraining)
-        m_departed[database] = {.startedAt = removed.startedAt};
+        m_departed[database] = {.group = removed.target.group,
+                                .endpoint = removed.target.endpoint,
+                                .startedAt = removed.startedAt};
     removeFromGroup(removed);
     m_hooks.onGone(removed);
     return removed;
@@ -163,16 +172,43 @@
         visit(entry);
 }
 
+bool UpstreamDirectory::isRecentlyLost(const Lost &lost, Instant now)
+{
+    return now < lost.lostAt + lostDatabaseRetention;
+}
+
+bool UpstreamDirectory::isRecentlyDeparted(const Departed &departed, Instant now)
+{
+    const bool isRecent = !departed.goneAt || now < *departed.goneAt + lostDatabaseRetention;
+    return isRecent && !departed.isReplaced;
+}
+
 std::size_t UpstreamDirectory::groupSize(const GroupId &group, Instant now) const
 {
     const auto lost = std::count_if(m_lost.begin(), m_lost.end(), [&](const auto &entry) {
-        return entry.second.group == group && now < entry.second.lostAt + lostDatabaseRetention;
+        return entry.second.group == group && isRecentlyLost(entry.second, now);
     });
     const auto members = m_groups.find(group);
     const std::size_t present = members == m_groups.end() ? 0 : members->second.size();
     return present + static_cast<std::size_t>(lost);
 }
 
+std::size_t UpstreamDirectory::otherMembers(const GroupId &group, const DatabaseId &without,
+                                            Instant now) const
+{
+    const auto members = m_groups.find(group);
+    const auto lost = m_lost.find(without);
+    const bool isPresent = members != m_groups.end() && members->second.contains(without);
+    const bool isLost = lost != m_lost.end() && lost->second.group == group
+                        && isRecentlyLost(lost->second, now);
+    const auto departed = std::ranges::count_if(m_departed, [&](const auto &entry) {
+        return entry.first != without && entry.second.group == group
+               && isRecentlyDeparted(entry.second, now);
+    });
+    return groupSize(group, now) - (isPresent || isLost ? 1 : 0)
+           + static_cast<std::size_t>(departed);
+}
+
 std::vector<UpstreamEntry> UpstreamDirectory::all() const
 {
     std::vector<UpstreamEntry> entries;
--- a/libs/directory/tests/directorytest.cpp
+++ b/libs/directory/tests/directorytest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(fullListRemovesUnlistedEntries);
     CPPUNIT_TEST(groupsAfterWrapsAround);
     CPPUNIT_TEST(lostDatabaseCountsDuringRetention);
+    CPPUNIT_TEST(databaseThatLeftMayHoldCommitsUntilItsLogIsTakenOver);
     CPPUNIT_TEST(databaseAtSameAddressReplacesLostDatabase);
     CPPUNIT_TEST(olderConfigurationIsRejected);
     CPPUNIT_TEST(leavingDatabaseStaysSoDespiteAnOlderEntry);
@@ -171,6 +172,43 @@
                              recording.directory.groupSize(group, gone + lostDatabaseRetention));
     }
 
+    // Guards against a promotion that drops commits which only a replica that has just left
+    // received.
+    void databaseThatLeftMayHoldCommitsUntilItsLogIsTakenOver()
+    {
+        for (const bool isReplaced : {false, true}) {
+            RecordingDirectory recording;
+            UpstreamDirectory &directory = recording.directory;
+            const GroupId group("herd");
+            const DatabaseId primary("a");
+            UpstreamEntry leaving = entry("b");
+            leaving.isDraining = true;
+            directory.replaceAll({entry("a"), leaving, entry("c")}, start);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.otherMembers(group, primary, start));
+            directory.vanished(DatabaseId("b"), start);
+            const Instant gone = start + missingEntryGrace;
+            directory.expire(gone);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.otherMembers(group, primary, gone));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                                 directory.otherMembers(group, DatabaseId("c"), gone));
+            if (isReplaced) {
+                UpstreamEntry successor = entry("d");
+                successor.target.endpoint = leaving.target.endpoint;
+                directory.update(successor);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.otherMembers(group, primary, gone));
+            }
+            const Instant later = gone + lostDatabaseRetention;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{isReplaced ? 2U : 1U},
+                                 directory.otherMembers(group, primary, later));
+            // The database that is left out need not be in the group any more.
+            directory.vanished(primary, later);
+            directory.expire(later + missingEntryGrace);
+            const Instant end = later + missingEntryGrace + lostDatabaseRetention;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{isReplaced ? 2U : 1U},
+                                 directory.otherMembers(group, primary, end));
+        }
+    }
+
     // Two processes cannot listen on one address, so the lost database has ended and is not merely
     // isolated.
     void databaseAtSameAddressReplacesLostDatabase()
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -7,6 +7,8 @@
 #include "statements/statement.h"
 #include "store/objectstore.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -62,6 +64,13 @@
     // Number of databases in the group, including recently lost ones.
     std::function<std::size_t(const GroupId &)> groupSize;
 
+    // Number of databases of the group besides one that may hold commits, including those that left
+    // recently.
+    std::function<std::size_t(const GroupId &, const DatabaseId &without)> otherMembers;
+
+    // Replicas that must have received a commit before the group's databases acknowledge it.
+    std::function<std::uint32_t(const GroupId &)> synchronousReplicas;
+
     // Sends a statement to a database; the callback gets nothing if no answer came in time.
     std::function<void(const DatabaseId &, const Statement &, Duration timeout,
                        std::function<void(const std::optional<StatementReply> &)>)>
@@ -114,13 +123,15 @@
 // Replaces the primary of a group where that is due, while this VM holds the promotion lock. Takes
 // the lock over if its holder does not carry out a due change. The steps are:
 //
-// 1. The holder announces the change of primary in the leadership record of the group.
+// 1. The holder announces the change of primary in the leadership record of the group. If commits
+//    need a replica and the primary is leaving, it first waits until a replica follows it.
 // 2. It waits until all VMs have reported that they read the announcement, or until the leases of
 //    those that have not have expired.
 // 3. It stops the previous primary if that is reachable, and pauses a majority of the databases
 //    for a later term, so that no VM can confirm any more that the previous primary leads.
 // 4. It requests the promotion of the database with the most advanced log position, with the
-//    version of the promotion lock as fencing token.
+//    version of the promotion lock as fencing token. If commits need a replica, it waits until that
+//    database is known to hold every acknowledged one.
 // 5. When the database reports that it leads, the holder records it as the primary.
 //
 // Safe because steps 2 and 3 are both complete before step 4. In a planned change step 2 precedes
@@ -181,9 +192,10 @@
 
     ChangeReason changeReason(const GroupId &group) const;
     void evaluateGroup(const GroupId &group);
-    Duration takeoverDelay(bool isAnnounced) const;
+    bool mayTakeTime(ChangeReason reason, const GroupId &group) const;
+    Duration takeoverDelay(bool mayTakeTime) const;
     bool isLockHeld() const;
-    void acquireLock(Instant neededSince, bool isAnnounced);
+    void acquireLock(Instant neededSince, bool mayTakeTime);
     void lockAcquired(ObjectVersion version, bool hadPrevious, bool isHistoryKnown);
     bool mayPromote() const;
     void confirmPrimary(const GroupId &group);
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -46,7 +46,50 @@
     if (m_previousTerm == Term())
         requestTerms();
     else
+        awaitSuccessor();
+}
+
+std::uint32_t LeadershipChange::synchronousReplicas() const
+{
+    return m_owner->m_ports.synchronousReplicas(m_group);
+}
+
+// A primary that is leaving serves on until a replica follows it, if a replica must hold each
+// acknowledged commit: once it is stopped, no other may be promoted.
+void LeadershipChange::awaitSuccessor()
+{
+    const LeadershipView &view = m_owner->m_options.view;
+    const bool isAnnounced = view.record(m_group).isChanging || !view.isConfirmed(m_group);
+    if (!m_options.isPlanned || isAnnounced || synchronousReplicas() == 0) {
         announce();
+        return;
+    }
+    query(m_owner->m_ports.databases(m_group), false, &LeadershipChange::evaluateSuccessors);
+}
+
+void LeadershipChange::evaluateSuccessors(const DatabaseAnswers &answers)
+{
+    std::optional<LogPoint> position;
+    for (const DatabaseAnswer &answer : answers) {
+        const bool leads = answer.status && answer.status->role == Role::Primary;
+        if (leads && answer.database == m_record.primary)
+            position = answer.status->received;
+    }
+    // Replicas receive a commit some time after the primary.
+    const std::optional<LogPoint> earlier = std::exchange(m_servingPosition, position);
+    const bool isFollowed = earlier && successorChoice().isFollowed(answers, *earlier);
+    // A primary that does not answer does not serve either.
+    if (!position || isFollowed) {
+        announce();
+        return;
+    }
+    if (earlier && !std::exchange(m_hasLoggedWait, true)) {
+        m_owner->m_options.log.info("planned-change-waits", {{"group", m_group},
+                                                             {"primary", m_record.primary},
+                                                             {"position", earlier->position},
+                                                             {"answers", answers.size()}});
+    }
+    after(stepRetry * 2, &LeadershipChange::awaitSuccessor);
 }
 
 void LeadershipChange::requestTerms()
@@ -81,7 +124,7 @@
         return;
     }
     m_isTermDetermined = true;
-    announce();
+    awaitSuccessor();
 }
 
 void LeadershipChange::announce()
@@ -195,47 +238,51 @@
             return candidate.database == m_record.primary;
         });
     }
-    const auto answers = std::make_shared<DatabaseAnswers>();
     // Replicas keep receiving until one has the whole log of the stopped primary or catchUpTime is
     // over. If the previous primary did not report its position, the replicas are paused at once,
     // as it could still send commits to some of them.
     const bool mustPause = (!m_previousPosition || m_isCatchUpOver) && !m_isResumingReplicas;
     m_isResumingReplicas = false;
+    query(candidates, mustPause, &LeadershipChange::evaluateAnswers);
+}
+
+// Requests the status of each database, or pauses each but the previous primary, and continues with
+// the replies.
+void LeadershipChange::query(const std::vector<SuccessionCandidate> &candidates, bool mustPause,
+                             void (LeadershipChange::*evaluate)(const DatabaseAnswers &))
+{
+    const auto answers = std::make_shared<DatabaseAnswers>();
     for (const SuccessionCandidate &candidate : candidates) {
         Statement statement{.kind = StatementKind::Status};
         if (mustPause && candidate.database != m_record.primary)
             statement = {.kind = StatementKind::Pause, .term = m_previousTerm.next()};
-        m_owner->m_ports.command(candidate.database, statement, commandTimeout,
-                                 [weak = weak_from_this(), answers, requested = candidates.size(),
-                                  candidate](const std::optional<StatementReply> &reply) {
-                                     const auto self = weak.lock();
-                                     if (!self || !self->canContinue())
-                                         return;
-                                     self->collectAnswer(answers, requested,
-                                                         {candidate.database, candidate.isDraining,
-                                                          reply && reply->isSuccess()
-                                                                  ? reply->status
-                                                                  : std::nullopt});
-                                 });
+        m_owner->m_ports.command(
+                candidate.database, statement, commandTimeout,
+                [weak = weak_from_this(), answers, evaluate, requested = candidates.size(),
+                 candidate](const std::optional<StatementReply> &reply) {
+                    const auto self = weak.lock();
+                    if (!self || !self->canContinue())
+                        return;
+                    answers->push_back(
+                            {candidate.database, candidate.isDraining,
+                             reply && reply->isSuccess() ? reply->status : std::nullopt});
+                    if (answers->size() == requested)
+                        (self.get()->*evaluate)(*answers);
+                });
     }
 }
 
-void LeadershipChange::collectAnswer(const std::shared_ptr<DatabaseAnswers> &answers,
-                                     std::size_t requested, DatabaseAnswer answer)
-{
-    answers->push_back(std::move(answer));
-    if (answers->size() == requested)
-        evaluateAnswers(*answers);
-}
-
 SuccessorChoice LeadershipChange::successorChoice() const
 {
-    return SuccessorChoice({.previousPrimary = m_record.primary,
-                            .previousTerm = m_previousTerm,
-                            .previousPosition = m_previousPosition,
-                            .isPlanned = m_options.isPlanned,
-                            .refused = m_refused,
-                            .groupSize = m_owner->m_ports.groupSize(m_group)});
+    return SuccessorChoice(
+            {.previousPrimary = m_record.primary,
+             .previousTerm = m_previousTerm,
+             .previousPosition = m_previousPosition,
+             .isPlanned = m_options.isPlanned,
+             .refused = m_refused,
+             .groupSize = m_owner->m_ports.groupSize(m_group),
+             .otherMembers = m_owner->m_ports.otherMembers(m_group, m_record.primary),
+             .synchronousReplicas = synchronousReplicas()});
 }
 
 // Resumes the replicas that this change or an earlier one paused.
@@ -302,11 +349,21 @@
         after(stepRetry / 2, &LeadershipChange::queryDatabases);
         return;
     }
+    // Without the reply of each replica, pausing them would not show which commits are safe.
+    const bool isLogNeeded = isBehind && synchronousReplicas() > 0;
+    if (isLogNeeded && !m_isCatchUpOver && !choice.haveOthersReplied(answers)) {
+        awaitAcknowledgedCommits(*best, answers);
+        return;
+    }
     if (m_previousPosition && !m_isCatchUpOver) {
         m_isCatchUpOver = true;
         queryDatabases();
         return;
     }
+    if (!choice.holdsAcknowledgedCommits(*best, answers)) {
+        awaitAcknowledgedCommits(*best, answers);
+        return;
+    }
     if (!choice.isMajorityStopped(answers)) {
         m_owner->m_options.counters.counter("fescuespring_changes_without_majority_total").add();
         after(stepRetry, &LeadershipChange::queryDatabases);
@@ -316,6 +373,41 @@
     promoteWhenSafe();
 }
 
+// Commits that were acknowledged may be missing at every database that could be promoted: waits for
+// one that holds them, a replica or the previous primary. If the previous primary is stopped, the
+// replicas go on receiving its log.
+void LeadershipChange::awaitAcknowledgedCommits(const DatabaseAnswer &best,
+                                                const DatabaseAnswers &answers)
+{
+    if (!std::exchange(m_hasLoggedWait, true)) {
+        m_owner->m_options.counters.counter("fescuespring_changes_without_commits_total").add();
+        m_owner->m_options.log.warning(
+                "promotion-waits-for-commits",
+                {{"group", m_group},
+                 {"best", best.database},
+                 {"position", best.status->received.position},
+                 {"previous", m_record.primary},
+                 {"previous-position", m_previousPosition.value_or(LogPoint()).position},
+                 {"answers", answers.size()},
+                 {"age", now() - m_startedAt}});
+    }
+    m_refused.clear();
+    const auto previous = std::ranges::find(answers, m_record.primary, &DatabaseAnswer::database);
+    const bool hasReturned = previous != answers.end() && previous->status;
+    if (hasReturned && previous->status->role == Role::Replica && !m_previousPosition)
+        m_previousPosition = previous->status->received;
+    const bool mustStop = hasReturned && previous->status->role == Role::Primary;
+    if (!m_previousPosition && !mustStop) {
+        after(stepRetry, &LeadershipChange::queryDatabases);
+        return;
+    }
+    resumePaused(answers);
+    if (std::exchange(m_isCatchUpOver, false))
+        m_catchUpUntil = now() + catchUpTime;
+    after(stepRetry,
+          mustStop ? &LeadershipChange::stopPreviousPrimary : &LeadershipChange::queryDatabases);
+}
+
 // Paused databases receive nothing, so the choice stays valid while this waits.
 void LeadershipChange::promoteWhenSafe()
 {
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -32,6 +32,9 @@
     const char *reasonToEnd() const;
     void requestTerms();
     void announceIfTermKnown();
+    std::uint32_t synchronousReplicas() const;
+    void awaitSuccessor();
+    void evaluateSuccessors(const DatabaseAnswers &answers);
     void announce();
     void announced();
     void promoteWhenSafe();
@@ -41,12 +44,13 @@
     bool haveAllRead() const;
     void stopPreviousPrimary();
     void queryDatabases();
-    void collectAnswer(const std::shared_ptr<DatabaseAnswers> &answers, std::size_t requested,
-                       DatabaseAnswer answer);
+    void query(const std::vector<SuccessionCandidate> &candidates, bool mustPause,
+               void (LeadershipChange::*evaluate)(const DatabaseAnswers &));
     void evaluateAnswers(const DatabaseAnswers &answers);
     SuccessorChoice successorChoice() const;
     void keepReturnedPrimary(const DatabaseId &database, const DatabaseAnswers &answers);
     bool resumePaused(const DatabaseAnswers &answers);
+    void awaitAcknowledgedCommits(const DatabaseAnswer &best, const DatabaseAnswers &answers);
     void promote(const DatabaseId &database);
     void promotionAnswered(PromotionOutcome outcome);
     void awaitPromotion();
@@ -61,6 +65,10 @@
     LeadershipRecord m_record;
     Term m_previousTerm;
     bool m_isTermDetermined = false;
+
+    // The position of a primary that is leaving and still serves, as last reported.
+    std::optional<LogPoint> m_servingPosition;
+    bool m_hasLoggedWait = false;
     std::optional<LogPoint> m_previousPosition;
     Instant m_catchUpUntil;
     bool m_isCatchUpOver = false;
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -16,11 +16,11 @@
 // Delay before this VM takes over the promotion lock, counted from when the change became due or,
 // if the lock is held, from when this VM first observed its current version, whichever is later.
 
-// Another VM holds the lock, and the change is not announced.
-constexpr Duration unannouncedTakeoverDelay = std::chrono::milliseconds(900);
+// Another VM holds the lock, and should have announced the change by then.
+constexpr Duration shortTakeoverDelay = std::chrono::milliseconds(900);
 
-// Another VM holds the lock, and the change is announced: the holder gets time for a whole change.
-constexpr Duration announcedTakeoverDelay = std::chrono::milliseconds(4000);
+// Another VM holds the lock, and may need the time of a whole change, or may have to wait.
+constexpr Duration longTakeoverDelay = std::chrono::milliseconds(4000);
 
 // No other VM holds the lock.
 constexpr Duration unheldTakeoverDelay = std::chrono::milliseconds(0);
@@ -133,7 +133,7 @@
         // While another VM confirms primaries, it need not have come to this group yet.
         const bool isUnconfirmed = reason == ChangeReason::Unconfirmed;
         acquireLock(isUnconfirmed ? std::max(since, m_recordChangedAt) : since,
-                    isUnconfirmed || reason == ChangeReason::AnnouncedEarlier);
+                    mayTakeTime(reason, group));
         return;
     }
     if (reason == ChangeReason::Unconfirmed)
@@ -169,11 +169,21 @@
     m_confirmations.erase(group);
 }
 
-Duration Succession::takeoverDelay(bool isAnnounced) const
+// Whether the holder of the lock may have to wait, so that its change is not yet announced, or has
+// not ended.
+bool Succession::mayTakeTime(ChangeReason reason, const GroupId &group) const
+{
+    const bool awaitsSuccessor =
+            reason == ChangeReason::Planned && m_ports.synchronousReplicas(group) > 0;
+    return awaitsSuccessor || reason == ChangeReason::Unconfirmed
+           || reason == ChangeReason::AnnouncedEarlier;
+}
+
+Duration Succession::takeoverDelay(bool mayTakeTime) const
 {
     if (!isLockHeld() || m_options.view.promotionLock()->holder == m_options.self)
         return unheldTakeoverDelay;
-    return isAnnounced ? announcedTakeoverDelay : unannouncedTakeoverDelay;
+    return mayTakeTime ? longTakeoverDelay : shortTakeoverDelay;
 }
 
 void Succession::recordsRead()
@@ -201,7 +211,7 @@
     return lock && !lock->holder.isEmpty() && lock->epoch == m_options.view.epoch();
 }
 
-void Succession::acquireLock(Instant neededSince, bool isAnnounced)
+void Succession::acquireLock(Instant neededSince, bool mayTakeTime)
 {
     const Instant now = m_options.timers.now();
     const std::optional<PromotionLock> previous = m_options.view.promotionLock();
@@ -210,7 +220,7 @@
     const bool isMine = isHeld && previous->holder == m_options.self;
     const std::size_t steps = isMine ? 0 : std::min(m_ports.rank(), maximumRankSteps);
     const Instant since = isHeld ? std::max(neededSince, m_holderSince) : neededSince;
-    const Duration wait = takeoverDelay(isAnnounced) + rankStep * static_cast<int>(steps);
+    const Duration wait = takeoverDelay(mayTakeTime) + rankStep * static_cast<int>(steps);
     if (m_isAcquiring || now < since + wait)
         return;
     m_isAcquiring = true;
--- a/libs/leadership/src/successorchoice.cpp
+++ b/libs/leadership/src/successorchoice.cpp
@@ -59,4 +59,39 @@
     return static_cast<std::size_t>(stopped) * 2 > m_facts.groupSize;
 }
 
+bool SuccessorChoice::holdsAcknowledgedCommits(const DatabaseAnswer &candidate,
+                                               const DatabaseAnswers &answers) const
+{
+    if (m_facts.synchronousReplicas == 0)
+        return true;
+    if (!candidate.status)
+        return false;
+    const LogPoint held = candidate.status->received;
+    // A replica is never ahead of its primary, unless that restarted without its log.
+    if (m_facts.previousPosition == held)
+        return true;
+    std::size_t notAhead = 0;
+    for (const DatabaseAnswer &answer : answers) {
+        if (!isPrevious(answer) && isPaused(answer) && answer.status->received <= held)
+            ++notAhead;
+    }
+    return notAhead + m_facts.synchronousReplicas > m_facts.otherMembers;
+}
+
+bool SuccessorChoice::isFollowed(const DatabaseAnswers &answers, LogPoint point) const
+{
+    return std::ranges::any_of(answers, [this, point](const DatabaseAnswer &answer) {
+        return !isPrevious(answer) && !answer.isDraining && answer.status
+               && answer.status->received >= point;
+    });
+}
+
+bool SuccessorChoice::haveOthersReplied(const DatabaseAnswers &answers) const
+{
+    const auto replied = std::ranges::count_if(answers, [this](const DatabaseAnswer &answer) {
+        return !isPrevious(answer) && answer.status.has_value();
+    });
+    return static_cast<std::size_t>(replied) >= m_facts.otherMembers;
+}
+
 } // namespace fescuespring::detail
--- a/libs/leadership/src/successorchoice.h
+++ b/libs/leadership/src/successorchoice.h
@@ -4,6 +4,7 @@
 #include "statements/statement.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <vector>
@@ -49,6 +50,12 @@
 
         // Number of databases in the group, including recently lost ones.
         std::size_t groupSize = 0;
+
+        // Number of databases besides the previous primary that may hold commits.
+        std::size_t otherMembers = 0;
+
+        // Replicas that have received a commit before it is acknowledged.
+        std::uint32_t synchronousReplicas = 0;
     };
 
     explicit SuccessorChoice(Facts facts);
@@ -64,6 +71,19 @@
     // Whether a majority of the group accepts no further entries of the previous term.
     bool isMajorityStopped(const DatabaseAnswers &answers) const;
 
+    // Whether the candidate is known to hold every commit that was acknowledged after
+    // synchronousReplicas replicas had received it. It does if it has the whole log of the stopped
+    // primary; or if too few replicas are left that could hold more than it does: all others accept
+    // no further entries and are not ahead of it. True if commits need no replica.
+    bool holdsAcknowledgedCommits(const DatabaseAnswer &candidate,
+                                  const DatabaseAnswers &answers) const;
+
+    // Whether a replica that is not leaving has received the primary's log up to this point.
+    bool isFollowed(const DatabaseAnswers &answers, LogPoint point) const;
+
+    // Whether every database of the group but the previous primary replied.
+    bool haveOthersReplied(const DatabaseAnswers &answers) const;
+
 private:
     bool isPrevious(const DatabaseAnswer &answer) const;
 
--- a/libs/leadership/tests/successionworld.h
+++ b/libs/leadership/tests/successionworld.h
@@ -100,6 +100,7 @@
     // Groups to check in each tick.
     std::vector<GroupId> groupsToCheck{group};
     std::size_t groupSize = 3;
+    std::uint32_t synchronousReplicas = 0;
     std::optional<PromotionOutcome> promotionOutcome;
 };
 
@@ -126,6 +127,10 @@
                   {.groups = [this] { return world.groupsToCheck; },
                    .databases = [this](const GroupId &) { return candidates(); },
                    .groupSize = [this](const GroupId &) { return world.groupSize; },
+                   .otherMembers = [this](const GroupId &,
+                                          const DatabaseId &) { return world.groupSize - 1; },
+                   .synchronousReplicas =
+                           [this](const GroupId &) { return world.synchronousReplicas; },
                    .command = [this](const DatabaseId &database, const Statement &statement,
                                      Duration timeout,
                                      auto done) { command(database, statement, timeout, done); },
