--- a/libs/coordination/include/coordination/lifecycle.h
+++ b/libs/coordination/include/coordination/lifecycle.h
@@ -31,7 +31,10 @@
         Log &log;
 
         // Time limit for a shutdown.
-        std::chrono::milliseconds stopDeadline{4500};
+        std::chrono::milliseconds stopDeadline{5750};
+
+        // How long open transactions may go on during a shutdown.
+        std::chrono::milliseconds transactionTime{3000};
 
         // Whether the configuration, the databases and the leadership records have been read.
         std::function<bool()> isInitialized;
--- a/libs/coordination/src/lifecycle.cpp
+++ b/libs/coordination/src/lifecycle.cpp
@@ -12,10 +12,8 @@
 // after this time.
 constexpr Duration balancerReactionTime = milliseconds(1900);
 
-// Times after the start of a shutdown at which idle sessions are closed and idle transactions are
-// aborted. The remaining time is left for statements in progress.
+// Time after the start of a shutdown at which idle sessions are closed.
 constexpr Duration closeAfter = milliseconds(2300);
-constexpr Duration abortAfter = milliseconds(3000);
 
 constexpr Duration isolationCheckInterval = milliseconds(200);
 constexpr Duration stopInterval = milliseconds(50);
@@ -71,7 +69,7 @@
 void Lifecycle::continueStop()
 {
     const Duration age = m_options.timers.now() - m_stopRequestedAt;
-    if (age >= abortAfter)
+    if (age >= m_options.transactionTime)
         m_options.abortIdleTransactions();
     if (age >= closeAfter)
         m_options.closeIdleSessions(true);
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -99,8 +99,8 @@
     std::size_t groupSize(const GroupId &group, Instant now) const;
 
     // Number of databases in the group besides one of them that may hold what was written: those of
-    // groupSize, and those that left after announcing it within lostDatabaseRetention, until another
-    // database has their address and so their log.
+    // groupSize, and those that left after announcing it within lostDatabaseRetention, until
+    // another database has their address and so their log.
     std::size_t otherMembers(const GroupId &group, const DatabaseId &without, Instant now) const;
 
 private:
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -8,6 +8,7 @@
 #include <boost/outcome/policy/terminate.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,8 +36,14 @@
     Endpoint store;
     Endpoint promotions;
 
-    // Time from the stop request until the process exits.
-    std::chrono::milliseconds stopDeadline{4500};
+    // Time from the stop signal until the platform kills the process.
+    std::chrono::milliseconds stopGrace{6000};
+
+    // Time from the stop signal until the process exits, if statements are still running then.
+    std::chrono::milliseconds stopDeadline() const;
+
+    // Replaces the deadline that follows from stopGrace.
+    std::optional<std::chrono::milliseconds> ownStopDeadline;
 
     // Time for which a database goes on serving after it has announced that it will leave.
     std::chrono::milliseconds departureNotice{7000};
--- a/libs/settings/src/section.cpp
+++ b/libs/settings/src/section.cpp
@@ -91,6 +91,25 @@
         target = std::chrono::milliseconds(*found);
 }
 
+void Section::seconds(std::string_view field, std::chrono::milliseconds &target,
+                      Range<std::chrono::seconds> range)
+{
+    const auto found = scalar(field, Presence::Optional);
+    if (!found)
+        return;
+    double number = 0;
+    const char *end = found->data() + found->size();
+    const auto [parsed, error] = std::from_chars(found->data(), end, number);
+    const std::chrono::duration<double> value(number);
+    // Also false for a number that is none.
+    const bool isInRange = value >= range.minimum && value <= range.maximum;
+    if (error == std::errc() && parsed == end && isInRange)
+        target = std::chrono::duration_cast<std::chrono::milliseconds>(value);
+    else
+        addError(field,
+                 "must be a number " + rangeText(range.minimum.count(), range.maximum.count()));
+}
+
 void Section::section(std::string_view field, Presence presence,
                       const std::function<void(Section &)> &read)
 {
--- a/libs/settings/src/section.h
+++ b/libs/settings/src/section.h
@@ -58,6 +58,10 @@
     void milliseconds(std::string_view field, std::chrono::milliseconds &target,
                       Range<std::chrono::milliseconds> range);
 
+    // Reads a number of seconds, which may have a fraction; what is below a millisecond is dropped.
+    void seconds(std::string_view field, std::chrono::milliseconds &target,
+                 Range<std::chrono::seconds> range);
+
     // Reads a nested mapping with read.
     void section(std::string_view field, Presence presence,
                  const std::function<void(Section &)> &read);
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -11,6 +11,19 @@
 
 namespace {
 
+// Left of the grace period for the exit of the process.
+constexpr milliseconds exitTime{250};
+
+void readStopTimes(Section &section, StatementVmSettings &settings)
+{
+    section.seconds("stopGraceSeconds", settings.stopGrace,
+                    {std::chrono::seconds(1), std::chrono::seconds(600)});
+    milliseconds deadline{0};
+    section.milliseconds("stopDeadlineMs", deadline, {milliseconds(100), milliseconds(600'000)});
+    if (deadline > milliseconds(0))
+        settings.ownStopDeadline = deadline;
+}
+
 void readSettings(Section &section, StatementVmSettings &settings)
 {
     section.name("vm", settings.vm);
@@ -22,8 +35,7 @@
     readEndpointText(section, "relay", settings.relay);
     readEndpointText(section, "store", settings.store);
     readEndpointText(section, "promotions", settings.promotions);
-    section.milliseconds("stopDeadlineMs", settings.stopDeadline,
-                         {milliseconds(100), milliseconds(600'000)});
+    readStopTimes(section, settings);
     section.milliseconds("departureNoticeMs", settings.departureNotice,
                          {milliseconds(0), milliseconds(3'600'000)});
     section.boolean("firstStart", settings.isFirstStart);
@@ -35,6 +47,11 @@
 
 } // namespace
 
+milliseconds StatementVmSettings::stopDeadline() const
+{
+    return ownStopDeadline.value_or(stopGrace - exitTime);
+}
+
 StatementSettingsResult parseStatementSettings(std::string_view yaml)
 {
     return detail::parseSettings<StatementVmSettings>(yaml, readSettings);
