Statements that outlast a planned stop get a reply

Cause: the end of a stop destroyed sessions with their running statements.

Change: shortly before the deadline each running statement gets a reply: INDOUBT if it may have committed, ABORTED otherwise, which is true since the connection to its database closes with the process and rolls back.

Tests: runningStatementIsAnsweredWhenItsVmStops and runningStatements- GetAReplyBeforeTheDeadline; both use what is new, so they did not run on the code before, which had no such reply.

--- a/libs/coordination/include/coordination/lifecycle.h
+++ b/libs/coordination/include/coordination/lifecycle.h
@@ -15,7 +15,8 @@
 // A VM that is isolated from most primaries reports that it is not ready; once the balancer has
 // reacted, idle sessions are closed, since their callers are routed to a better VM. A VM that is
 // told to stop is not ready either; once the balancer has reacted, idle sessions are closed, then
-// idle transactions are aborted. The shutdown ends when no session is left or at the deadline.
+// idle transactions are aborted. The shutdown ends when no session is left or at the deadline;
+// statements that are still running shortly before it are ended with a reply.
 //
 //     Lifecycle lifecycle({.timers = timers, .log = log, .isInitialized = ..., ...});
 //     lifecycle.start();
@@ -48,6 +49,9 @@
         // Aborts idle transactions.
         std::function<void()> abortIdleTransactions;
 
+        // Replies to the statements that are still running; called shortly before the deadline.
+        std::function<void()> endStatements;
+
         std::function<std::size_t()> sessionCount;
 
         // Announces the shutdown to the other VMs.
--- a/libs/coordination/src/lifecycle.cpp
+++ b/libs/coordination/src/lifecycle.cpp
@@ -15,6 +15,10 @@
 // Time after the start of a shutdown at which idle sessions are closed.
 constexpr Duration closeAfter = milliseconds(2300);
 
+// Time before the deadline at which running statements are ended, so that callers receive the
+// replies before their connections close.
+constexpr Duration replyTime = milliseconds(150);
+
 constexpr Duration isolationCheckInterval = milliseconds(200);
 constexpr Duration stopInterval = milliseconds(50);
 
@@ -73,6 +77,8 @@
         m_options.abortIdleTransactions();
     if (age >= closeAfter)
         m_options.closeIdleSessions(true);
+    if (age >= m_options.stopDeadline - replyTime)
+        m_options.endStatements();
     const bool isClean = age >= closeAfter && m_options.sessionCount() == 0;
     if (isClean || age >= m_options.stopDeadline) {
         m_options.log.info("stopped", {{"sessions", m_options.sessionCount()}, {"age", age}});
--- a/libs/coordination/tests/lifecycletest.cpp
+++ b/libs/coordination/tests/lifecycletest.cpp
@@ -18,6 +18,7 @@
     bool isIsolated = false;
     bool isClosing = false;
     bool hasAborted = false;
+    bool hasEndedStatements = false;
     bool isAnnounced = false;
     std::size_t sessions = 3;
     std::optional<bool> stoppedClean;
@@ -27,6 +28,7 @@
                          .isIsolated = [this] { return isIsolated; },
                          .closeIdleSessions = [this](bool closing) { isClosing = closing; },
                          .abortIdleTransactions = [this] { hasAborted = true; },
+                         .endStatements = [this] { hasEndedStatements = true; },
                          .sessionCount = [this] { return sessions; },
                          .announceStop = [this] { isAnnounced = true; },
                          .stopped =
@@ -44,6 +46,7 @@
     CPPUNIT_TEST(stopClosesNothingBeforeTheBalancerReacts);
     CPPUNIT_TEST(openTransactionsMayFinishBeforeTheyAreAborted);
     CPPUNIT_TEST(stopEndsAtItsDeadline);
+    CPPUNIT_TEST(runningStatementsGetAReplyBeforeTheDeadline);
     CPPUNIT_TEST(statementIsWaitedForNearlyToTheEndOfTheGracePeriod);
     CPPUNIT_TEST(isolatedVmClosesIdleSessions);
     CPPUNIT_TEST_SUITE_END();
@@ -101,6 +104,20 @@
         CPPUNIT_ASSERT(world.stoppedClean == false);
     }
 
+    // Guards against callers whose connections close at the deadline without a reply.
+    void runningStatementsGetAReplyBeforeTheDeadline()
+    {
+        World world;
+        world.lifecycle.stop();
+        world.timers.advance(5500ms);
+        CPPUNIT_ASSERT(!world.hasEndedStatements);
+        world.timers.advance(200ms);
+        CPPUNIT_ASSERT(world.hasEndedStatements && !world.stoppedClean);
+        world.sessions = 0;
+        world.timers.advance(50ms);
+        CPPUNIT_ASSERT(world.stoppedClean == true);
+    }
+
     // Guards against a statement that a database works on and that the end of the process cuts,
     // though the platform leaves it another second and a half.
     void statementIsWaitedForNearlyToTheEndOfTheGracePeriod()
--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -60,6 +60,11 @@
     // After that, the session accepts only commit, which is answered with Aborted, and rollback.
     void abortTransaction();
 
+    // Replies to a running statement now, as its outcome will not be known before this VM stops:
+    // InDoubt if it may have committed, Aborted otherwise. Call it only if the connections to the
+    // databases are closed soon after, which rolls back what is open.
+    void endStatement();
+
 private:
     friend class detail::StatementRun;
 
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -248,6 +248,13 @@
          isUnanswered ? "no answer within the timeout" : m_lastMessage);
 }
 
+void StatementRun::endForStop()
+{
+    const bool mayHaveCommitted = commitsWrites() && m_wasSent;
+    fail(mayHaveCommitted ? StatementFailure::InDoubt : StatementFailure::Aborted,
+         "this VM is stopping");
+}
+
 void StatementRun::fail(StatementFailure failure, const std::string &message)
 {
     const bool isCommit = m_statement.kind == StatementKind::Commit;
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -26,6 +26,9 @@
 
     void start();
 
+    // Replies at once; see StatementSession::endStatement.
+    void endForStop();
+
     // Detaches from the session; sends no reply itself. Attempts already sent complete by
     // themselves.
     void abandon();
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -122,6 +122,12 @@
     m_phase = SessionPhase::Failed;
 }
 
+void StatementSession::endStatement()
+{
+    if (m_run)
+        m_run->endForStop();
+}
+
 void StatementSession::runOnDatabase(const RequestId &id, const Statement &statement)
 {
     const std::optional<Route> route = currentRoute();
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -144,6 +144,7 @@
     CPPUNIT_TEST(sessionValuesAreIsolated);
     CPPUNIT_TEST(preparedStatementsBelongToTheSession);
     CPPUNIT_TEST(shapeWithBlanksRedefinesNoOtherPreparedStatement);
+    CPPUNIT_TEST(runningStatementIsAnsweredWhenItsVmStops);
     CPPUNIT_TEST(transactionStaysOnOneConnection);
     CPPUNIT_TEST(destroyedSessionRollsBack);
     CPPUNIT_TEST(failedTransactionAcceptsOnlyItsEnd);
@@ -296,6 +297,35 @@
         }
     }
 
+    // Guards against a caller that gets no answer, or a wrong promise, when its VM stops.
+    void runningStatementIsAnsweredWhenItsVmStops()
+    {
+        const auto endedWith = [](const std::vector<Statement> &before,
+                                  const Statement &statement) {
+            Vm vm;
+            Caller caller(vm, "strict");
+            for (const Statement &earlier : before)
+                caller.execute(earlier);
+            for (const DatabaseId &database : vm.databases.names())
+                vm.databases[database.value()].isSilent = true;
+            CPPUNIT_ASSERT(!caller.execute(statement, 50ms));
+            caller.session.endStatement();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.replies.size());
+            caller.session.endStatement();
+            vm.timers.advance(5s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller.replies.size());
+            return caller.replies.front();
+        };
+        using Failure = StatementFailure;
+        CPPUNIT_ASSERT(endedWith({}, writeItem).failure == Failure::InDoubt);
+        CPPUNIT_ASSERT(endedWith({}, writeItem).phase == SessionPhase::Idle);
+        CPPUNIT_ASSERT(endedWith({}, readItem).failure == Failure::Aborted);
+        CPPUNIT_ASSERT(endedWith({begin, writeItem}, commit).failure == Failure::InDoubt);
+        CPPUNIT_ASSERT(endedWith({beginRead, readItem}, commit).failure == Failure::Aborted);
+        CPPUNIT_ASSERT(endedWith({begin, readItem}, writeItem).failure == Failure::Aborted);
+        CPPUNIT_ASSERT(endedWith({begin, readItem}, writeItem).phase == SessionPhase::Failed);
+    }
+
     void transactionStaysOnOneConnection()
     {
         Vm vm;
