A VM that stops waits for the statements of other VMs on its connections

Cause: the end of a stop counted sessions, not the connections that other VMs use.

Change: RelayServer::loanCount(); a stop ends when there is neither a session nor a loan, or at the deadline.

--- a/libs/coordination/include/coordination/lifecycle.h
+++ b/libs/coordination/include/coordination/lifecycle.h
@@ -15,8 +15,9 @@
 // A VM that is isolated from most primaries reports that it is not ready; once the balancer has
 // reacted, idle sessions are closed, since their callers are routed to a better VM. A VM that is
 // told to stop is not ready either; once the balancer has reacted, idle sessions are closed, then
-// idle transactions are aborted. The shutdown ends when no session is left or at the deadline;
-// statements that are still running shortly before it are ended with a reply.
+// idle transactions are aborted. The shutdown ends when no session is left and no other VM uses
+// its connections, or at the deadline; statements that are still running shortly before it are
+// ended with a reply.
 //
 //     Lifecycle lifecycle({.timers = timers, .log = log, .isInitialized = ..., ...});
 //     lifecycle.start();
@@ -54,10 +55,13 @@
 
         std::function<std::size_t()> sessionCount;
 
+        // Number of connections to databases on which statements of other VMs run.
+        std::function<std::size_t()> loanCount;
+
         // Announces the shutdown to the other VMs.
         std::function<void()> announceStop;
 
-        // Called last; isClean is false if sessions were left.
+        // Called last; isClean is false if sessions or loans were left.
         std::function<void(bool isClean)> stopped;
     };
 
--- a/libs/coordination/src/lifecycle.cpp
+++ b/libs/coordination/src/lifecycle.cpp
@@ -79,9 +79,11 @@
         m_options.closeIdleSessions(true);
     if (age >= m_options.stopDeadline - replyTime)
         m_options.endStatements();
-    const bool isClean = age >= closeAfter && m_options.sessionCount() == 0;
+    const std::size_t sessions = m_options.sessionCount();
+    const std::size_t loans = m_options.loanCount();
+    const bool isClean = age >= closeAfter && sessions == 0 && loans == 0;
     if (isClean || age >= m_options.stopDeadline) {
-        m_options.log.info("stopped", {{"sessions", m_options.sessionCount()}, {"age", age}});
+        m_options.log.info("stopped", {{"sessions", sessions}, {"loans", loans}, {"age", age}});
         m_options.stopped(isClean);
         return;
     }
--- a/libs/coordination/tests/lifecycletest.cpp
+++ b/libs/coordination/tests/lifecycletest.cpp
@@ -21,6 +21,7 @@
     bool hasEndedStatements = false;
     bool isAnnounced = false;
     std::size_t sessions = 3;
+    std::size_t loans = 0;
     std::optional<bool> stoppedClean;
     Lifecycle lifecycle{{.timers = timers,
                          .log = log,
@@ -30,6 +31,7 @@
                          .abortIdleTransactions = [this] { hasAborted = true; },
                          .endStatements = [this] { hasEndedStatements = true; },
                          .sessionCount = [this] { return sessions; },
+                         .loanCount = [this] { return loans; },
                          .announceStop = [this] { isAnnounced = true; },
                          .stopped =
                                  [this](bool isClean) {
@@ -46,6 +48,7 @@
     CPPUNIT_TEST(stopClosesNothingBeforeTheBalancerReacts);
     CPPUNIT_TEST(openTransactionsMayFinishBeforeTheyAreAborted);
     CPPUNIT_TEST(stopEndsAtItsDeadline);
+    CPPUNIT_TEST(lenderWaitsForTheStatementsOfOtherVms);
     CPPUNIT_TEST(runningStatementsGetAReplyBeforeTheDeadline);
     CPPUNIT_TEST(statementIsWaitedForNearlyToTheEndOfTheGracePeriod);
     CPPUNIT_TEST(isolatedVmClosesIdleSessions);
@@ -104,6 +107,21 @@
         CPPUNIT_ASSERT(world.stoppedClean == false);
     }
 
+    // Guards against a statement of another VM's caller that is cut while a database works on it,
+    // because the VM whose connection it uses has no callers left.
+    void lenderWaitsForTheStatementsOfOtherVms()
+    {
+        World world;
+        world.sessions = 0;
+        world.loans = 1;
+        world.lifecycle.stop();
+        world.timers.advance(5s);
+        CPPUNIT_ASSERT(!world.stoppedClean);
+        world.loans = 0;
+        world.timers.advance(100ms);
+        CPPUNIT_ASSERT(world.stoppedClean == true);
+    }
+
     // Guards against callers whose connections close at the deadline without a reply.
     void runningStatementsGetAReplyBeforeTheDeadline()
     {
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -5,6 +5,7 @@
 #include "net/tcpstream.h"
 #include "relay/relaymessages.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -37,6 +38,9 @@
                                                        Hooks hooks);
     ~RelayServer();
 
+    // Number of connections that other VMs hold now.
+    std::size_t loanCount() const;
+
     // The address it listens on, with the port that the system assigned.
     Endpoint endpoint() const;
 
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -62,6 +62,13 @@
     Peer(const Peer &) = delete;
     Peer &operator=(const Peer &) = delete;
 
+    std::size_t loanCount() const
+    {
+        const auto count = std::ranges::count_if(
+                m_loans, [](const auto &loan) { return static_cast<bool>(loan.second->lease); });
+        return static_cast<std::size_t>(count);
+    }
+
 private:
     // A connection that the borrower holds or waits for.
     struct Loan
@@ -263,6 +270,14 @@
     return std::unique_ptr<RelayServer>(new RelayServer(std::move(data)));
 }
 
+std::size_t RelayServer::loanCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[number, peer] : m_data->peers)
+        count += peer->loanCount();
+    return count;
+}
+
 Endpoint RelayServer::endpoint() const
 {
     return m_data->listener->endpoint();
--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -176,8 +176,10 @@
         pair.pool->link->answer({});
         pair.runUntil([&] { return end.has_value(); });
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.pool->givenBack);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.server->loanCount());
         lease.release();
         pair.runUntil([&] { return pair.pool->givenBack == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.server->loanCount());
     }
 
     void statementIsNotSentAfterTheTimeout()
