--- a/libs/net/src/tcpstream.cpp
+++ b/libs/net/src/tcpstream.cpp
@@ -159,8 +159,14 @@
     {
         isWriting = false;
         writing.clear();
-        if (isEnded || error)
+        if (isEnded)
+            return;
+        if (error) {
+            // Nothing reads any more that would report it.
+            if (isClosing)
+                close();
             return;
+        }
         if (!queued.empty())
             startWriting();
         else if (isClosing)
@@ -234,7 +240,7 @@
 
 std::size_t TcpStream::queuedBytes() const
 {
-    return m_data->queued.size() + m_data->writing.size();
+    return m_data->isEnded ? 0 : m_data->queued.size() + m_data->writing.size();
 }
 
 void TcpStream::pauseReading()
