--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -29,6 +29,10 @@
 private:
     friend class GroupTask<LeadershipChange>;
 
+    // Pause between two attempts of a step, and time limit of a command to a database.
+    static constexpr Duration stepRetry = std::chrono::milliseconds(50);
+    static constexpr Duration commandTimeout = std::chrono::milliseconds(250);
+
     const char *reasonToEnd() const;
     void requestTerms();
     void announceIfTermKnown();
--- /dev/null
+++ b/libs/leadership/src/leadershippromotion.cpp
@@ -0,0 +1,140 @@
+#include "leadershipchange.h"
+
+#include <utility>
+
+// The end of a LeadershipChange: the promotion of the chosen database, and the record of it.
+
+namespace fescuespring::detail {
+
+namespace {
+
+// Time within which an accepted promotion request takes effect, with a margin.
+constexpr Duration promotionTime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+// Paused databases receive nothing, so the choice stays valid while this waits.
+void LeadershipChange::promoteWhenSafe()
+{
+    if (areOldRecordsObsolete())
+        promote(m_chosen);
+    else
+        after(stepRetry, &LeadershipChange::promoteWhenSafe);
+}
+
+void LeadershipChange::promote(const DatabaseId &database)
+{
+    if (!mayPromote()) {
+        after(stepRetry, &LeadershipChange::queryDatabases);
+        return;
+    }
+    m_promotionRequestedAt = now();
+    const std::uint64_t fencingToken = m_owner->m_lockVersion.value();
+    m_owner->m_options.log.info("promotion-ordered",
+                                {{"group", m_group},
+                                 {"database", database},
+                                 {"token", fencingToken},
+                                 {"old-term", m_previousTerm},
+                                 {"old-stopped", m_previousPosition.has_value()},
+                                 {"all-read", haveAllRead()},
+                                 {"age", now() - m_startedAt}});
+    m_owner->m_ports.requestPromotion(m_group, database, fencingToken,
+                                      [weak = weak_from_this()](PromotionOutcome outcome) {
+                                          const auto self = weak.lock();
+                                          if (self && self->canContinue())
+                                              self->promotionAnswered(outcome);
+                                      });
+}
+
+void LeadershipChange::promotionAnswered(PromotionOutcome outcome)
+{
+    m_owner->m_options.log.info(
+            "promotion-answered",
+            {{"group", m_group}, {"database", m_chosen}, {"outcome", toString(outcome)}});
+    if (outcome == PromotionOutcome::Refused) {
+        m_refused.insert(m_chosen);
+        after(stepRetry, &LeadershipChange::queryDatabases);
+        return;
+    }
+    if (outcome == PromotionOutcome::NotDone) {
+        after(stepRetry * 2, &LeadershipChange::queryDatabases);
+        return;
+    }
+    awaitPromotion();
+}
+
+void LeadershipChange::awaitPromotion()
+{
+    if (now() - m_promotionRequestedAt > promotionTime) {
+        m_owner->m_options.log.warning(
+                "promotion-not-observed",
+                {{"group", m_group}, {"database", m_chosen}, {"seen", m_lastStatusRow}});
+        after(Duration(0), &LeadershipChange::queryDatabases);
+        return;
+    }
+    m_owner->m_ports.command(m_chosen, {.kind = StatementKind::Status}, commandTimeout,
+                             [weak = weak_from_this()](const std::optional<StatementReply> &reply) {
+                                 const auto self = weak.lock();
+                                 if (!self || !self->canContinue())
+                                     return;
+                                 if (reply && !reply->rows.empty())
+                                     self->m_lastStatusRow = reply->rows.front();
+                                 const bool leads = reply && reply->status
+                                                    && reply->status->role == Role::Primary
+                                                    && reply->status->term > self->m_previousTerm;
+                                 if (leads)
+                                     self->recordPrimary(self->m_chosen, reply->status->term);
+                                 else
+                                     self->after(stepRetry / 2, &LeadershipChange::awaitPromotion);
+                             });
+}
+
+void LeadershipChange::recordPrimary(const DatabaseId &database, Term term)
+{
+    LeadershipRecord record = m_record;
+    record.isChanging = false;
+    record.primary = database;
+    record.term = term;
+    record.epoch = m_owner->m_options.view.epoch();
+    m_owner->m_ports.write(
+            {leadershipKey(m_group), encodeLeadership(record), record.version},
+            [weak = weak_from_this(), record, database, term](const Result<WriteAnswer> &answer) {
+                const auto self = weak.lock();
+                if (!self || !self->canContinue())
+                    return;
+                self->m_owner->m_ports.refresh();
+                if (answer && answer.value().written) {
+                    LeadershipRecord written = record;
+                    written.version = answer.value().version;
+                    self->m_owner->m_options.view.applyRecord(written);
+                    self->m_chosen = database;
+                    self->end("recorded");
+                    return;
+                }
+                const LeadershipRecord seen = self->m_owner->m_options.view.record(self->m_group);
+                const bool isRecorded = !seen.isChanging
+                                        && self->m_owner->m_options.view.isConfirmed(self->m_group);
+                if (isRecorded) {
+                    self->end("recorded-already");
+                    return;
+                }
+                self->m_record = seen;
+                self->m_owner->m_options.timers.after(stepRetry, [weak, database, term] {
+                    const auto later = weak.lock();
+                    if (later && later->canContinue())
+                        later->recordPrimary(database, term);
+                });
+            });
+}
+
+void LeadershipChange::end(const char *outcome)
+{
+    m_isRunning = false;
+    m_owner->m_options.log.info("leadership-change-ended", {{"group", m_group},
+                                                            {"outcome", outcome},
+                                                            {"primary", m_chosen},
+                                                            {"age", now() - m_startedAt}});
+    m_owner->changeEnded(m_group);
+}
+
+} // namespace fescuespring::detail
--- a/libs/leadership/tests/synchronousreplicastest.cpp
+++ b/libs/leadership/tests/synchronousreplicastest.cpp
@@ -19,6 +19,13 @@
         databases["c"].received = older;
     }
 
+    void growToFive()
+    {
+        groupSize = 5;
+        databases["d"].received = older;
+        databases["e"].received = older;
+    }
+
     bool isPromoted(const std::string &name) const
     {
         return !promotionRequests.empty() && promotionRequests.back().database == DatabaseId(name);
@@ -106,9 +113,7 @@
     {
         SynchronousWorld world;
         Vm vm(world, "one", 0);
-        world.groupSize = 5;
-        world.databases["d"].received = older;
-        world.databases["e"].received = older;
+        world.growToFive();
         world.databases["b"].isSilent = true;
         losePrimary(world);
         world.timers.advance(9s);
@@ -170,9 +175,7 @@
     {
         SynchronousWorld world;
         Vm vm(world, "one", 0);
-        world.groupSize = 5;
-        world.databases["d"].received = older;
-        world.databases["e"].received = older;
+        world.growToFive();
         world.databases["b"].isSilent = true;
         world.removed = {"b"};
         losePrimary(world);
