--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -54,11 +54,13 @@
 {
     const LeadershipView &view = m_owner->m_options.view;
     const bool isAnnounced = view.record(m_group).isChanging || !view.isConfirmed(m_group);
-    if (!m_options.isPlanned || isAnnounced || synchronousReplicas() == 0) {
+    const std::vector<SuccessionCandidate> candidates = m_owner->m_ports.databases(m_group);
+    const bool mustWait = m_options.isPlanned && !isAnnounced && synchronousReplicas() > 0;
+    if (!mustWait || candidates.empty()) {
         announce();
         return;
     }
-    query(m_owner->m_ports.databases(m_group), false, &LeadershipChange::evaluateSuccessors);
+    query(candidates, false, &LeadershipChange::evaluateSuccessors);
 }
 
 void LeadershipChange::evaluateSuccessors(const DatabaseAnswers &answers)
--- a/libs/leadership/tests/synchronousreplicastest.cpp
+++ b/libs/leadership/tests/synchronousreplicastest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST_SUITE(SynchronousReplicasTest);
     CPPUNIT_TEST(leavingPrimaryServesUntilAReplicaFollows);
     CPPUNIT_TEST(waitingHolderIsNotReplacedAtOnce);
+    CPPUNIT_TEST(changeGoesOnAfterAllEntriesWereMissing);
     CPPUNIT_TEST(stoppedPrimaryIsNotReplacedByAReplicaBehindIt);
     CPPUNIT_TEST(lostPrimaryIsNotReplacedWhileAReplicaIsMissing);
     CPPUNIT_TEST(lostPrimaryIsReplacedWhenAllReplicasAnswer);
@@ -89,6 +90,23 @@
         CPPUNIT_ASSERT(world.isPromoted("b"));
     }
 
+    // Guards against a planned change that stands still for good, as no database was listed for a
+    // moment while it waited.
+    void changeGoesOnAfterAllEntriesWereMissing()
+    {
+        SynchronousWorld world;
+        Vm vm(world, "one", 0);
+        world.databases["b"].isSilent = true;
+        world.draining = {"a"};
+        world.timers.advance(1s);
+        world.removed = {"a", "b", "c"};
+        world.timers.advance(1s);
+        world.removed.clear();
+        world.databases["b"].isSilent = false;
+        world.timers.advance(4s);
+        CPPUNIT_ASSERT(world.isPromoted("b"));
+    }
+
     // Guards against the same loss when the replica goes dark after the primary was stopped.
     void stoppedPrimaryIsNotReplacedByAReplicaBehindIt()
     {
--- a/libs/net/include/net/silencedetector.h
+++ b/libs/net/include/net/silencedetector.h
@@ -6,8 +6,8 @@
 
 namespace fescuespring {
 
-// Detects that connections to a peer became silent while new ones work: a call got no answer in
-// time, and a later one, on another connection, did. Connections on which nothing was received
+// Detects that connections to a peer stopped delivering while new ones work: a call got no answer
+// in time, and a later one, on another connection, did. Connections on which nothing was received
 // since the first of them was sent are then not to be used any more, those that only wait included.
 // While nothing answers at all, the peer itself may be away, and nothing follows for its
 // connections.
