--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -199,7 +199,8 @@
 
 void Coordinator::considerChanges()
 {
-    if (m_isStopping || !isViewCurrent())
+    // Without a configuration it is unknown whether commits need a replica.
+    if (m_isStopping || !m_configuration || !isViewCurrent())
         return;
     if (mayWriteOrigin())
         writeOrigin();
@@ -400,9 +401,6 @@
 
 std::uint32_t Coordinator::synchronousReplicas(const GroupId &group) const
 {
-    // Before the first configuration it is unknown whether commits need a replica.
-    if (!m_configuration)
-        return 1;
     const auto limits = m_configuration->groups.find(group);
     return limits == m_configuration->groups.end() ? 0 : limits->second.synchronousReplicas;
 }
