Links are requested for a customer; customers and their allowances in the configuration

Cause: callers are to be identified by API keys, databases are told the customer, and a pooled connection serves one customer. Change: LinkRequest in place of loose arguments of LinkPool; the customer in UpstreamTarget, LinkCommand and the relay's Run message; the new library customers (Customer, Allowance, CustomerTable); RouteConfiguration holds customers, a route may be public. Nothing sets them yet.

--- a/libs/directory/include/directory/routetable.h
+++ b/libs/directory/include/directory/routetable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/types.h"
+#include "customers/customertable.h"
 
 #include <chrono>
 #include <cstdint>
@@ -45,6 +46,9 @@
 
     // 0 is the highest priority.
     std::uint32_t priority = 0;
+
+    // Callers need no API key, also where the configuration has customers.
+    bool isPublic = false;
 };
 
 struct GroupLimits
@@ -65,6 +69,10 @@
     std::vector<Route> routes;
     std::map<GroupId, GroupLimits> groups;
 
+    // The customers that may connect, each with its keys and allowance. Empty where callers are not
+    // identified.
+    std::vector<Customer> customers = {};
+
     // A transaction that is idle for longer may be ended.
     std::chrono::milliseconds idleTransactionTimeout{10'000};
 };
@@ -87,11 +95,16 @@
     {
         return m_configuration;
     }
+    const CustomerTable &customers() const
+    {
+        return m_customers;
+    }
 
 private:
     bool m_isLoaded = false;
     RouteConfiguration m_configuration;
     std::map<RouteName, Route> m_routes;
+    CustomerTable m_customers;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/routetable.cpp
+++ b/libs/directory/src/routetable.cpp
@@ -17,6 +17,7 @@
         return false;
     m_isLoaded = true;
     m_configuration = std::move(configuration);
+    m_customers = CustomerTable(m_configuration.customers);
     m_routes.clear();
     for (const Route &route : m_configuration.routes)
         m_routes.emplace(route.name, route);
--- a/libs/relay/include/relay/relaymessages.h
+++ b/libs/relay/include/relay/relaymessages.h
@@ -35,6 +35,9 @@
 
     // The fields up to beginAfter belong to Run.
     DatabaseId database = {};
+
+    // Empty where callers are not identified.
+    CustomerId customer = {};
     std::uint32_t priority = 0;
 
     // How long the first statement may wait for a connection.
--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -24,8 +24,8 @@
 
     static std::shared_ptr<RelayPool> make(Options options);
 
-    LinkLease tryAcquire(const SessionContext *context) override;
-    TicketId wait(const SessionContext *context, std::uint32_t priority, Granted granted) override;
+    LinkLease tryAcquire(const LinkRequest &request) override;
+    TicketId wait(const LinkRequest &request, Granted granted) override;
     void cancel(TicketId ticket) override;
 
     const DatabaseObservation &observation() const override
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -207,6 +207,8 @@
 void decodeRun(Reader &fields, RelayMessage &message)
 {
     message.database = DatabaseId(fields.text("database"));
+    if (fields.find("customer"))
+        message.customer = CustomerId(fields.text("customer"));
     message.priority = static_cast<std::uint32_t>(fields.integer("priority", UINT32_MAX));
     message.timeout = Duration(fields.integer("patienceUs"));
     message.command.id = RequestId(fields.text("id"));
@@ -232,6 +234,8 @@
                         {"patienceUs", message.timeout.count()},
                         {"id", message.command.id.value()},
                         {"statement", encodeStatement(message.command.statement)}};
+    if (!message.customer.isEmpty())
+        fields["customer"] = message.customer.value();
     if (message.command.after)
         fields["after"] = encodePoint(*message.command.after);
     if (message.hasValues) {
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -34,6 +34,7 @@
         RelayMessage request{.kind = RelayMessage::Kind::Run,
                              .lease = m_lease,
                              .database = m_pool.m_options.database,
+                             .customer = command.customer,
                              .priority = command.priority,
                              .timeout = command.timeout,
                              .command = command.command};
@@ -115,16 +116,16 @@
     return std::shared_ptr<RelayPool>(new RelayPool(std::move(options)));
 }
 
-LinkLease RelayPool::tryAcquire(const SessionContext *)
+LinkLease RelayPool::tryAcquire(const LinkRequest &)
 {
     ++m_inUse;
     return {shared_from_this(), std::make_shared<Link>(*this, m_options.peer())};
 }
 
-LinkPool::TicketId RelayPool::wait(const SessionContext *context, std::uint32_t, Granted granted)
+LinkPool::TicketId RelayPool::wait(const LinkRequest &request, Granted granted)
 {
-    m_options.timers.after(Duration(0), [self = shared_from_this(), context, granted] {
-        granted(self->tryAcquire(context));
+    m_options.timers.after(Duration(0), [self = shared_from_this(), request, granted] {
+        granted(self->tryAcquire(request));
     });
     return 0;
 }
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -137,8 +137,10 @@
             refuse(loan, "this VM has no connections to the database");
             return;
         }
-        const SessionContext *context = loan->request.hasValues ? &loan->context : nullptr;
-        if (LinkLease lease = loan->pool->tryAcquire(context)) {
+        const LinkRequest request{.context = loan->request.hasValues ? &loan->context : nullptr,
+                                  .customer = loan->request.customer,
+                                  .priority = loan->request.priority};
+        if (LinkLease lease = loan->pool->tryAcquire(request)) {
             loan->lease = std::move(lease);
             start(loan);
             return;
@@ -152,15 +154,15 @@
                     waiting->pool->cancel(std::exchange(waiting->ticket, 0));
                     refuse(waiting, "no connection became free in time");
                 });
-        loan->ticket = loan->pool->wait(context, loan->request.priority,
-                                        [this, weak = std::weak_ptr(loan)](LinkLease lease) {
-                                            const auto granted = weak.lock();
-                                            if (!granted)
-                                                return;
-                                            granted->ticket = 0;
-                                            granted->lease = std::move(lease);
-                                            start(granted);
-                                        });
+        loan->ticket =
+                loan->pool->wait(request, [this, weak = std::weak_ptr(loan)](LinkLease lease) {
+                    const auto granted = weak.lock();
+                    if (!granted)
+                        return;
+                    granted->ticket = 0;
+                    granted->lease = std::move(lease);
+                    start(granted);
+                });
     }
 
     void start(const std::shared_ptr<Loan> &loan)
--- a/libs/relay/tests/relaymessagestest.cpp
+++ b/libs/relay/tests/relaymessagestest.cpp
@@ -13,6 +13,7 @@
     return {.kind = RelayMessage::Kind::Run,
             .lease = 7,
             .database = DatabaseId("i-1"),
+            .customer = CustomerId("harbour"),
             .priority = 2,
             .timeout = 250ms,
             .command = {.id = RequestId("5c0e"),
@@ -71,6 +72,7 @@
         const RelayMessage received = decoded(encodeRelayMessage(sent));
         CPPUNIT_ASSERT(received.kind == sent.kind && received.lease == sent.lease);
         CPPUNIT_ASSERT(received.database == sent.database && received.priority == sent.priority);
+        CPPUNIT_ASSERT(received.customer == sent.customer);
         CPPUNIT_ASSERT(received.timeout == sent.timeout && received.values == sent.values);
         CPPUNIT_ASSERT(received.hasValues);
         CPPUNIT_ASSERT(received.command.id == sent.command.id
--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -49,16 +49,17 @@
 class ManualPool : public LinkPool, public std::enable_shared_from_this<ManualPool>
 {
 public:
-    LinkLease tryAcquire(const SessionContext *) override
+    LinkLease tryAcquire(const LinkRequest &) override
     {
         if (free == 0)
             return {};
         --free;
         return {shared_from_this(), link};
     }
-    TicketId wait(const SessionContext *, std::uint32_t priority, Granted) override
+    TicketId wait(const LinkRequest &request, Granted) override
     {
-        lastPriority = priority;
+        lastPriority = request.priority;
+        lastCustomer = request.customer;
         return ++waits;
     }
     void cancel(TicketId) override
@@ -80,6 +81,7 @@
     std::uint64_t waits = 0;
     std::size_t cancelled = 0;
     std::uint32_t lastPriority = 0;
+    CustomerId lastCustomer;
 
 private:
     void giveBack(const std::shared_ptr<StatementLink> &) override
@@ -192,6 +194,7 @@
         CPPUNIT_ASSERT(end->end == LinkEnd::NotSent);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pair.pool->waits);
         CPPUNIT_ASSERT_EQUAL(7U, pair.pool->lastPriority);
+        CPPUNIT_ASSERT(pair.pool->lastCustomer == CustomerId("harbour"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.pool->cancelled);
         CPPUNIT_ASSERT(lease->isBroken());
     }
@@ -262,9 +265,10 @@
     static LinkLease run(Pair &pair, const SessionContext &context, std::optional<LinkOutcome> &end)
     {
         end = std::nullopt;
-        LinkLease lease = pair.borrowed->tryAcquire(&context);
+        LinkLease lease = pair.borrowed->tryAcquire({.context = &context});
         lease->run({.command = {.id = RequestId("id-1")},
                     .context = &context,
+                    .customer = CustomerId("harbour"),
                     .priority = 7,
                     .timeout = 50ms},
                    [&end](const LinkOutcome &outcome) { end = outcome; });
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -49,7 +49,7 @@
 //     Upstreams upstreams(context);
 //     upstreams.directory().update(entry);
 //     const auto database = upstreams.chooseReader(group, excluded);
-//     upstreams.pool(*database)->tryAcquire(&session);
+//     upstreams.pool(*database)->tryAcquire({.context = &session});
 //
 // Not thread-safe.
 class Upstreams
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -224,17 +224,18 @@
     m_attempts.push_back(attempt);
     if (isReadOnly())
         scheduleHedge();
-    if (LinkLease lease = pool->tryAcquire(m_context.get())) {
+    const LinkRequest request{.context = m_context.get(), .priority = m_route.priority};
+    if (LinkLease lease = pool->tryAcquire(request)) {
         granted(attempt, std::move(lease), after);
         return;
     }
-    attempt->ticket = pool->wait(m_context.get(), m_route.priority,
-                                 [weak = weak_from_this(), attempt, after](LinkLease lease) {
-                                     attempt->ticket = 0;
-                                     const auto self = weak.lock();
-                                     if (self && self->m_session)
-                                         self->granted(attempt, std::move(lease), after);
-                                 });
+    attempt->ticket =
+            pool->wait(request, [weak = weak_from_this(), attempt, after](LinkLease lease) {
+                attempt->ticket = 0;
+                const auto self = weak.lock();
+                if (self && self->m_session)
+                    self->granted(attempt, std::move(lease), after);
+            });
 }
 
 void StatementRun::granted(const AttemptPtr &attempt, LinkLease lease,
--- a/libs/statementproxy/src/upstreamcommands.cpp
+++ b/libs/statementproxy/src/upstreamcommands.cpp
@@ -70,10 +70,10 @@
                     commandEnded(ran, isAnswered ? std::optional(outcome.reply) : std::nullopt);
                 });
     };
-    if (LinkLease lease = pool->tryAcquire(nullptr))
+    if (LinkLease lease = pool->tryAcquire({}))
         run(std::move(lease));
     else
-        command->ticket = pool->wait(nullptr, 0, run);
+        command->ticket = pool->wait({}, run);
 }
 
 void Upstreams::commandEnded(const std::shared_ptr<Command> &command,
--- a/libs/statements/include/statements/upstreamchannel.h
+++ b/libs/statements/include/statements/upstreamchannel.h
@@ -27,6 +27,10 @@
     GroupId group;
     DatabaseId database;
     Endpoint endpoint;
+
+    // The customer that the connection is opened for, as the database is told; empty for a
+    // connection that serves every caller.
+    CustomerId customer = {};
 };
 
 struct UpstreamChannelHandlers
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -11,6 +11,21 @@
 
 namespace fescuespring {
 
+// What a statement or transaction requires of a link.
+struct LinkRequest
+{
+    // The session that the link will serve; null for the VM's own statements. Must outlive the
+    // ticket.
+    const SessionContext *context = nullptr;
+
+    // The customer whose links may be used; empty where callers are not identified, and for the
+    // VM's own statements, which may use any link.
+    CustomerId customer = {};
+
+    // Lower values are served first.
+    std::uint32_t priority = 0;
+};
+
 // One statement to run on a link, with what it requires of the connection.
 struct LinkCommand
 {
@@ -28,7 +43,9 @@
     std::optional<StatementKind> begin = {};
     std::optional<LogPoint> beginAfter = {};
 
-    // Priority and maximum wait for a connection, if the link is relayed through another VM.
+    // Customer, priority and maximum wait for a connection, if the link is relayed through another
+    // VM.
+    CustomerId customer = {};
     std::uint32_t priority = 0;
     Duration timeout = std::chrono::milliseconds(250);
 };
@@ -164,10 +181,11 @@
 
 // A source of links to one database. One thread only.
 //
-//     if (LinkLease lease = pool->tryAcquire(session))
+//     const LinkRequest request{.context = &session, .customer = customer};
+//     if (LinkLease lease = pool->tryAcquire(request))
 //         ...
 //     else
-//         ticket = pool->wait(&session, priority, [](LinkLease lease) {...});
+//         ticket = pool->wait(request, [](LinkLease lease) {...});
 class LinkPool
 {
 public:
@@ -177,12 +195,10 @@
     virtual ~LinkPool() = default;
 
     // A free link whose state is nearest to the session's; empty if there is none or others wait.
-    virtual LinkLease tryAcquire(const SessionContext *context) = 0;
+    virtual LinkLease tryAcquire(const LinkRequest &request) = 0;
 
-    // Queues for a link; lower priority values are served first. The session must outlive the
-    // ticket.
-    virtual TicketId wait(const SessionContext *context, std::uint32_t priority,
-                          Granted granted) = 0;
+    // Queues for a link.
+    virtual TicketId wait(const LinkRequest &request, Granted granted) = 0;
     virtual void cancel(TicketId ticket) = 0;
 
     virtual const DatabaseObservation &observation() const = 0;
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -54,8 +54,9 @@
     return nearest;
 }
 
-LinkLease DatabasePool::tryAcquire(const SessionContext *context)
+LinkLease DatabasePool::tryAcquire(const LinkRequest &request)
 {
+    const SessionContext *context = request.context;
     if (m_isClosed || (context && (!m_queue.isEmpty() || !m_limit.hasRoom())))
         return {};
     Entry *entry = nearestFree(context);
@@ -65,12 +66,11 @@
     return {shared_from_this(), entry->link};
 }
 
-DatabasePool::TicketId DatabasePool::wait(const SessionContext *context, std::uint32_t priority,
-                                          Granted granted)
+DatabasePool::TicketId DatabasePool::wait(const LinkRequest &request, Granted granted)
 {
     const TicketId ticket = ++m_lastTicket;
-    m_queue.push(ticket, priority, m_timers.now());
-    m_waiters[ticket] = {.context = context, .granted = std::move(granted)};
+    m_queue.push(ticket, request.priority, m_timers.now());
+    m_waiters[ticket] = {.context = request.context, .granted = std::move(granted)};
     openForDemand();
     return ticket;
 }
--- a/libs/upstreampool/tests/databasepooltest.cpp
+++ b/libs/upstreampool/tests/databasepooltest.cpp
@@ -24,9 +24,8 @@
         const auto granted = std::make_shared<std::vector<LinkLease>>();
         std::vector<LinkPool::TicketId> tickets;
         for (std::size_t i = 0; i < count; ++i) {
-            tickets.push_back(pool->wait(nullptr, 0, [granted](LinkLease lease) {
-                granted->push_back(std::move(lease));
-            }));
+            tickets.push_back(pool->wait(
+                    {}, [granted](LinkLease lease) { granted->push_back(std::move(lease)); }));
         }
         timers.advance(1s);
         for (const LinkPool::TicketId ticket : tickets)
@@ -104,7 +103,7 @@
         PoolFixture fixture;
         fixture.databases["a"].isFull = true;
         bool isGranted = false;
-        fixture.pool->wait(nullptr, 0, [&isGranted](const LinkLease &) { isGranted = true; });
+        fixture.pool->wait({}, [&isGranted](const LinkLease &) { isGranted = true; });
         // Attempts are 30, 60, 120, 240, then 400 ms apart.
         fixture.timers.advance(10s);
         CPPUNIT_ASSERT(!isGranted);
