Callers are identified by API keys, and a removed key stops working

Cause: the configuration may list customers with API keys; nothing read them, and every caller could use every route. Each operation resolves the session's key anew and passes its customer in LinkRequest and LinkCommand; the key is checked again when the statement is sent, as it may have waited for a connection or a retry. RouteTable can hold the customers back if the configuration was not confirmed within a bound; nothing sets that bound yet.

--- a/libs/customers/include/customers/customer.h
+++ b/libs/customers/include/customers/customer.h
@@ -17,6 +17,7 @@
 // a transaction, or one transaction. Enforced as a token bucket.
 struct Allowance
 {
+    // 0 means that there is no limit.
     double operationsPerSecond = 0;
 
     // Operations that may start at once after a pause.
--- /dev/null
+++ b/libs/directory/include/directory/identification.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "directory/routetable.h"
+#include "statements/statement.h"
+
+#include <string>
+
+namespace fescuespring {
+
+// Whether the caller with an API key may use a route now, and as which customer.
+//
+//     const Identification caller = identify(routes, *routes.find(name), key, timers.now());
+//     if (!caller.isAccepted())
+//         refuse(caller.failure, caller.message());
+struct Identification
+{
+    // None; Unauthorized if the key identifies no customer; Busy if the configuration may lack a
+    // change that had to be in force by now.
+    StatementFailure failure = StatementFailure::None;
+
+    // Empty on public routes, and where callers are not identified.
+    CustomerId customer = {};
+
+    bool isAccepted() const
+    {
+        return failure == StatementFailure::None;
+    }
+
+    // The reason of a refusal, for the caller.
+    std::string message() const;
+};
+
+// An empty digest stands for a caller without a key.
+Identification identify(const RouteTable &routes, const Route &route, const KeyDigest &key,
+                        Instant now);
+
+} // namespace fescuespring
--- a/libs/directory/include/directory/routetable.h
+++ b/libs/directory/include/directory/routetable.h
@@ -77,13 +77,41 @@
     std::chrono::milliseconds idleTransactionTimeout{10'000};
 };
 
-// The configuration in force. Versions only increase. Not thread-safe.
+// The configuration in force. Versions only increase, so that a store that was restored from a copy
+// brings no removed key back. Not thread-safe.
 class RouteTable
 {
 public:
+    // With a bound, the customers are used only while the configuration was confirmed within it;
+    // without one always.
+    explicit RouteTable(std::optional<Duration> confirmationBound = std::nullopt)
+        : m_confirmationBound(confirmationBound)
+    {}
+
     // Applies a configuration; returns false and changes nothing if it is not newer.
     bool apply(RouteConfiguration configuration);
 
+    // Records that the store held no configuration above a version at a time. Ignored if that
+    // version is not in force here yet.
+    void confirm(std::uint64_t version, Instant at);
+
+    // Every configuration that the store acknowledged before this time is in force or was replaced.
+    // Empty before the first confirmation.
+    std::optional<Instant> confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
+
+    // Whether the customers may be used now: there are none, there is no bound, or the last
+    // confirmation is within it.
+    bool isCurrent(Instant now) const;
+
+    // Whether the configuration has to be confirmed, as it has customers and there is a bound.
+    bool needsConfirmation() const
+    {
+        return m_confirmationBound && !m_customers.isEmpty();
+    }
+
     // nullptr if there is no such route or no configuration yet. Valid until the next apply().
     const Route *find(const RouteName &name) const;
 
@@ -105,6 +133,8 @@
     RouteConfiguration m_configuration;
     std::map<RouteName, Route> m_routes;
     CustomerTable m_customers;
+    std::optional<Duration> m_confirmationBound;
+    std::optional<Instant> m_confirmedAt;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/routetable.cpp
+++ b/libs/directory/src/routetable.cpp
@@ -1,5 +1,6 @@
 #include "directory/routetable.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -24,6 +25,19 @@
     return true;
 }
 
+void RouteTable::confirm(std::uint64_t version, Instant at)
+{
+    if (m_isLoaded && version <= m_configuration.version)
+        m_confirmedAt = std::max(m_confirmedAt.value_or(at), at);
+}
+
+bool RouteTable::isCurrent(Instant now) const
+{
+    if (!needsConfirmation())
+        return true;
+    return m_confirmedAt && now - *m_confirmedAt <= *m_confirmationBound;
+}
+
 const Route *RouteTable::find(const RouteName &name) const
 {
     const auto found = m_routes.find(name);
--- /dev/null
+++ b/libs/directory/tests/identificationtest.cpp
@@ -0,0 +1,97 @@
+#include "directory/identification.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <vector>
+
+using namespace fescuespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const KeyDigest key("aa");
+const Route closed{.name = RouteName("closed")};
+const Route open{.name = RouteName("open"), .isPublic = true};
+
+RouteConfiguration configuration(std::uint64_t version, std::vector<KeyDigest> keys)
+{
+    RouteConfiguration configuration{.version = version, .routes = {closed, open}};
+    configuration.customers = {{.id = CustomerId("one"), .keys = std::move(keys)}};
+    return configuration;
+}
+
+} // namespace
+
+class IdentificationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IdentificationTest);
+    CPPUNIT_TEST(nobodyIsIdentifiedWithoutCustomers);
+    CPPUNIT_TEST(keyIdentifiesItsCustomer);
+    CPPUNIT_TEST(unconfirmedConfigurationIdentifiesNobody);
+    CPPUNIT_TEST(restoredStoreBringsNoKeyBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a changed behaviour of installations without customers.
+    void nobodyIsIdentifiedWithoutCustomers()
+    {
+        RouteTable routes(4600ms);
+        routes.apply({.version = 1, .routes = {closed}});
+        const Identification caller = identify(routes, closed, {}, Instant(1h));
+        CPPUNIT_ASSERT(caller.isAccepted() && caller.customer.isEmpty());
+    }
+
+    void keyIdentifiesItsCustomer()
+    {
+        RouteTable routes;
+        routes.apply(configuration(1, {key}));
+        const Identification known = identify(routes, closed, key, Instant(1h));
+        CPPUNIT_ASSERT(known.isAccepted() && known.customer == CustomerId("one"));
+        CPPUNIT_ASSERT(identify(routes, closed, KeyDigest("bb"), Instant()).failure
+                       == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(identify(routes, closed, {}, Instant()).failure
+                       == StatementFailure::Unauthorized);
+        const Identification anyone = identify(routes, open, key, Instant());
+        CPPUNIT_ASSERT(anyone.isAccepted() && anyone.customer.isEmpty());
+    }
+
+    // Guards against a revoked key that works on a VM that has lost the store.
+    void unconfirmedConfigurationIdentifiesNobody()
+    {
+        RouteTable routes(4600ms);
+        routes.apply(configuration(2, {key}));
+        const auto failure = [&](Duration at) {
+            return identify(routes, closed, key, Instant(at)).failure;
+        };
+        CPPUNIT_ASSERT(failure(1s) == StatementFailure::Busy);
+        routes.confirm(2, Instant(1s));
+        CPPUNIT_ASSERT(failure(1s + 4600ms) == StatementFailure::None);
+        CPPUNIT_ASSERT(failure(1s + 4600ms + 1us) == StatementFailure::Busy);
+        CPPUNIT_ASSERT(identify(routes, open, {}, Instant(1h)).isAccepted());
+        // The store holds a version that is not in force here.
+        routes.confirm(3, Instant(6s));
+        CPPUNIT_ASSERT(failure(6s) == StatementFailure::Busy);
+        // An answer that arrives late takes nothing back.
+        routes.confirm(2, Instant(5s));
+        routes.confirm(2, Instant(3s));
+        CPPUNIT_ASSERT(failure(9s) == StatementFailure::None);
+    }
+
+    // Guards against a key that is accepted again after the store was restored from a copy. The
+    // other keys remain usable.
+    void restoredStoreBringsNoKeyBack()
+    {
+        RouteTable routes(4600ms);
+        const KeyDigest removed("bb");
+        routes.apply(configuration(7, {key, removed}));
+        routes.apply(configuration(8, {key}));
+        CPPUNIT_ASSERT(!routes.apply(configuration(7, {key, removed})));
+        routes.confirm(7, Instant(1s));
+        CPPUNIT_ASSERT(identify(routes, closed, removed, Instant(2s)).failure
+                       == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(identify(routes, closed, key, Instant(2s)).isAccepted());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IdentificationTest);
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -163,7 +163,7 @@
 StatementReply decodeReply(Reader &outer, const json::value *value)
 {
     Reader fields(value);
-    StatementReply reply{.failure = fields.enumerator("failure", StatementFailure::InDoubt),
+    StatementReply reply{.failure = fields.enumerator("failure", StatementFailure::Unauthorized),
                          .message = fields.text("message"),
                          .signature = fields.text("signature"),
                          .phase = fields.enumerator("phase", SessionPhase::Failed),
--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "directory/identification.h"
 #include "directory/routetable.h"
 #include "statementproxy/upstreams.h"
 #include "statements/sessioncontext.h"
@@ -33,6 +34,9 @@
         Upstreams &upstreams;
         const RouteTable &routes;
         RouteName name;
+
+        // Identifies the caller's customer; empty if the caller sent no key.
+        KeyDigest key = {};
         std::function<void(const StatementReply &)> onReply = {};
     };
 
@@ -56,6 +60,19 @@
         return m_phase != SessionPhase::Idle;
     }
 
+    const RouteName &routeName() const
+    {
+        return m_options.name;
+    }
+    const KeyDigest &key() const
+    {
+        return m_options.key;
+    }
+
+    // Whether the caller's key was removed from the configuration, so that the session is to be
+    // closed once its last reply is sent.
+    bool isRevoked() const;
+
     // Rolls back an open transaction, for example before a shutdown, unless a statement is running.
     // After that, the session accepts only commit, which is answered with Aborted, and rollback.
     void abortTransaction();
@@ -80,15 +97,20 @@
         bool hasWritten = false;
         Instant startedAt = {};
 
-        // Fixed at the start; a change of routes applies to the next transaction.
+        // Fixed at the start; a change of routes, or of the key's customer, applies to the next
+        // transaction.
         Route route = {};
+        CustomerId customer = {};
     };
 
-    void begin(bool isReadOnly);
+    Identification identifyCaller(const Route &route) const;
+    void refuseCaller(const Identification &caller);
+    void begin(bool isReadOnly, const Route &route, const CustomerId &customer);
     void applyToContext(const Statement &statement);
     void endFailedTransaction();
     void rollBack();
-    void runOnDatabase(const RequestId &id, const Statement &statement);
+    void runOnDatabase(const RequestId &id, const Statement &statement, const Route &route,
+                       const CustomerId &customer);
     void reply(const StatementReply &reply);
     void replyFailure(StatementFailure failure, const std::string &message);
     void startIdleTimer();
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -25,12 +25,13 @@
 } // namespace
 
 StatementRun::StatementRun(StatementSession &session, RequestId id, Statement statement,
-                           const PreparedStatement *prepared, Route route)
+                           const PreparedStatement *prepared, Route route, CustomerId customer)
     : m_session(&session)
     , m_context(std::make_shared<SessionContext>(session.m_context))
     , m_id(std::move(id))
     , m_statement(std::move(statement))
     , m_route(std::move(route))
+    , m_customer(std::move(customer))
     , m_configuration(session.m_options.routes.configuration().version)
 {
     if (prepared)
@@ -224,7 +225,8 @@
     m_attempts.push_back(attempt);
     if (isReadOnly())
         scheduleHedge();
-    const LinkRequest request{.context = m_context.get(), .priority = m_route.priority};
+    const LinkRequest request{
+            .context = m_context.get(), .customer = m_customer, .priority = m_route.priority};
     if (LinkLease lease = pool->tryAcquire(request)) {
         granted(attempt, std::move(lease), after);
         return;
@@ -245,11 +247,30 @@
     send(attempt, after);
 }
 
+// The key may have been removed while the statement waited for a connection or a retry.
+bool StatementRun::refuseIfRevoked(const AttemptPtr &attempt)
+{
+    const Identification caller = m_session->identifyCaller(m_route);
+    if (caller.isAccepted())
+        return false;
+    attempt->lease.release();
+    attempt->isEnded = true;
+    // What was sent before ends as it would have.
+    const bool isRunning = std::ranges::any_of(
+            m_attempts, [](const AttemptPtr &other) { return other->isSent && !other->isEnded; });
+    if (!isRunning)
+        fail(caller.failure, caller.message());
+    return true;
+}
+
 void StatementRun::send(const AttemptPtr &attempt, std::optional<LogPoint> after)
 {
+    if (refuseIfRevoked(attempt))
+        return;
     LinkCommand command{.command = {.id = m_id, .statement = m_statement},
                         .context = m_context.get(),
                         .prepared = m_prepared ? &*m_prepared : nullptr,
+                        .customer = m_customer,
                         .priority = m_route.priority,
                         .timeout = std::max(Duration(0), m_holdUntil - now())};
     if (hasNoPinnedConnection() && attempt->pool) {
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -21,7 +21,7 @@
 {
 public:
     StatementRun(StatementSession &session, RequestId id, Statement statement,
-                 const PreparedStatement *prepared, Route route);
+                 const PreparedStatement *prepared, Route route, CustomerId customer);
     ~StatementRun();
 
     void start();
@@ -64,6 +64,7 @@
     void retryAfter(Duration delay);
     void attempt(const DatabaseId &database, std::optional<LogPoint> after);
     void granted(const AttemptPtr &attempt, LinkLease lease, std::optional<LogPoint> after);
+    bool refuseIfRevoked(const AttemptPtr &attempt);
     void send(const AttemptPtr &attempt, std::optional<LogPoint> after);
     void scheduleHedge();
     void hedge();
@@ -96,6 +97,7 @@
     Statement m_statement;
     std::optional<PreparedStatement> m_prepared;
     Route m_route;
+    CustomerId m_customer;
 
     // Version of the configuration when the statement was received.
     std::uint64_t m_configuration;
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -31,6 +31,16 @@
     m_options.upstreams.context().timers.cancel(std::exchange(m_idleTimer, 0));
     const bool endsTransaction =
             statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    const std::optional<Route> route = currentRoute();
+    const Identification caller = route ? identifyCaller(*route) : Identification();
+    // Ending a transaction without a commit runs nothing that a removed key could have sent.
+    const bool runsNothing = statement.kind == StatementKind::Rollback
+                             || (endsTransaction && m_phase == SessionPhase::Failed);
+    if (caller.failure == StatementFailure::Unauthorized
+        || (!caller.isAccepted() && !runsNothing)) {
+        refuseCaller(caller);
+        return;
+    }
     if (m_phase == SessionPhase::Failed && !endsTransaction) {
         replyFailure(StatementFailure::Malformed, "the transaction has failed");
         return;
@@ -38,7 +48,12 @@
     switch (statement.kind) {
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
-        begin(statement.kind == StatementKind::BeginReadOnly);
+        if (m_phase != SessionPhase::Idle)
+            replyFailure(StatementFailure::Malformed, "a transaction is open already");
+        else if (!route)
+            replyFailure(StatementFailure::UnknownRoute, "no route has this name");
+        else
+            begin(statement.kind == StatementKind::BeginReadOnly, *route, caller.customer);
         return;
     case StatementKind::SetValue:
     case StatementKind::Prepare:
@@ -61,7 +76,33 @@
         replyFailure(StatementFailure::Malformed, "no transaction is open");
         return;
     }
-    runOnDatabase(id, statement);
+    if (!route) {
+        replyFailure(StatementFailure::UnknownRoute, "no route has this name");
+        return;
+    }
+    runOnDatabase(id, statement, *route, m_transaction ? m_transaction->customer : caller.customer);
+}
+
+Identification StatementSession::identifyCaller(const Route &route) const
+{
+    return identify(m_options.routes, route, m_options.key,
+                    m_options.upstreams.context().timers.now());
+}
+
+bool StatementSession::isRevoked() const
+{
+    const std::optional<Route> route = currentRoute();
+    return route && identifyCaller(*route).failure == StatementFailure::Unauthorized;
+}
+
+void StatementSession::refuseCaller(const Identification &caller)
+{
+    // Releases the connection of an open transaction, which rolls it back.
+    if (m_phase != SessionPhase::Idle) {
+        m_transaction.reset();
+        m_phase = SessionPhase::Failed;
+    }
+    replyFailure(caller.failure, caller.message());
 }
 
 void StatementSession::reject(const RequestId &id, const std::string &message)
@@ -71,21 +112,13 @@
     replyFailure(StatementFailure::Malformed, message);
 }
 
-void StatementSession::begin(bool isReadOnly)
+void StatementSession::begin(bool isReadOnly, const Route &route, const CustomerId &customer)
 {
-    if (m_phase != SessionPhase::Idle) {
-        replyFailure(StatementFailure::Malformed, "a transaction is open already");
-        return;
-    }
-    const std::optional<Route> route = currentRoute();
-    if (!route) {
-        replyFailure(StatementFailure::UnknownRoute, "no route has this name");
-        return;
-    }
     m_transaction = Transaction{.isReadOnly = isReadOnly,
-                                .group = route->group,
+                                .group = route.group,
                                 .startedAt = m_options.upstreams.context().timers.now(),
-                                .route = *route};
+                                .route = route,
+                                .customer = customer};
     m_phase = SessionPhase::InTransaction;
     reply({.signature = "-", .phase = m_phase});
 }
@@ -128,13 +161,9 @@
         m_run->endForStop();
 }
 
-void StatementSession::runOnDatabase(const RequestId &id, const Statement &statement)
+void StatementSession::runOnDatabase(const RequestId &id, const Statement &statement,
+                                     const Route &route, const CustomerId &customer)
 {
-    const std::optional<Route> route = currentRoute();
-    if (!route) {
-        replyFailure(StatementFailure::UnknownRoute, "no route has this name");
-        return;
-    }
     const PreparedStatement *prepared = nullptr;
     if (statement.kind == StatementKind::Execute) {
         prepared = m_context.prepared(statement.name);
@@ -143,7 +172,7 @@
             return;
         }
     }
-    m_run = std::make_shared<detail::StatementRun>(*this, id, statement, prepared, *route);
+    m_run = std::make_shared<detail::StatementRun>(*this, id, statement, prepared, route, customer);
     m_run->start();
 }
 
--- a/libs/statements/include/statements/statement.h
+++ b/libs/statements/include/statements/statement.h
@@ -90,6 +90,9 @@
     // The outcome is unknown.
     TimedOut,
     InDoubt,
+
+    // The caller's API key identifies no customer; the statement has no lasting effect.
+    Unauthorized,
 };
 
 const char *toString(StatementFailure failure);
--- a/libs/statements/src/statement.cpp
+++ b/libs/statements/src/statement.cpp
@@ -14,7 +14,7 @@
 constexpr std::array failureNames{"none",      "busy",           "aborted",  "lagging",
                                   "read-only", "wrong-database", "overload", "unknown-prepared",
                                   "malformed", "unknown-route",  "failed",   "timeout",
-                                  "in-doubt"};
+                                  "in-doubt",  "unauthorized"};
 
 } // namespace
 
@@ -37,6 +37,7 @@
     case StatementFailure::WrongDatabase:
     case StatementFailure::Overload:
     case StatementFailure::UnknownPrepared:
+    case StatementFailure::Unauthorized:
         return true;
     default:
         return false;
