Connections of a customer: kept, opened and closed by customer in DatabasePool

Change: a link serves the customer that it was opened for; statements of the VM itself use any. At the maximum, the least recently used idle link of another customer makes room. A freed link serves statements of its customer that were queued within 25 ms of the next one in order, which waits 40 ms at most for that. Openings for customers count against the concurrency limit. Links of customers stay open for 55 s, and one link is opened ahead of demand. WaitQueue::find walks the queue in order. Counters of openings, closings for another customer and waits granted.

--- a/libs/admission/include/admission/waitqueue.h
+++ b/libs/admission/include/admission/waitqueue.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -37,6 +38,10 @@
     // The ticket that goes next, which stays in the queue; nothing if the queue is empty.
     std::optional<Ticket> next(Instant now) const;
 
+    // The first ticket in this order for which matches returns true. matches must not change the
+    // queue.
+    std::optional<Ticket> find(Instant now, const std::function<bool(Ticket)> &matches) const;
+
     std::size_t size() const
     {
         return m_waiting.size();
--- a/libs/admission/src/waitqueue.cpp
+++ b/libs/admission/src/waitqueue.cpp
@@ -37,4 +37,24 @@
     return std::prev(end)->ticket;
 }
 
+std::optional<WaitQueue::Ticket> WaitQueue::find(Instant now,
+                                                 const std::function<bool(Ticket)> &matches) const
+{
+    auto begin = m_waiting.begin();
+    while (begin != m_waiting.end()) {
+        const auto end = std::find_if(begin, m_waiting.end(), [begin](const Waiting &waiting) {
+            return waiting.priority != begin->priority;
+        });
+        const bool isOverloaded = now - begin->since > m_overloadAfter;
+        const auto count = end - begin;
+        for (std::ptrdiff_t i = 0; i < count; ++i) {
+            const Waiting &waiting = isOverloaded ? *(end - 1 - i) : *(begin + i);
+            if (matches(waiting.ticket))
+                return waiting.ticket;
+        }
+        begin = end;
+    }
+    return std::nullopt;
+}
+
 } // namespace fescuespring
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -264,6 +264,7 @@
     std::map<GroupId, GroupLimits> m_limits;
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
+    bool m_areCustomersNamed = false;
     std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -138,8 +138,9 @@
         if (pools)
             pools->own->close();
         pools = std::make_unique<DatabasePools>();
-        pools->own =
-                DatabasePool::make(m_context.timers, m_context.connect, {.target = entry.target});
+        pools->own = DatabasePool::make(m_context.timers, m_context.connect,
+                                        {.target = entry.target, .counters = &m_context.counters});
+        pools->own->serveCustomers(m_areCustomersNamed);
         pools->relayed = RelayPool::make(
                 {.timers = m_context.timers, .database = database, .peer = [this, database] {
                      return peerFor(database);
@@ -214,9 +215,11 @@
                                  bool areAllKnown)
 {
     m_limits = configuration.groups;
+    m_areCustomersNamed = !configuration.customers.empty();
     m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, pools] : m_pools) {
+        pools->own->serveCustomers(m_areCustomersNamed);
         updateShares(database, *pools);
         if (pools->isOwner && !pools->drainingSince)
             pools->own->warmUp();
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -2,6 +2,7 @@
 
 #include "admission/concurrencylimit.h"
 #include "admission/waitqueue.h"
+#include "base/counters.h"
 #include "upstreampool/databaselink.h"
 
 #include <cstdint>
@@ -30,12 +31,36 @@
 
     // An abandoned transaction must be rolled back within this time, or its connection is closed.
     Duration rollbackTimeout = std::chrono::milliseconds(1000);
+
+    // Time without use after which a customer's connection is closed. The database closes it after
+    // 60 s, and a statement sent at that moment would be lost.
+    Duration customerIdleTimeout = std::chrono::seconds(55);
+
+    // A connection that becomes free is granted to a statement of its own customer, rather than
+    // closed for an earlier one of another customer, if the two were queued within groupingWindow
+    // of each other and the earlier one has waited for less than groupingBound. Opening occupies a
+    // slot for 12 ms, so that a window of two openings pays for itself.
+    Duration groupingWindow = std::chrono::milliseconds(25);
+    Duration groupingBound = std::chrono::milliseconds(40);
+
+    // If set, counts connections opened, connections closed for another customer, and waits
+    // granted. Must outlive the pool.
+    Counters *counters = nullptr;
 };
 
 // The connections of this VM to one database, the queue for them, and the limit of concurrent
 // statements. Statements of open transactions take precedence over new work, so that transactions
 // end.
 //
+// A connection is opened for one customer and serves only that customer; statements of the VM
+// itself (no session) use any. If the pool is at its maximum, the least recently used idle
+// connection of another customer is closed to make room. An opening occupies a slot of the database
+// and counts against the limit. Statements without a customer share one set of connections.
+//
+//     const auto pool = DatabasePool::make(timers, connect, {.target = target, .maximum = 11});
+//     pool->serveCustomers(true);
+//     LinkLease lease = pool->tryAcquire({.context = &session, .customer = customer});
+//
 // One thread only.
 class DatabasePool : public LinkPool, public std::enable_shared_from_this<DatabasePool>
 {
@@ -61,9 +86,14 @@
     // excess of maximum are closed now if free, the others when they become free.
     void setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements);
 
-    // Opens links ahead of demand, up to kept.
+    // Opens links ahead of demand, up to kept; only one where statements have customers, for the
+    // VM's own statements.
     void warmUp();
 
+    // Whether the configuration names customers. Their connections stay open until their room is
+    // needed.
+    void serveCustomers(bool areNamed);
+
     // Opens no further links and closes each link when it becomes free. Waiting tickets are dropped
     // without a call.
     void close();
@@ -92,17 +122,25 @@
     struct Entry
     {
         std::shared_ptr<DatabaseLink> link;
+        CustomerId customer;
         bool isLeased = false;
+
+        // Whether its opening counts against the limit.
+        bool holdsSlot = false;
     };
     struct Waiter
     {
-        const SessionContext *context = nullptr;
+        LinkRequest request;
         Granted granted;
+        Instant since;
     };
+    struct Walk;
 
     DatabasePool(Timers &timers, UpstreamConnector connect, DatabasePoolOptions options);
-    void open();
+    void open(const CustomerId &customer);
     void openForDemand();
+    bool mayOpenNow();
+    void serveQueue();
     void linkOpened(DatabaseLink &link, const StatementReply &reply);
     void linkBroken(DatabaseLink &link, const Error &error);
     void giveBack(const std::shared_ptr<StatementLink> &link) override;
@@ -110,6 +148,18 @@
     void becomeFree(const std::shared_ptr<DatabaseLink> &link);
     void remove(const DatabaseLink &link);
     void grantNext();
+    void grant(TicketId ticket, Entry &entry);
+    bool hasCustomers() const;
+    bool grantOneOfCustomers();
+    std::optional<TicketId> walkQueue(Walk &walk);
+    void makeRoom(const Waiter &waiter, Walk &walk);
+    Entry *leastRecentlyUsed(const Waiter &waiter, const Walk &walk);
+    bool hasCompanion(const CustomerId &customer, const Waiter &waiter) const;
+    void replace(Entry &idle, const CustomerId &customer);
+    std::map<CustomerId, std::size_t> comingByCustomer() const;
+    std::size_t closing() const;
+    void releaseSlot(Entry &entry);
+    void passGates();
     void enterGate(std::function<bool()> start);
     void passGate(const std::function<bool()> &start);
     void leaveGate(Duration time);
@@ -118,8 +168,10 @@
     void closeExcess();
     void scheduleIdleCheck();
     Entry *find(const DatabaseLink &link);
-    Entry *nearestFree(const SessionContext *context);
+    Entry *nearestFree(const LinkRequest &request, const Walk *walk = nullptr);
     std::size_t opening() const;
+    std::uint32_t keptAhead() const;
+    Duration idleTimeout(const Entry &entry) const;
 
     Timers &m_timers;
     UpstreamConnector m_connect;
@@ -127,6 +179,7 @@
     std::vector<Entry> m_links;
     WaitQueue m_queue;
     std::map<TicketId, Waiter> m_waiters;
+    std::map<CustomerId, std::size_t> m_waitingByCustomer;
     ConcurrencyLimit m_limit;
     std::deque<std::function<bool()>> m_atGate;
     DatabaseObserver m_observer;
@@ -137,6 +190,22 @@
     Timers::Id m_openTimer = 0;
     Timers::Id m_idleTimer = 0;
     bool m_isClosed = false;
+
+    // Whether customers are configured, and whether any statement had one.
+    bool m_areCustomersNamed = false;
+    bool m_hadCustomer = false;
+
+    // Connections that are being closed to make room, by the customer that gets it. They count
+    // against the maximum until they are closed.
+    std::map<CustomerId, std::size_t> m_closingFor;
+
+    struct Count
+    {
+        Counter *opened = nullptr;
+        Counter *closedForOther = nullptr;
+        Counter *waitsGranted = nullptr;
+    };
+    Count m_count;
 };
 
 } // namespace fescuespring
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -17,7 +17,14 @@
     , m_connect(std::move(connect))
     , m_options(std::move(options))
     , m_observer(timers.now())
-{}
+{
+    if (!m_options.counters)
+        return;
+    m_count = {.opened = &m_options.counters->counter("fescuespring_connections_opened_total"),
+               .closedForOther = &m_options.counters->counter(
+                       "fescuespring_connections_closed_for_another_customer_total"),
+               .waitsGranted = &m_options.counters->counter("fescuespring_connection_waits_total")};
+}
 
 DatabasePool::~DatabasePool()
 {
@@ -38,49 +45,6 @@
     return found == m_links.end() ? nullptr : &*found;
 }
 
-DatabasePool::Entry *DatabasePool::nearestFree(const SessionContext *context)
-{
-    Entry *nearest = nullptr;
-    std::size_t nearestDistance = 0;
-    for (Entry &entry : m_links) {
-        if (entry.isLeased || !entry.link->isOpen())
-            continue;
-        const std::size_t distance = context ? entry.link->context().distance(*context) : 0;
-        if (nearest && distance >= nearestDistance)
-            continue;
-        nearest = &entry;
-        nearestDistance = distance;
-    }
-    return nearest;
-}
-
-LinkLease DatabasePool::tryAcquire(const LinkRequest &request)
-{
-    const SessionContext *context = request.context;
-    if (m_isClosed || (context && (!m_queue.isEmpty() || !m_limit.hasRoom())))
-        return {};
-    Entry *entry = nearestFree(context);
-    if (!entry)
-        return {};
-    entry->isLeased = true;
-    return {shared_from_this(), entry->link};
-}
-
-DatabasePool::TicketId DatabasePool::wait(const LinkRequest &request, Granted granted)
-{
-    const TicketId ticket = ++m_lastTicket;
-    m_queue.push(ticket, request.priority, m_timers.now());
-    m_waiters[ticket] = {.context = request.context, .granted = std::move(granted)};
-    openForDemand();
-    return ticket;
-}
-
-void DatabasePool::cancel(TicketId ticket)
-{
-    m_queue.remove(ticket);
-    m_waiters.erase(ticket);
-}
-
 void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements)
 {
     m_limit.setBounds(minimumStatements, std::max<double>(minimumStatements, maximum));
@@ -101,8 +65,18 @@
 
 void DatabasePool::warmUp()
 {
-    while (!m_isClosed && m_links.size() < m_options.kept && m_timers.now() >= m_openNotBefore)
-        open();
+    while (!m_isClosed && m_links.size() < keptAhead() && m_timers.now() >= m_openNotBefore)
+        open({});
+}
+
+std::uint32_t DatabasePool::keptAhead() const
+{
+    return m_areCustomersNamed ? std::min(m_options.kept, 1U) : m_options.kept;
+}
+
+void DatabasePool::serveCustomers(bool areNamed)
+{
+    m_areCustomersNamed = areNamed;
 }
 
 void DatabasePool::close()
@@ -110,6 +84,9 @@
     m_isClosed = true;
     m_queue.clear();
     m_waiters.clear();
+    m_waitingByCustomer.clear();
+    for (Entry &entry : m_links)
+        releaseSlot(entry);
     std::erase_if(m_links, [](const Entry &entry) { return !entry.isLeased; });
 }
 
@@ -127,9 +104,11 @@
             }));
 }
 
-void DatabasePool::open()
+void DatabasePool::open(const CustomerId &customer)
 {
     ++m_openedCount;
+    if (m_count.opened)
+        m_count.opened->add();
     m_observer.sent(m_timers.now());
     DatabaseLink::Options options{
             .target = m_options.target,
@@ -149,34 +128,20 @@
                     [this](DatabaseLink &link, const Error &error) {
                         linkBroken(link, error);
                     }};
+    options.target.customer = customer;
     m_links.push_back(
-            {.link = std::make_shared<DatabaseLink>(m_timers, m_connect, std::move(options))});
-}
-
-void DatabasePool::openForDemand()
-{
-    if (m_isClosed)
-        return;
-    const Instant now = m_timers.now();
-    while (m_links.size() < m_options.maximum && opening() < m_queue.size()) {
-        if (now < m_openNotBefore) {
-            if (m_openTimer == 0) {
-                m_openTimer = m_timers.after(m_openNotBefore - now, [this] {
-                    m_openTimer = 0;
-                    openForDemand();
-                });
-            }
-            return;
-        }
-        open();
-    }
+            {.link = std::make_shared<DatabaseLink>(m_timers, m_connect, std::move(options)),
+             .customer = customer,
+             .holdsSlot = !customer.isEmpty()});
+    if (!customer.isEmpty())
+        m_limit.begin();
 }
 
 void DatabasePool::openFailed()
 {
     m_backoff = std::clamp(m_backoff * 2, m_options.firstBackoff, m_options.maximumBackoff);
     m_openNotBefore = m_timers.now() + m_backoff;
-    openForDemand();
+    serveQueue();
 }
 
 void DatabasePool::linkOpened(DatabaseLink &link, const StatementReply &reply)
@@ -185,13 +150,15 @@
     Entry *entry = find(link);
     if (!entry)
         return;
+    const std::shared_ptr<DatabaseLink> opened = entry->link;
+    releaseSlot(*entry);
     if (!reply.isSuccess()) {
         remove(link);
         openFailed();
         return;
     }
     m_backoff = Duration(0);
-    becomeFree(entry->link);
+    becomeFree(opened);
 }
 
 void DatabasePool::linkBroken(DatabaseLink &link, const Error &error)
@@ -204,7 +171,7 @@
     if (error.code == ErrorCode::Unreachable || error.code == ErrorCode::Refused)
         openFailed();
     else
-        openForDemand();
+        serveQueue();
 }
 
 void DatabasePool::remove(const DatabaseLink &link)
@@ -215,9 +182,10 @@
     if (found == m_links.end())
         return;
     // The link may be the caller, so it is destroyed later.
-    const std::shared_ptr<DatabaseLink> removed = found->link;
+    Entry removed = std::move(*found);
     m_links.erase(found);
-    m_timers.after(Duration(0), [removed] {});
+    m_timers.after(Duration(0), [link = removed.link] {});
+    releaseSlot(removed);
 }
 
 void DatabasePool::giveBack(const std::shared_ptr<StatementLink> &returned)
@@ -272,22 +240,6 @@
     scheduleIdleCheck();
 }
 
-void DatabasePool::grantNext()
-{
-    while (m_limit.hasRoom()) {
-        const auto ticket = m_queue.next(m_timers.now());
-        if (!ticket)
-            return;
-        Entry *entry = nearestFree(m_waiters.at(*ticket).context);
-        if (!entry)
-            return;
-        entry->isLeased = true;
-        const Granted granted = std::move(m_waiters.at(*ticket).granted);
-        cancel(*ticket);
-        granted(LinkLease(shared_from_this(), entry->link));
-    }
-}
-
 void DatabasePool::enterGate(std::function<bool()> start)
 {
     if (m_limit.hasRoom())
@@ -306,17 +258,36 @@
 void DatabasePool::leaveGate(Duration time)
 {
     m_limit.end(time, m_timers.now());
+    passGates();
+    grantNext();
+}
+
+void DatabasePool::passGates()
+{
     while (!m_atGate.empty() && m_limit.hasRoom()) {
         const std::function<bool()> start = std::move(m_atGate.front());
         m_atGate.pop_front();
         passGate(start);
     }
-    grantNext();
+}
+
+void DatabasePool::releaseSlot(Entry &entry)
+{
+    if (!std::exchange(entry.holdsSlot, false))
+        return;
+    m_limit.end(Duration(0), m_timers.now());
+    passGates();
+}
+
+Duration DatabasePool::idleTimeout(const Entry &entry) const
+{
+    const bool isKeptLong = m_areCustomersNamed || !entry.customer.isEmpty();
+    return isKeptLong ? m_options.customerIdleTimeout : m_options.idleTimeout;
 }
 
 void DatabasePool::scheduleIdleCheck()
 {
-    if (m_idleTimer != 0 || m_links.size() <= m_options.kept)
+    if (m_idleTimer != 0 || m_links.size() <= keptAhead())
         return;
     m_idleTimer = m_timers.after(m_options.idleTimeout, [this] {
         m_idleTimer = 0;
@@ -327,10 +298,10 @@
 void DatabasePool::closeIdle()
 {
     const Instant now = m_timers.now();
-    for (std::size_t i = m_links.size(); i > 0 && m_links.size() > m_options.kept; --i) {
+    for (std::size_t i = m_links.size(); i > 0 && m_links.size() > keptAhead(); --i) {
         const Entry &entry = m_links[i - 1];
         const bool isUnused = !entry.isLeased && entry.link->isOpen()
-                              && now - entry.link->lastUsed() >= m_options.idleTimeout;
+                              && now - entry.link->lastUsed() >= idleTimeout(entry);
         if (isUnused)
             m_links.erase(m_links.begin() + static_cast<std::ptrdiff_t>(i - 1));
     }
--- /dev/null
+++ b/libs/upstreampool/src/databasepoolqueue.cpp
@@ -0,0 +1,278 @@
+#include "upstreampool/databasepool.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+// Which link serves which request, and which links are opened and closed for it.
+
+namespace fescuespring {
+
+// One pass over the queue, in order.
+struct DatabasePool::Walk
+{
+    // Whether the limit has room, so that links may be granted or opened for customers.
+    bool hasRoom = false;
+
+    // If false, free links are only set aside for the tickets that will get them.
+    bool mayGrant = false;
+
+    // Links that are being opened or will be, less those that earlier tickets will get.
+    std::map<CustomerId, std::size_t> coming = {};
+    std::set<const DatabaseLink *> setAside = {};
+};
+
+bool DatabasePool::hasCustomers() const
+{
+    return m_areCustomersNamed || m_hadCustomer;
+}
+
+// The VM's own statements may use the link of any customer, but leave these to their customers if
+// there is another one.
+DatabasePool::Entry *DatabasePool::nearestFree(const LinkRequest &request, const Walk *walk)
+{
+    Entry *nearest = nullptr;
+    std::size_t nearestDistance = 0;
+    for (Entry &entry : m_links) {
+        if (entry.isLeased || !entry.link->isOpen())
+            continue;
+        if (walk && walk->setAside.contains(entry.link.get()))
+            continue;
+        if (request.context && entry.customer != request.customer)
+            continue;
+        const std::size_t distance = request.context
+                                             ? entry.link->context().distance(*request.context)
+                                             : (entry.customer.isEmpty() ? 0 : 1);
+        if (nearest && distance >= nearestDistance)
+            continue;
+        nearest = &entry;
+        nearestDistance = distance;
+    }
+    return nearest;
+}
+
+LinkLease DatabasePool::tryAcquire(const LinkRequest &request)
+{
+    m_hadCustomer = m_hadCustomer || !request.customer.isEmpty();
+    if (m_isClosed)
+        return {};
+    if (request.context) {
+        const bool othersWait = hasCustomers() ? m_waitingByCustomer.contains(request.customer)
+                                               : !m_queue.isEmpty();
+        if (othersWait || !m_limit.hasRoom())
+            return {};
+    }
+    Entry *entry = nearestFree(request);
+    if (!entry)
+        return {};
+    entry->isLeased = true;
+    return {shared_from_this(), entry->link};
+}
+
+DatabasePool::TicketId DatabasePool::wait(const LinkRequest &request, Granted granted)
+{
+    m_hadCustomer = m_hadCustomer || !request.customer.isEmpty();
+    const TicketId ticket = ++m_lastTicket;
+    const Instant now = m_timers.now();
+    m_queue.push(ticket, request.priority, now);
+    m_waiters[ticket] = {.request = request, .granted = std::move(granted), .since = now};
+    ++m_waitingByCustomer[request.customer];
+    openForDemand();
+    return ticket;
+}
+
+void DatabasePool::cancel(TicketId ticket)
+{
+    m_queue.remove(ticket);
+    const auto found = m_waiters.find(ticket);
+    if (found == m_waiters.end())
+        return;
+    const auto waiting = m_waitingByCustomer.find(found->second.request.customer);
+    if (--waiting->second == 0)
+        m_waitingByCustomer.erase(waiting);
+    m_waiters.erase(found);
+}
+
+void DatabasePool::grantNext()
+{
+    if (hasCustomers()) {
+        while (grantOneOfCustomers()) {}
+        return;
+    }
+    while (m_limit.hasRoom()) {
+        const auto ticket = m_queue.next(m_timers.now());
+        if (!ticket)
+            return;
+        Entry *entry = nearestFree(m_waiters.at(*ticket).request);
+        if (!entry)
+            return;
+        grant(*ticket, *entry);
+    }
+}
+
+void DatabasePool::grant(TicketId ticket, Entry &entry)
+{
+    entry.isLeased = true;
+    if (m_count.waitsGranted)
+        m_count.waitsGranted->add();
+    const Granted granted = std::move(m_waiters.at(ticket).granted);
+    cancel(ticket);
+    granted(LinkLease(shared_from_this(), entry.link));
+}
+
+bool DatabasePool::grantOneOfCustomers()
+{
+    if (m_isClosed)
+        return false;
+    Walk walk{.hasRoom = m_limit.hasRoom(), .mayGrant = true, .coming = comingByCustomer()};
+    const auto ticket = walkQueue(walk);
+    if (!ticket)
+        return false;
+    grant(*ticket, *nearestFree(m_waiters.at(*ticket).request));
+    return true;
+}
+
+std::optional<DatabasePool::TicketId> DatabasePool::walkQueue(Walk &walk)
+{
+    return m_queue.find(m_timers.now(), [this, &walk](TicketId ticket) {
+        const Waiter &waiter = m_waiters.at(ticket);
+        walk.hasRoom = m_limit.hasRoom();
+        if (const Entry *entry = nearestFree(waiter.request, &walk)) {
+            if (walk.mayGrant && walk.hasRoom)
+                return true;
+            walk.setAside.insert(entry->link.get());
+            return false;
+        }
+        std::size_t &coming = walk.coming[waiter.request.customer];
+        if (coming > 0)
+            --coming;
+        else
+            makeRoom(waiter, walk);
+        return false;
+    });
+}
+
+// Opens a link for a waiting statement, or closes an idle one of another customer, in whose place
+// it is opened.
+void DatabasePool::makeRoom(const Waiter &waiter, Walk &walk)
+{
+    const CustomerId &customer = waiter.request.customer;
+    if (!customer.isEmpty() && !walk.hasRoom)
+        return;
+    if (m_links.size() + closing() < m_options.maximum) {
+        if (mayOpenNow())
+            open(customer);
+        return;
+    }
+    // While openings are refused, one at a time is tried, and no more idle links are lost to it.
+    if (m_backoff > Duration(0) && opening() > 0)
+        return;
+    Entry *idle = leastRecentlyUsed(waiter, walk);
+    if (idle && mayOpenNow())
+        replace(*idle, customer);
+}
+
+DatabasePool::Entry *DatabasePool::leastRecentlyUsed(const Waiter &waiter, const Walk &walk)
+{
+    Entry *oldest = nullptr;
+    for (Entry &entry : m_links) {
+        const bool isIdle = !entry.isLeased && entry.link->isOpen();
+        if (!isIdle || walk.setAside.contains(entry.link.get())
+            || entry.customer == waiter.request.customer || hasCompanion(entry.customer, waiter))
+            continue;
+        if (!oldest || entry.link->lastUsed() < oldest->link->lastUsed())
+            oldest = &entry;
+    }
+    return oldest;
+}
+
+// Whether a statement of `customer` was queued at about the same time as `waiter` and goes first on
+// the customer's own link.
+bool DatabasePool::hasCompanion(const CustomerId &customer, const Waiter &waiter) const
+{
+    if (!m_waitingByCustomer.contains(customer)
+        || m_timers.now() - waiter.since >= m_options.groupingBound)
+        return false;
+    return std::ranges::any_of(m_waiters, [&](const auto &other) {
+        return other.second.request.customer == customer
+               && other.second.since <= waiter.since + m_options.groupingWindow;
+    });
+}
+
+// The room is used only when the connection is closed, so that the maximum is never exceeded.
+void DatabasePool::replace(Entry &idle, const CustomerId &customer)
+{
+    if (m_count.closedForOther)
+        m_count.closedForOther->add();
+    ++m_closingFor[customer];
+    auto closed = std::make_shared<std::shared_ptr<DatabaseLink>>(idle.link);
+    std::erase_if(m_links, [&closed](const Entry &entry) { return entry.link == *closed; });
+    // The link may be the caller, so it is destroyed later.
+    m_timers.after(Duration(0), [closed, customer, weak = weak_from_this()] {
+        closed->reset();
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        --self->m_closingFor[customer];
+        self->grantNext();
+    });
+}
+
+std::map<CustomerId, std::size_t> DatabasePool::comingByCustomer() const
+{
+    std::map<CustomerId, std::size_t> count = m_closingFor;
+    for (const Entry &entry : m_links) {
+        if (!entry.link->isOpen() && !entry.link->isBroken())
+            ++count[entry.customer];
+    }
+    return count;
+}
+
+std::size_t DatabasePool::closing() const
+{
+    std::size_t count = 0;
+    for (const auto &[customer, closing] : m_closingFor)
+        count += closing;
+    return count;
+}
+
+bool DatabasePool::mayOpenNow()
+{
+    const Instant now = m_timers.now();
+    if (now >= m_openNotBefore)
+        return true;
+    if (m_openTimer == 0) {
+        m_openTimer = m_timers.after(m_openNotBefore - now, [this] {
+            m_openTimer = 0;
+            serveQueue();
+        });
+    }
+    return false;
+}
+
+// A link was lost or may be opened again. Its opening may have held the slot that others wait for.
+void DatabasePool::serveQueue()
+{
+    if (hasCustomers())
+        grantNext();
+    else
+        openForDemand();
+}
+
+void DatabasePool::openForDemand()
+{
+    if (m_isClosed)
+        return;
+    if (hasCustomers()) {
+        Walk walk{.hasRoom = m_limit.hasRoom(), .coming = comingByCustomer()};
+        walkQueue(walk);
+        return;
+    }
+    while (m_links.size() < m_options.maximum && opening() < m_queue.size()) {
+        if (!mayOpenNow())
+            return;
+        open({});
+    }
+}
+
+} // namespace fescuespring
