Owners chosen by customer and database

Cause: each VM chose the owner of a database by itself, so that the statements of one customer came to every owner, and each would open connections for it. Change: CustomerOwners orders the owners of a database by rendezvous hashing of customer and database, the same on every VM; a customer whose share by allowance exceeds the part of one owner uses as many owners as it fills. Upstreams::pool(database, customer) returns this VM's own pool if it is the first owner that responds, otherwise the relayed one. RelayPool observes each lender of customers' links by itself, and lenders that do not respond are probed. What chooses the VM moves from upstreams.cpp to upstreamowners.cpp. No caller passes a customer yet, so statements take the same way as before.

--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -4,7 +4,10 @@
 #include "upstreampool/linkpool.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace fescuespring {
 
@@ -13,6 +16,15 @@
 class RelayPool : public LinkPool, public std::enable_shared_from_this<RelayPool>
 {
 public:
+    // A VM that lends connections.
+    struct Lender
+    {
+        VmId vm = {};
+
+        // If null, the statement is not sent.
+        std::shared_ptr<RelayPeer> peer = {};
+    };
+
     struct Options
     {
         Timers &timers;
@@ -20,11 +32,25 @@
 
         // The peer for a new link; if null, the statement is not sent.
         std::function<std::shared_ptr<RelayPeer>()> peer = {};
+
+        // The lender for a new link of a customer; without it, `peer` is used for these too.
+        std::function<Lender(const CustomerId &)> lenderFor = {};
     };
 
     static std::shared_ptr<RelayPool> make(Options options);
 
     LinkLease tryAcquire(const LinkRequest &request) override;
+
+    // A link through one lender, which is observed by name.
+    LinkLease acquireThrough(const Lender &lender);
+
+    // Since when a lender has brought no reply although some are outstanding or were lost; empty if
+    // it responds, or was not used.
+    std::optional<Instant> unresponsiveSince(const VmId &vm) const;
+
+    // The lenders for which unresponsiveSince() is set.
+    std::vector<VmId> unresponsiveLenders() const;
+
     TicketId wait(const LinkRequest &request, Granted granted) override;
     void cancel(TicketId ticket) override;
 
@@ -43,8 +69,13 @@
     explicit RelayPool(Options options);
     void giveBack(const std::shared_ptr<StatementLink> &link) override;
 
+    void observe(const VmId &lender, const std::function<void(DatabaseObserver &)> &change);
+
     Options m_options;
     DatabaseObserver m_observer;
+
+    // Each lender of customers' links by itself: replies through others do not show that it works.
+    std::map<VmId, DatabaseObserver> m_lenders;
     std::size_t m_inUse = 0;
 };
 
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -8,9 +8,10 @@
 class RelayPool::Link : public StatementLink, public std::enable_shared_from_this<Link>
 {
 public:
-    Link(RelayPool &pool, std::shared_ptr<RelayPeer> peer)
+    Link(RelayPool &pool, Lender lender)
         : m_pool(pool)
-        , m_peer(std::move(peer))
+        , m_vm(std::move(lender.vm))
+        , m_peer(std::move(lender.peer))
         , m_lease(m_peer ? m_peer->newLease() : 0)
     {}
 
@@ -20,8 +21,10 @@
         if (!m_peer || m_peer->isLost()) {
             m_isBroken = true;
             // Without a peer, the database counts as unresponsive.
-            m_pool.m_observer.sent(m_pool.m_options.timers.now());
-            m_pool.m_observer.lost();
+            m_pool.observe(m_vm, [now = m_pool.m_options.timers.now()](DatabaseObserver &observer) {
+                observer.sent(now);
+                observer.lost();
+            });
             m_pool.m_options.timers.after(Duration(0), [weak = weak_from_this()] {
                 if (const auto self = weak.lock())
                     self->finish(
@@ -47,7 +50,7 @@
         request.begin = command.begin;
         request.beginAfter = command.beginAfter;
         m_sentAt = m_pool.m_options.timers.now();
-        m_pool.m_observer.sent(m_sentAt);
+        m_pool.observe(m_vm, [this](DatabaseObserver &observer) { observer.sent(m_sentAt); });
         m_peer->run(request, [weak = weak_from_this()](const LinkOutcome &outcome) {
             if (const auto self = weak.lock())
                 self->outcomeReceived(outcome);
@@ -78,12 +81,14 @@
     void outcomeReceived(const LinkOutcome &outcome)
     {
         const Instant now = m_pool.m_options.timers.now();
-        if (outcome.end == LinkEnd::Answered)
-            m_pool.m_observer.replied(outcome.reply, now - m_sentAt, now);
-        else if (outcome.end == LinkEnd::Refused)
-            m_pool.m_observer.replied(outcome.reply, Duration(0), now);
-        else
-            m_pool.m_observer.lost();
+        m_pool.observe(m_vm, [&](DatabaseObserver &observer) {
+            if (outcome.end == LinkEnd::Answered)
+                observer.replied(outcome.reply, now - m_sentAt, now);
+            else if (outcome.end == LinkEnd::Refused)
+                observer.replied(outcome.reply, Duration(0), now);
+            else
+                observer.lost();
+        });
         if (outcome.end == LinkEnd::Answered || outcome.end == LinkEnd::Refused)
             m_phase = outcome.reply.phase;
         else
@@ -98,6 +103,9 @@
     }
 
     RelayPool &m_pool;
+
+    // Empty if the lender is not observed by name.
+    VmId m_vm;
     std::shared_ptr<RelayPeer> m_peer;
     std::uint64_t m_lease;
     SessionPhase m_phase = SessionPhase::Idle;
@@ -116,10 +124,40 @@
     return std::shared_ptr<RelayPool>(new RelayPool(std::move(options)));
 }
 
-LinkLease RelayPool::tryAcquire(const LinkRequest &)
+LinkLease RelayPool::tryAcquire(const LinkRequest &request)
+{
+    if (!request.customer.isEmpty() && m_options.lenderFor)
+        return acquireThrough(m_options.lenderFor(request.customer));
+    return acquireThrough({.peer = m_options.peer()});
+}
+
+LinkLease RelayPool::acquireThrough(const Lender &lender)
 {
     ++m_inUse;
-    return {shared_from_this(), std::make_shared<Link>(*this, m_options.peer())};
+    return {shared_from_this(), std::make_shared<Link>(*this, lender)};
+}
+
+void RelayPool::observe(const VmId &lender, const std::function<void(DatabaseObserver &)> &change)
+{
+    change(m_observer);
+    if (!lender.isEmpty())
+        change(m_lenders.try_emplace(lender, m_options.timers.now()).first->second);
+}
+
+std::optional<Instant> RelayPool::unresponsiveSince(const VmId &vm) const
+{
+    const auto found = m_lenders.find(vm);
+    return found == m_lenders.end() ? std::nullopt : found->second.observation().unresponsiveSince;
+}
+
+std::vector<VmId> RelayPool::unresponsiveLenders() const
+{
+    std::vector<VmId> lenders;
+    for (const auto &[vm, observer] : m_lenders) {
+        if (observer.observation().unresponsiveSince)
+            lenders.push_back(vm);
+    }
+    return lenders;
 }
 
 LinkPool::TicketId RelayPool::wait(const LinkRequest &request, Granted granted)
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -8,6 +8,7 @@
 #include "leadership/leadershipview.h"
 #include "leadership/termevidence.h"
 #include "logging/log.h"
+#include "relay/customerowners.h"
 #include "relay/ownership.h"
 #include "relay/relaypool.h"
 #include "upstreampool/databasepool.h"
@@ -85,6 +86,10 @@
     // unless only its own respond. Null if the database is unknown.
     std::shared_ptr<LinkPool> pool(const DatabaseId &database) const;
 
+    // The pool for a customer's statement: that of the first owner in the customer's order that
+    // responds, this VM's own if that is this VM. Without a customer, pool(database).
+    std::shared_ptr<LinkPool> pool(const DatabaseId &database, const CustomerId &customer);
+
     // This VM's own connections, for relaying statements of other VMs. Null if the database is
     // unknown.
     std::shared_ptr<DatabasePool> ownPool(const DatabaseId &database) const;
@@ -224,8 +229,14 @@
     const std::vector<VmRecord> &otherOwners(const DatabaseId &database, DatabasePools &pools);
     std::shared_ptr<RelayPeer> peerFor(const DatabaseId &database);
     std::shared_ptr<RelayPeer> peer(const VmRecord &record);
+    void setCustomers(const std::vector<Customer> &customers);
+    std::vector<const VmRecord *> customerOrder(const DatabaseId &database, DatabasePools &pools,
+                                                const CustomerId &customer);
+    bool isLenderUsable(const DatabasePools &pools, const VmRecord &record) const;
+    RelayPool::Lender lenderFor(const DatabaseId &database, const CustomerId &customer);
+    void probeLenders(const DatabaseId &database, DatabasePools &pools);
     void commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
-                   Duration timeout, CommandDone done);
+                   Duration timeout, CommandDone done, LinkLease lease = {});
     void commandEnded(const std::shared_ptr<Command> &command,
                       const std::optional<StatementReply> &reply);
     void dropCommand(Command &command);
@@ -265,6 +276,7 @@
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
     bool m_areCustomersNamed = false;
+    CustomerShares m_customerShares;
     std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
--- a/libs/statementproxy/src/upstreamaccess.h
+++ b/libs/statementproxy/src/upstreamaccess.h
@@ -2,6 +2,7 @@
 
 #include "statementproxy/upstreams.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -27,11 +28,15 @@
     // this VM.
     std::optional<std::vector<VmRecord>> otherOwners;
 
+    // The owners by customer. Computed on first use.
+    std::unique_ptr<CustomerOwners> customerOwners;
+
     std::optional<Instant> drainingSince;
 
     // When each pool was last probed.
     Instant ownProbedAt;
     Instant relayedProbedAt;
+    std::map<VmId, Instant> lenderProbedAt;
 };
 
 } // namespace fescuespring
--- a/libs/statementproxy/src/upstreamcommands.cpp
+++ b/libs/statementproxy/src/upstreamcommands.cpp
@@ -41,7 +41,7 @@
 };
 
 void Upstreams::commandOn(const std::shared_ptr<LinkPool> &pool, const Statement &statement,
-                          Duration timeout, CommandDone done)
+                          Duration timeout, CommandDone done, LinkLease lease)
 {
     if (!pool) {
         m_context.timers.after(Duration(0), [done] { done(std::nullopt); });
@@ -70,7 +70,9 @@
                     commandEnded(ran, isAnswered ? std::optional(outcome.reply) : std::nullopt);
                 });
     };
-    if (LinkLease lease = pool->tryAcquire({}))
+    if (!lease)
+        lease = pool->tryAcquire({});
+    if (lease)
         run(std::move(lease));
     else
         command->ticket = pool->wait({}, run);
@@ -128,6 +130,8 @@
 {
     recheckUnconfirmed();
     for (const auto &[database, pools] : m_pools) {
+        if (pools->hasOtherOwners)
+            probeLenders(database, *pools);
         if (unresponsiveTime(*pools->own) > probeInterval)
             probe(pools->own, pools->ownProbedAt);
         if (!pools->hasOtherOwners || unresponsiveTime(*pools->relayed) <= probeInterval)
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -21,17 +21,6 @@
 // the primary is lost for most VMs.
 constexpr Duration isolatedAfter = std::chrono::milliseconds(450);
 
-// Time without a reply on own connections after which the connections of another VM are used.
-constexpr Duration ownConnectionTimeout = std::chrono::milliseconds(350);
-
-// Time without a reply through other VMs after which a VM that owns no connections opens one.
-constexpr Duration relayTimeout = std::chrono::milliseconds(700);
-
-// Time without a reply through one VM after which the next is used, and time for which a VM whose
-// relay connection was lost is not tried again.
-constexpr Duration relayPeerTimeout = std::chrono::milliseconds(300);
-constexpr Duration lostPeerBackoff = std::chrono::milliseconds(2500);
-
 // Connections that a VM that owns none may open while no other VM responds.
 constexpr std::uint32_t fallbackConnections = 1;
 
@@ -65,20 +54,6 @@
     return found == m_pools.end() ? nullptr : found->second.get();
 }
 
-std::shared_ptr<LinkPool> Upstreams::pool(const DatabaseId &database) const
-{
-    const DatabasePools *pools = findPools(database);
-    if (!pools)
-        return nullptr;
-    if (!pools->hasOtherOwners)
-        return pools->own;
-    const bool ownWorks = unresponsiveTime(*pools->own) < ownConnectionTimeout;
-    const bool relayWorks = unresponsiveTime(*pools->relayed) < relayTimeout;
-    if (pools->isOwner ? ownWorks || !relayWorks : ownWorks && !relayWorks)
-        return pools->own;
-    return pools->relayed;
-}
-
 Duration Upstreams::unresponsiveTime(const LinkPool &pool) const
 {
     const auto &unresponsiveSince = pool.observation().unresponsiveSince;
@@ -141,10 +116,13 @@
         pools->own = DatabasePool::make(m_context.timers, m_context.connect,
                                         {.target = entry.target, .counters = &m_context.counters});
         pools->own->serveCustomers(m_areCustomersNamed);
-        pools->relayed = RelayPool::make(
-                {.timers = m_context.timers, .database = database, .peer = [this, database] {
-                     return peerFor(database);
-                 }});
+        pools->relayed = RelayPool::make({.timers = m_context.timers,
+                                          .database = database,
+                                          .peer = [this, database] { return peerFor(database); },
+                                          .lenderFor =
+                                                  [this, database](const CustomerId &customer) {
+                                                      return lenderFor(database, customer);
+                                                  }});
         updateShares(database, *pools);
         m_context.log.info("database-found", {{"database", database},
                                               {"group", entry.target.group},
@@ -194,6 +172,7 @@
     const ConnectionShares shares = sharesOf(pools.own->target());
     pools.owners = shares.owners;
     pools.otherOwners.reset();
+    pools.customerOwners.reset();
     pools.observers = m_ownerPlan.observerCount(shares.owners);
     pools.rank = pools.observers;
     pools.isOwner = false;
@@ -215,7 +194,7 @@
                                  bool areAllKnown)
 {
     m_limits = configuration.groups;
-    m_areCustomersNamed = !configuration.customers.empty();
+    setCustomers(configuration.customers);
     m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, pools] : m_pools) {
@@ -226,68 +205,6 @@
     }
 }
 
-std::shared_ptr<RelayPeer> Upstreams::peer(const VmRecord &record)
-{
-    std::shared_ptr<RelayPeer> &cached = m_peers[record.vm];
-    if (cached)
-        return cached;
-    const VmId vm = record.vm;
-    cached = m_context.connectPeer(record.relay, [this, vm](const Error &error) {
-        m_context.log.info("relay-lost", {{"vm", vm}, {"error", error.message}});
-        m_peerLostAt[vm] = m_context.timers.now();
-        // Destroyed later, because the peer itself calls this function.
-        const auto node = std::make_shared<decltype(m_peers)::node_type>(m_peers.extract(vm));
-        m_context.timers.after(Duration(0), [node] {});
-    });
-    return cached;
-}
-
-const std::vector<VmRecord> &Upstreams::otherOwners(const DatabaseId &database,
-                                                    DatabasePools &pools)
-{
-    if (!pools.otherOwners) {
-        pools.otherOwners = m_ownerPlan.owners(placed(database), pools.owners, m_context.vm,
-                                               m_context.dataCentre);
-        std::erase_if(*pools.otherOwners,
-                      [this](const VmRecord &record) { return record.vm == m_context.vm; });
-    }
-    return *pools.otherOwners;
-}
-
-std::shared_ptr<RelayPeer> Upstreams::peerFor(const DatabaseId &database)
-{
-    const auto found = m_pools.find(database);
-    DatabasePools *pools = found == m_pools.end() ? nullptr : found->second.get();
-    if (!pools || !pools->hasOtherOwners)
-        return nullptr;
-    const std::vector<VmRecord> &owners = otherOwners(database, *pools);
-    const Instant now = m_context.timers.now();
-    const auto &unresponsiveSince = pools->relayed->observation().unresponsiveSince;
-    const auto skipped =
-            unresponsiveSince
-                    ? static_cast<std::size_t>((now - *unresponsiveSince) / relayPeerTimeout)
-                    : std::size_t{0};
-    const std::size_t count = owners.size();
-    // A VM that is not connected yet may have left; prefer the next connected one.
-    std::shared_ptr<RelayPeer> connecting;
-    for (std::size_t i = 0; i < count; ++i) {
-        const VmRecord &record = owners[(skipped + i) % count];
-        const auto lostAt = m_peerLostAt.find(record.vm);
-        const bool wasLost = lostAt != m_peerLostAt.end();
-        if (wasLost && now - lostAt->second <= lostPeerBackoff)
-            continue;
-        std::shared_ptr<RelayPeer> candidate = peer(record);
-        if (candidate->isConnected()) {
-            if (wasLost)
-                m_peerLostAt.erase(lostAt);
-            return candidate;
-        }
-        if (!connecting && !wasLost)
-            connecting = candidate;
-    }
-    return connecting;
-}
-
 std::optional<DatabaseId> Upstreams::usablePrimary(const GroupId &group) const
 {
     const auto primary = m_leadership.primary(group);
