The queue for connections is fair between customers

Cause: statements waited by priority and age alone, so that one customer at several times its usual demand kept the others out, and a lower priority was not served at all during an overload. DatabasePool charges leases and openings. A customer without a connection that has waited for 40 ms gets the next one that becomes free: the queue counts slot time, so customers that hold connections between statements would keep them all. Without customers the order is by priority and age, as before.

--- a/libs/relay/include/relay/customerowners.h
+++ b/libs/relay/include/relay/customerowners.h
@@ -23,6 +23,11 @@
     // Between 0 and 1; 0 for a customer without a known share.
     double share(const CustomerId &customer) const;
 
+    // The share as a multiple of the mean, at least a quarter: the operations of a rare customer
+    // come singly, and its share would delay each second one. 1 for a customer without a known
+    // share.
+    double weight(const CustomerId &customer) const;
+
 private:
     std::map<CustomerId, double> m_shares;
 };
--- a/libs/relay/src/customerowners.cpp
+++ b/libs/relay/src/customerowners.cpp
@@ -23,6 +23,15 @@
     return found == m_shares.end() ? 0 : found->second;
 }
 
+double CustomerShares::weight(const CustomerId &customer) const
+{
+    constexpr double minimumWeight = 0.25;
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end())
+        return 1;
+    return std::max(found->second * static_cast<double>(m_shares.size()), minimumWeight);
+}
+
 CustomerOwners::CustomerOwners(const DatabaseId &database, std::vector<VmRecord> owners)
     : m_database(database)
     , m_owners(std::move(owners))
--- a/libs/relay/tests/customerownerstest.cpp
+++ b/libs/relay/tests/customerownerstest.cpp
@@ -120,6 +120,9 @@
         CPPUNIT_ASSERT_EQUAL(0.75, shares.share(customer(1)));
         CPPUNIT_ASSERT_EQUAL(0.25, shares.share(customer(2)));
         CPPUNIT_ASSERT_EQUAL(0.0, shares.share(customer(3)));
+        CPPUNIT_ASSERT_EQUAL(1.5, shares.weight(customer(1)));
+        CPPUNIT_ASSERT_EQUAL(0.5, shares.weight(customer(2)));
+        CPPUNIT_ASSERT_EQUAL(1.0, shares.weight(customer(3)));
     }
 };
 
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -230,6 +230,7 @@
     std::shared_ptr<RelayPeer> peerFor(const DatabaseId &database);
     std::shared_ptr<RelayPeer> peer(const VmRecord &record);
     void setCustomers(const std::vector<Customer> &customers);
+    void serveCustomers(DatabasePool &pool) const;
     std::vector<const VmRecord *> customerOrder(const DatabaseId &database, DatabasePools &pools,
                                                 const CustomerId &customer);
     bool isLenderUsable(const DatabasePools &pools, const VmRecord &record) const;
@@ -276,7 +277,7 @@
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
     bool m_areCustomersNamed = false;
-    CustomerShares m_customerShares;
+    std::shared_ptr<const CustomerShares> m_customerShares = std::make_shared<CustomerShares>();
     std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
--- a/libs/statementproxy/src/upstreamowners.cpp
+++ b/libs/statementproxy/src/upstreamowners.cpp
@@ -113,7 +113,15 @@
         if (std::isfinite(perSecond) && perSecond > 0)
             operations[customer.id] = perSecond;
     }
-    m_customerShares = CustomerShares(operations);
+    m_customerShares = std::make_shared<const CustomerShares>(operations);
+}
+
+void Upstreams::serveCustomers(DatabasePool &pool) const
+{
+    pool.serveCustomers(m_areCustomersNamed,
+                        [shares = m_customerShares](const CustomerId &customer) {
+                            return shares->weight(customer);
+                        });
 }
 
 std::vector<const VmRecord *> Upstreams::customerOrder(const DatabaseId &database,
@@ -125,7 +133,7 @@
                 database, m_ownerPlan.owners(placed(database), pools.owners, m_context.vm,
                                              m_context.dataCentre));
     }
-    return pools.customerOwners->order(customer, m_customerShares.share(customer), m_context.vm);
+    return pools.customerOwners->order(customer, m_customerShares->share(customer), m_context.vm);
 }
 
 bool Upstreams::isLenderUsable(const DatabasePools &pools, const VmRecord &record) const
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -115,7 +115,7 @@
         pools = std::make_unique<DatabasePools>();
         pools->own = DatabasePool::make(m_context.timers, m_context.connect,
                                         {.target = entry.target, .counters = &m_context.counters});
-        pools->own->serveCustomers(m_areCustomersNamed);
+        serveCustomers(*pools->own);
         pools->relayed = RelayPool::make({.timers = m_context.timers,
                                           .database = database,
                                           .peer = [this, database] { return peerFor(database); },
@@ -198,7 +198,7 @@
     m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, pools] : m_pools) {
-        pools->own->serveCustomers(m_areCustomersNamed);
+        serveCustomers(*pools->own);
         updateShares(database, *pools);
         if (pools->isOwner && !pools->drainingSince)
             pools->own->warmUp();
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace fescuespring {
 
@@ -39,7 +40,8 @@
     // A connection that becomes free is granted to a statement of its own customer, rather than
     // closed for an earlier one of another customer, if the two were queued within groupingWindow
     // of each other and the earlier one has waited for less than groupingBound. Opening occupies a
-    // slot for 12 ms, so that a window of two openings pays for itself.
+    // slot for 12 ms, so that a window of two openings pays for itself. A customer without a
+    // connection that has waited for groupingBound gets the next one that becomes free.
     Duration groupingWindow = std::chrono::milliseconds(25);
     Duration groupingBound = std::chrono::milliseconds(40);
 
@@ -90,9 +92,9 @@
     // VM's own statements.
     void warmUp();
 
-    // Whether the configuration names customers. Their connections stay open until their room is
-    // needed.
-    void serveCustomers(bool areNamed);
+    // Whether the configuration names customers, and their weights in the queue. Connections of
+    // customers stay open until their room is needed.
+    void serveCustomers(bool areNamed, WaitQueue::Weight weight = {});
 
     // Opens no further links and closes each link when it becomes free. Waiting tickets are dropped
     // without a call.
@@ -119,14 +121,29 @@
     }
 
 private:
+    // What the queue was told of a lease.
+    struct Charge
+    {
+        std::uint32_t priority = 0;
+        CustomerId customer = {};
+        Duration time{0};
+    };
     struct Entry
     {
         std::shared_ptr<DatabaseLink> link;
         CustomerId customer;
+
+        // The request that it was opened for; its customer is charged for the opening.
+        std::uint32_t priority = 0;
+        Instant openedAt = {};
         bool isLeased = false;
 
         // Whether its opening counts against the limit.
         bool holdsSlot = false;
+
+        // Slot time that the current lease has used.
+        std::shared_ptr<Duration> used = std::make_shared<Duration>(0);
+        std::optional<Charge> charge = {};
     };
     struct Waiter
     {
@@ -137,7 +154,7 @@
     struct Walk;
 
     DatabasePool(Timers &timers, UpstreamConnector connect, DatabasePoolOptions options);
-    void open(const CustomerId &customer);
+    void open(const CustomerId &customer, std::uint32_t priority = 0);
     void openForDemand();
     bool mayOpenNow();
     void serveQueue();
@@ -149,9 +166,13 @@
     void remove(const DatabaseLink &link);
     void grantNext();
     void grant(TicketId ticket, Entry &entry);
+    LinkLease lease(Entry &entry, const LinkRequest &request);
+    void settle(Entry &entry);
     bool hasCustomers() const;
     bool grantOneOfCustomers();
     std::optional<TicketId> walkQueue(Walk &walk);
+    bool serve(const Waiter &waiter, Walk &walk);
+    std::set<TicketId> overdueTickets(const Walk &walk) const;
     void makeRoom(const Waiter &waiter, Walk &walk);
     Entry *leastRecentlyUsed(const Waiter &waiter, const Walk &walk);
     bool hasCompanion(const CustomerId &customer, const Waiter &waiter) const;
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -74,9 +74,10 @@
     return m_areCustomersNamed ? std::min(m_options.kept, 1U) : m_options.kept;
 }
 
-void DatabasePool::serveCustomers(bool areNamed)
+void DatabasePool::serveCustomers(bool areNamed, WaitQueue::Weight weight)
 {
     m_areCustomersNamed = areNamed;
+    m_queue.setWeight(std::move(weight));
 }
 
 void DatabasePool::close()
@@ -104,8 +105,9 @@
             }));
 }
 
-void DatabasePool::open(const CustomerId &customer)
+void DatabasePool::open(const CustomerId &customer, std::uint32_t priority)
 {
+    const auto used = std::make_shared<Duration>(0);
     ++m_openedCount;
     if (m_count.opened)
         m_count.opened->add();
@@ -119,7 +121,8 @@
                                  }},
             .gate = {.enter = [this](std::function<bool()> start) { enterGate(std::move(start)); },
                      .leave =
-                             [this](Duration time) {
+                             [this, used](Duration time) {
+                                 *used += time;
                                  leaveGate(time);
                              }},
             .onOpened = [this](DatabaseLink &link,
@@ -132,7 +135,10 @@
     m_links.push_back(
             {.link = std::make_shared<DatabaseLink>(m_timers, m_connect, std::move(options)),
              .customer = customer,
-             .holdsSlot = !customer.isEmpty()});
+             .priority = priority,
+             .openedAt = m_timers.now(),
+             .holdsSlot = !customer.isEmpty(),
+             .used = used});
     if (!customer.isEmpty())
         m_limit.begin();
 }
@@ -185,6 +191,7 @@
     Entry removed = std::move(*found);
     m_links.erase(found);
     m_timers.after(Duration(0), [link = removed.link] {});
+    settle(removed);
     releaseSlot(removed);
 }
 
@@ -194,6 +201,7 @@
     Entry *entry = find(*link);
     if (!entry || link->isBroken())
         return;
+    settle(*entry);
     if (link->isBusy()) {
         link->breakConnection({.code = ErrorCode::Timeout,
                                .message = "lease released with a statement under way"});
@@ -275,6 +283,7 @@
 {
     if (!std::exchange(entry.holdsSlot, false))
         return;
+    m_queue.settle(entry.priority, entry.customer, Duration(0), m_timers.now() - entry.openedAt);
     m_limit.end(Duration(0), m_timers.now());
     passGates();
 }
--- a/libs/upstreampool/src/databasepoolqueue.cpp
+++ b/libs/upstreampool/src/databasepoolqueue.cpp
@@ -65,8 +65,25 @@
     Entry *entry = nearestFree(request);
     if (!entry)
         return {};
-    entry->isLeased = true;
-    return {shared_from_this(), entry->link};
+    return lease(*entry, request);
+}
+
+LinkLease DatabasePool::lease(Entry &entry, const LinkRequest &request)
+{
+    entry.isLeased = true;
+    *entry.used = Duration(0);
+    if (hasCustomers() && request.context) {
+        entry.charge = Charge{.priority = request.priority,
+                              .customer = request.customer,
+                              .time = m_queue.charge(request.priority, request.customer)};
+    }
+    return {shared_from_this(), entry.link};
+}
+
+void DatabasePool::settle(Entry &entry)
+{
+    if (const auto charge = std::exchange(entry.charge, std::nullopt))
+        m_queue.settle(charge->priority, charge->customer, charge->time, *entry.used);
 }
 
 DatabasePool::TicketId DatabasePool::wait(const LinkRequest &request, Granted granted)
@@ -74,7 +91,7 @@
     m_hadCustomer = m_hadCustomer || !request.customer.isEmpty();
     const TicketId ticket = ++m_lastTicket;
     const Instant now = m_timers.now();
-    m_queue.push(ticket, request.priority, now);
+    m_queue.push(ticket, request.priority, now, request.customer);
     m_waiters[ticket] = {.request = request, .granted = std::move(granted), .since = now};
     ++m_waitingByCustomer[request.customer];
     openForDemand();
@@ -112,12 +129,11 @@
 
 void DatabasePool::grant(TicketId ticket, Entry &entry)
 {
-    entry.isLeased = true;
     if (m_count.waitsGranted)
         m_count.waitsGranted->add();
-    const Granted granted = std::move(m_waiters.at(ticket).granted);
+    const Waiter waiter = m_waiters.at(ticket);
     cancel(ticket);
-    granted(LinkLease(shared_from_this(), entry.link));
+    waiter.granted(lease(entry, waiter.request));
 }
 
 bool DatabasePool::grantOneOfCustomers()
@@ -134,24 +150,54 @@
 
 std::optional<DatabasePool::TicketId> DatabasePool::walkQueue(Walk &walk)
 {
-    return m_queue.find(m_timers.now(), [this, &walk](TicketId ticket) {
-        const Waiter &waiter = m_waiters.at(ticket);
-        walk.hasRoom = m_limit.hasRoom();
-        if (const Entry *entry = nearestFree(waiter.request, &walk)) {
-            if (walk.mayGrant && walk.hasRoom)
-                return true;
-            walk.setAside.insert(entry->link.get());
-            return false;
-        }
-        std::size_t &coming = walk.coming[waiter.request.customer];
-        if (coming > 0)
-            --coming;
-        else
-            makeRoom(waiter, walk);
-        return false;
+    const std::set<TicketId> overdue = overdueTickets(walk);
+    for (const TicketId ticket : overdue)
+        serve(m_waiters.at(ticket), walk);
+    return m_queue.find(m_timers.now(), [&](TicketId ticket) {
+        return !overdue.contains(ticket) && serve(m_waiters.at(ticket), walk);
     });
 }
 
+// Returns whether a free link can be granted to the waiting statement now.
+bool DatabasePool::serve(const Waiter &waiter, Walk &walk)
+{
+    walk.hasRoom = m_limit.hasRoom();
+    if (const Entry *entry = nearestFree(waiter.request, &walk)) {
+        if (walk.mayGrant && walk.hasRoom)
+            return true;
+        walk.setAside.insert(entry->link.get());
+        return false;
+    }
+    std::size_t &coming = walk.coming[waiter.request.customer];
+    if (coming > 0)
+        --coming;
+    else
+        makeRoom(waiter, walk);
+    return false;
+}
+
+// The oldest ticket of each customer that has waited for groupingBound and has no link here. The
+// order of the queue counts slot time only: customers that hold links between statements would
+// otherwise keep them all.
+std::set<DatabasePool::TicketId> DatabasePool::overdueTickets(const Walk &walk) const
+{
+    std::set<TicketId> overdue;
+    std::set<CustomerId> served;
+    for (const auto &[ticket, waiter] : m_waiters) {
+        if (m_timers.now() - waiter.since < m_options.groupingBound)
+            break;
+        const CustomerId &customer = waiter.request.customer;
+        if (!waiter.request.context || walk.coming.contains(customer)
+            || !served.insert(customer).second)
+            continue;
+        const bool hasLink = std::ranges::any_of(
+                m_links, [&customer](const Entry &entry) { return entry.customer == customer; });
+        if (!hasLink)
+            overdue.insert(ticket);
+    }
+    return overdue;
+}
+
 // Opens a link for a waiting statement, or closes an idle one of another customer, in whose place
 // it is opened.
 void DatabasePool::makeRoom(const Waiter &waiter, Walk &walk)
@@ -161,7 +207,7 @@
         return;
     if (m_links.size() + closing() < m_options.maximum) {
         if (mayOpenNow())
-            open(customer);
+            open(customer, waiter.request.priority);
         return;
     }
     // While openings are refused, one at a time is tried, and no more idle links are lost to it.
@@ -213,7 +259,8 @@
         const auto self = weak.lock();
         if (!self)
             return;
-        --self->m_closingFor[customer];
+        if (--self->m_closingFor[customer] == 0)
+            self->m_closingFor.erase(customer);
         self->grantNext();
     });
 }
