Only databases that can know of a later term confirm a primary

Cause: TermEvidence counted every database that reported no later term. A replica that receives no updates does not learn of a promotion, and the promotion ends its pause, so the old primary and that replica confirmed commits that the promotion had dropped.

Change: a commit is confirmed by a majority that holds it, leadership by all databases or by a majority with replicas that received an entry beyond the primary's position. Requests that wait share status requests without rounds, so that a read which waits for a write holds up no commit. A confirmed commit yields a floor. Reads that only lack a write do not stop writes, and do not mark this VM as cut off. Tests that confirmed by replicas behind the commit now replicate it first.

--- a/libs/leadership/include/leadership/termevidence.h
+++ b/libs/leadership/include/leadership/termevidence.h
@@ -4,20 +4,31 @@
 #include "statements/statement.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
 
 namespace fescuespring {
 
-// Confirms without the store that a primary had not been replaced: after its answer, a majority of
-// the group was neither in a later term nor paused for one, and no database reported a later term.
-// A promotion is requested only after a majority has paused for a later term, and any two
-// majorities share a database. A group of one database is never confirmed. Used while the records
-// in the store cannot be read. One round of status requests serves all callers that wait when it
-// starts.
+// Confirms without the store that a primary had not been replaced, by the status of the databases
+// of its group. That a database reports no later term proves nothing by itself: one that receives
+// no updates does not learn of a promotion, and the promotion ends its pause. So a vote counts only
+// if the database cannot be in that state, or is the one that would have been promoted.
 //
-//     evidence.confirm(term, [](const TermEvidence::Outcome &outcome) {...});
+// - A commit is confirmed by a majority that holds it: the primary, and replicas that were neither
+//   in a later term nor paused for one when they reported its point. They received it from the
+//   primary, after it was committed.
+// - Leadership without a commit is confirmed by all databases of the group, as one of them would
+//   have been promoted; or by a majority with replicas that received an entry beyond the position
+//   that the primary reported after the request.
+//
+// A database that reports a later term denies both. A group of one database is never confirmed.
+// Used while the records in the store cannot be read. Requests that wait at the same time share the
+// status requests; a database that has confirmed all of them is not asked again.
+//
+//     evidence.confirmCommit(primary, point, [](const TermEvidence::Outcome &outcome) {...});
+//     evidence.confirmLeadership(primary, [](const TermEvidence::Outcome &outcome) {...});
 //
 // One thread only. Destroying it drops the callbacks.
 class TermEvidence
@@ -25,9 +36,14 @@
 public:
     struct Outcome
     {
-        // No other database led a later term at askedAt.
+        // No other database led a later term at askedAt; for a commit, when it was committed.
         bool isConfirmed = false;
 
+        // A majority answered, and no answer speaks against the primary. If isConfirmed is false,
+        // only a write that reaches a replica is missing.
+        bool isUncontested = false;
+
+        // When the request was made.
         Instant askedAt = {};
 
         // The term that the primary leads; 0 if it did not answer or does not lead.
@@ -72,42 +88,47 @@
         // Requests the status of one database; calls back once, with nothing on failure.
         std::function<void(const DatabaseId &, StatusDone)> requestStatus;
 
-        // Time after which a database counts as unresponsive.
+        // Time after which a request ends unconfirmed.
         Duration timeout = std::chrono::milliseconds(400);
+
+        // Delay of the status requests for a commit, as replicas receive it some milliseconds
+        // after the primary, and interval at which they are repeated.
+        Duration commitDelay = std::chrono::milliseconds(5);
+        Duration commitInterval = std::chrono::milliseconds(50);
+
+        // First interval at which replicas are asked again for an entry beyond the position of the
+        // primary. It doubles each time: without writes no answer confirms anything, and status
+        // requests occupy the databases.
+        Duration leadershipInterval = std::chrono::milliseconds(30);
     };
 
     explicit TermEvidence(Options options);
     ~TermEvidence();
 
-    // Confirms that primary, which committed under term, still led at the time of this call. With
-    // term 0, confirms that it leads now, in the term that it reports; it may have become primary
+    // Confirms that primary, which committed point, had not been replaced when it did.
+    void confirmCommit(const DatabaseId &primary, LogPoint point, Done done);
+
+    // Confirms that primary leads now, in the term that it reports; it may have become primary
     // since the call.
-    void confirm(const DatabaseId &primary, Term term, Done done);
+    void confirmLeadership(const DatabaseId &primary, Done done);
 
 private:
-    struct Request
-    {
-        DatabaseId primary;
-        Term term;
-        Done done;
-    };
-    struct Answer
-    {
-        Voter voter;
-        std::optional<UpstreamStatus> status;
-    };
-    struct Round;
+    struct Request;
 
-    void begin();
-    void addAnswer(const std::shared_ptr<Round> &round, Answer answer);
-    void end(const std::shared_ptr<Round> &round);
-    static bool supports(const Answer &answer, const DatabaseId &primary, Term term);
-    static Outcome evaluate(const Round &round, const Request &request);
+    void add(Request request);
+    void advance();
+    void poll(const DatabaseId &database, Instant now);
+    void answered(const DatabaseId &database, Instant polledAt,
+                  const std::optional<UpstreamStatus> &status);
+    void end();
 
     Options m_options;
-    std::vector<Request> m_waiting;
-    std::shared_ptr<Round> m_round;
+    std::vector<Request> m_requests;
+
+    // When each database may be asked again.
+    std::map<DatabaseId, Instant> m_freeFrom;
     Timers::Id m_timer = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace fescuespring
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -1,18 +1,21 @@
 #include "leadership/termevidence.h"
 
+#include "evidencerequest.h"
+
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace fescuespring {
 
-struct TermEvidence::Round
-{
-    Instant askedAt;
-    Electorate electorate;
-    std::vector<Request> requests;
-    std::vector<Answer> answers;
-    bool isEnded = false;
-};
+namespace {
+
+// Minimum distance between two status requests to one database; requests that arrive meanwhile
+// share the next one.
+constexpr Duration pollSpacing = std::chrono::milliseconds(10);
+
+} // namespace
 
 TermEvidence::TermEvidence(Options options)
     : m_options(std::move(options))
@@ -23,93 +26,102 @@
     m_options.timers.cancel(m_timer);
 }
 
-void TermEvidence::confirm(const DatabaseId &primary, Term term, Done done)
+void TermEvidence::confirmCommit(const DatabaseId &primary, LogPoint point, Done done)
 {
-    m_waiting.push_back({primary, term, std::move(done)});
-    if (!m_round)
-        begin();
+    add({.primary = primary,
+         .commit = point,
+         .firstPoll = m_options.commitDelay,
+         .interval = m_options.commitInterval,
+         .done = std::move(done)});
 }
 
-void TermEvidence::begin()
+void TermEvidence::confirmLeadership(const DatabaseId &primary, Done done)
 {
-    const auto round = std::make_shared<Round>();
-    m_round = round;
-    round->askedAt = m_options.timers.now();
-    round->requests = std::exchange(m_waiting, {});
-    round->electorate = m_options.electorate();
-    const std::vector<Voter> voters = round->electorate.voters;
-    m_timer = m_options.timers.after(voters.empty() ? Duration(0) : m_options.timeout,
-                                     [this, round] { end(round); });
-    for (const Voter &voter : voters) {
-        m_options.requestStatus(
-                voter.database, [this, voter, weak = std::weak_ptr(round)](
-                                        const std::optional<UpstreamStatus> &status) {
-                    if (const auto activeRound = weak.lock(); activeRound && !activeRound->isEnded)
-                        addAnswer(activeRound, {voter, status});
-                });
-    }
+    add({.primary = primary, .interval = m_options.leadershipInterval, .done = std::move(done)});
+}
+
+void TermEvidence::add(Request request)
+{
+    request.askedAt = m_options.timers.now();
+    request.deadline = request.askedAt + m_options.timeout;
+    request.electorate = m_options.electorate();
+    request.ballots.resize(request.electorate.voters.size());
+    // Without databases there is nothing to wait for; the timer keeps the callback out of the call.
+    if (request.ballots.empty())
+        request.deadline = request.askedAt;
+    m_requests.push_back(std::move(request));
+    advance();
 }
 
-void TermEvidence::addAnswer(const std::shared_ptr<Round> &round, Answer answer)
+// Sends the status requests that are due, and sets the timer for the next ones.
+void TermEvidence::advance()
 {
-    round->answers.push_back(std::move(answer));
-    const bool isDecided = std::all_of(
-            round->requests.begin(), round->requests.end(),
-            [&round](const Request &request) { return evaluate(*round, request).isConfirmed; });
-    if (isDecided || round->answers.size() == round->electorate.voters.size())
-        end(round);
+    const Instant now = m_options.timers.now();
+    std::set<DatabaseId> due;
+    Instant next = Instant::max();
+    for (const Request &request : m_requests) {
+        next = std::min(next, request.deadline);
+        for (std::size_t i = 0; i < request.ballots.size(); ++i) {
+            const DatabaseId &database = request.electorate.voters[i].database;
+            const Instant pollAt = std::max(request.pollAt(i), m_freeFrom[database]);
+            if (pollAt <= now)
+                due.insert(database);
+            else
+                next = std::min(next, pollAt);
+        }
+    }
+    m_options.timers.cancel(std::exchange(m_timer, 0));
+    if (next != Instant::max()) {
+        m_timer = m_options.timers.after(std::max(next - now, Duration(0)), [this] {
+            m_timer = 0;
+            end();
+        });
+    }
+    for (const DatabaseId &database : due)
+        poll(database, now);
 }
 
-// The primary confirms the term if it still leads it, another database if it neither reports nor
-// was paused for a later term.
-bool TermEvidence::supports(const Answer &answer, const DatabaseId &primary, Term term)
+void TermEvidence::poll(const DatabaseId &database, Instant now)
 {
-    if (!answer.status || !answer.voter.counts)
-        return false;
-    const UpstreamStatus &status = *answer.status;
-    if (answer.voter.database == primary)
-        return status.role == Role::Primary && status.term == term;
-    return status.term <= term && status.heldTerm <= term;
+    // One status request at a time; one that got no answer counts as lost after the timeout.
+    m_freeFrom[database] = now + m_options.timeout;
+    for (Request &request : m_requests)
+        request.polled(database, now);
+    m_options.requestStatus(database, [this, database, now, alive = std::weak_ptr(m_alive)](
+                                              const std::optional<UpstreamStatus> &status) {
+        if (!alive.expired())
+            answered(database, now, status);
+    });
 }
 
-TermEvidence::Outcome TermEvidence::evaluate(const Round &round, const Request &request)
+void TermEvidence::answered(const DatabaseId &database, Instant polledAt,
+                            const std::optional<UpstreamStatus> &status)
 {
-    Outcome outcome{.askedAt = round.askedAt};
-    for (const Answer &answer : round.answers) {
-        const bool isLeader = answer.voter.database == request.primary && answer.status
-                              && answer.status->role == Role::Primary;
-        if (isLeader) {
-            outcome.primaryPosition = answer.status->received;
-            outcome.primaryTerm = answer.status->term;
+    if (m_freeFrom[database] == polledAt + m_options.timeout)
+        m_freeFrom[database] = polledAt + pollSpacing;
+    if (status) {
+        for (Request &request : m_requests) {
+            if (request.askedAt <= polledAt)
+                request.count(database, *status);
         }
     }
-    const bool needsLeader = request.term == Term();
-    if (needsLeader && !outcome.primaryPosition)
-        return outcome;
-    const Term term = needsLeader ? outcome.primaryTerm : request.term;
-    std::size_t supporting = 0;
-    bool isSuperseded = false;
-    for (const Answer &answer : round.answers) {
-        supporting += supports(answer, request.primary, term) ? 1 : 0;
-        isSuperseded = isSuperseded || (answer.status && answer.status->term > term);
-    }
-    const std::size_t size = round.electorate.size;
-    const std::size_t needed = round.electorate.needsAllVotes ? size : size / 2 + 1;
-    outcome.isConfirmed = !isSuperseded && size > 1 && supporting >= needed;
-    return outcome;
+    end();
 }
 
-void TermEvidence::end(const std::shared_ptr<Round> &round)
+// Ends the requests that are decided or out of time.
+void TermEvidence::end()
 {
-    if (round->isEnded)
-        return;
-    round->isEnded = true;
-    m_options.timers.cancel(std::exchange(m_timer, 0));
-    m_round = nullptr;
-    if (!m_waiting.empty())
-        begin();
-    for (const Request &request : round->requests)
-        request.done(evaluate(*round, request));
+    const Instant now = m_options.timers.now();
+    const auto waiting = std::stable_partition(
+            m_requests.begin(), m_requests.end(), [now](const Request &request) {
+                return request.isDecided() || now >= request.deadline;
+            });
+    std::vector<Request> ended(std::make_move_iterator(m_requests.begin()),
+                               std::make_move_iterator(waiting));
+    m_requests.erase(m_requests.begin(), waiting);
+    advance();
+    for (const Request &request : ended)
+        request.done(request.outcome());
 }
 
 } // namespace fescuespring
--- a/libs/leadership/tests/termevidencetest.cpp
+++ b/libs/leadership/tests/termevidencetest.cpp
@@ -3,7 +3,10 @@
 #include "support/virtualtimers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
 #include <map>
+#include <string>
 
 using namespace fescuespring;
 using namespace std::chrono_literals;
@@ -37,16 +40,35 @@
                          }})
     {}
 
+    // Confirms the commit at position 9 of a term.
     TermEvidence::Outcome confirm(Term term)
     {
         std::optional<TermEvidence::Outcome> outcome;
-        evidence.confirm(primary, term,
-                         [&outcome](const TermEvidence::Outcome &end) { outcome = end; });
+        evidence.confirmCommit(primary, {term, LogPosition(9)},
+                               [&outcome](const TermEvidence::Outcome &end) { outcome = end; });
         timers.advance(1s);
         CPPUNIT_ASSERT(outcome);
         return *outcome;
     }
 
+    // Confirms leadership; write is called after 10 ms.
+    TermEvidence::Outcome confirmLeadership(const std::function<void()> &write = [] {})
+    {
+        std::optional<TermEvidence::Outcome> outcome;
+        evidence.confirmLeadership(primary,
+                                   [&outcome](const TermEvidence::Outcome &end) { outcome = end; });
+        timers.advance(10ms);
+        write();
+        timers.advance(1s);
+        CPPUNIT_ASSERT(outcome);
+        return *outcome;
+    }
+
+    void receive(const DatabaseId &database, std::uint64_t position)
+    {
+        statuses[database].received.position = LogPosition(position);
+    }
+
     VirtualTimers timers;
     int requests = 0;
     std::map<DatabaseId, UpstreamStatus> statuses{{primary, status(Role::Primary, 1, 9)},
@@ -73,6 +95,12 @@
     CPPUNIT_TEST(previousPrimaryThatFollowsIsNotConfirmed);
     CPPUNIT_TEST(outcomeHasTermAndPositionOfThePrimary);
     CPPUNIT_TEST(oneRoundServesAllWaitingCallers);
+    CPPUNIT_TEST(replicaThatReceivesNothingDoesNotConfirm);
+    CPPUNIT_TEST(leadershipNeedsAWriteWithoutAllDatabases);
+    CPPUNIT_TEST(droppedEntriesConfirmNoLeadership);
+    CPPUNIT_TEST(commitIsConfirmedOnceAReplicaHoldsIt);
+    CPPUNIT_TEST(waitingReadDelaysNoCommit);
+    CPPUNIT_TEST(readsWithoutWritesCostFewRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +121,7 @@
     void pausedMajorityDeniesACommit()
     {
         Group group;
+        group.receive(replica, 9);
         group.statuses[replica].heldTerm = Term(2);
         CPPUNIT_ASSERT(group.confirm(Term(1)).isConfirmed);
         group.statuses[other].heldTerm = Term(2);
@@ -103,8 +132,10 @@
     {
         Group group;
         group.statuses.erase(other);
+        group.receive(replica, 9);
         CPPUNIT_ASSERT(group.confirm(Term(1)).isConfirmed);
-        CPPUNIT_ASSERT(group.confirm(Term()).isConfirmed);
+        CPPUNIT_ASSERT(
+                group.confirmLeadership([&group] { group.receive(replica, 10); }).isConfirmed);
     }
 
     void minorityDoesNotConfirm()
@@ -113,7 +144,7 @@
         group.statuses.erase(other);
         group.statuses.erase(replica);
         CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
-        CPPUNIT_ASSERT(!group.confirm(Term()).isConfirmed);
+        CPPUNIT_ASSERT(!group.confirmLeadership().isConfirmed);
     }
 
     // It was stopped by a change of primary, which counts it among the paused databases.
@@ -144,9 +175,14 @@
     {
         Group group;
         group.electorate.needsAllVotes = true;
+        CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+        group.receive(replica, 9);
         CPPUNIT_ASSERT(group.confirm(Term(1)).isConfirmed);
+        CPPUNIT_ASSERT(group.confirmLeadership().isConfirmed);
         group.statuses.erase(other);
         CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+        CPPUNIT_ASSERT(
+                !group.confirmLeadership([&group] { group.receive(replica, 10); }).isConfirmed);
     }
 
     // Guards against a read at a replaced primary, sent by a VM that cannot read the store: the log
@@ -157,13 +193,13 @@
         group.statuses[primary] = status(Role::Replica, 2, 86);
         group.statuses[replica] = status(Role::Primary, 2, 87);
         group.statuses[other] = status(Role::Replica, 2, 87);
-        CPPUNIT_ASSERT(!group.confirm(Term()).isConfirmed);
+        CPPUNIT_ASSERT(!group.confirmLeadership().isConfirmed);
     }
 
     void outcomeHasTermAndPositionOfThePrimary()
     {
         Group group;
-        const TermEvidence::Outcome outcome = group.confirm(Term());
+        const TermEvidence::Outcome outcome = group.confirmLeadership();
         CPPUNIT_ASSERT(outcome.isConfirmed);
         CPPUNIT_ASSERT(outcome.primaryTerm == Term(1));
         CPPUNIT_ASSERT(outcome.primaryPosition == LogPoint({Term(1), LogPosition(9)}));
@@ -177,10 +213,98 @@
             confirmed += end.isConfirmed ? 1 : 0;
         };
         for (int i = 0; i < 10; ++i)
-            group.evidence.confirm(primary, Term(1), count);
+            group.evidence.confirmCommit(primary, {Term(1), LogPosition(9)}, count);
         group.timers.advance(1s);
         CPPUNIT_ASSERT_EQUAL(10, confirmed);
-        CPPUNIT_ASSERT_EQUAL(6, group.requests);
+        CPPUNIT_ASSERT_EQUAL(3, group.requests);
+    }
+
+    // Guards against a commit that is acknowledged at the old primary after a promotion: the new
+    // primary cannot be reached, and the other replica receives no updates. The promotion has ended
+    // its pause, and it reports the old term.
+    void replicaThatReceivesNothingDoesNotConfirm()
+    {
+        Group group;
+        group.statuses.erase(replica);
+        group.receive(other, 8);
+        CPPUNIT_ASSERT(!group.confirm(Term(1)).isConfirmed);
+        CPPUNIT_ASSERT(!group.confirmLeadership().isConfirmed);
+    }
+
+    // The refusal is prompt, and does not show that this VM is cut off.
+    void leadershipNeedsAWriteWithoutAllDatabases()
+    {
+        Group group;
+        group.statuses.erase(other);
+        const TermEvidence::Outcome idle = group.confirmLeadership();
+        CPPUNIT_ASSERT(!idle.isConfirmed && idle.isUncontested);
+        const auto received = [&group] {
+            group.receive(replica, 9);
+        };
+        CPPUNIT_ASSERT(!group.confirmLeadership(received).isConfirmed);
+        const auto beyond = [&group] {
+            group.receive(replica, 10);
+        };
+        CPPUNIT_ASSERT(group.confirmLeadership(beyond).isConfirmed);
+        group.statuses.erase(replica);
+        CPPUNIT_ASSERT(!group.confirmLeadership().isUncontested);
+    }
+
+    // Guards against a replica with entries of term 1 that the promotion at term 2 has dropped.
+    void droppedEntriesConfirmNoLeadership()
+    {
+        Group group;
+        group.statuses.erase(other);
+        group.statuses[primary].term = Term(2);
+        group.statuses[primary].received = {Term(1), LogPosition(5)};
+        CPPUNIT_ASSERT(!group.confirmLeadership().isConfirmed);
+    }
+
+    // A database that receives the commit later is asked again, the other one is not.
+    void commitIsConfirmedOnceAReplicaHoldsIt()
+    {
+        Group group;
+        group.electorate.size = 4;
+        int confirmed = 0;
+        group.evidence.confirmCommit(primary, {Term(1), LogPosition(9)},
+                                     [&confirmed](const TermEvidence::Outcome &end) {
+                                         confirmed += end.isConfirmed ? 1 : 0;
+                                     });
+        group.timers.advance(20ms);
+        CPPUNIT_ASSERT_EQUAL(0, confirmed);
+        group.receive(replica, 9);
+        group.timers.advance(50ms);
+        CPPUNIT_ASSERT_EQUAL(1, confirmed);
+        CPPUNIT_ASSERT_EQUAL(4, group.requests);
+    }
+
+    // Guards against commits that queue behind a read which cannot be confirmed.
+    void waitingReadDelaysNoCommit()
+    {
+        Group group;
+        group.statuses.erase(replica);
+        int confirmed = 0;
+        const auto count = [&confirmed](const TermEvidence::Outcome &end) {
+            confirmed += end.isConfirmed ? 1 : 0;
+        };
+        group.evidence.confirmLeadership(primary, [](const TermEvidence::Outcome &) {});
+        group.timers.advance(50ms);
+        group.evidence.confirmCommit(primary, {Term(1), LogPosition(9)}, count);
+        group.timers.advance(20ms);
+        CPPUNIT_ASSERT_EQUAL(1, confirmed);
+    }
+
+    // Guards against reads that occupy the databases while no write arrives: 40 reads in a second,
+    // with one database silent.
+    void readsWithoutWritesCostFewRequests()
+    {
+        Group group;
+        group.statuses.erase(replica);
+        for (int i = 0; i < 40; ++i) {
+            group.evidence.confirmLeadership(primary, [](const TermEvidence::Outcome &) {});
+            group.timers.advance(25ms);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(group.requests), group.requests <= 160);
     }
 };
 
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -147,9 +147,11 @@
     // Calls visit for each database that this VM observes.
     void forEachObserved(const std::function<void(const UpstreamEntry &)> &visit) const;
 
-    // Whether the leadership of the group's primary can be confirmed: by the store's records, or by
-    // the databases of the group unless their last confirmation failed recently.
+    // Whether the leadership of the group's primary, or a commit there, can be confirmed: by the
+    // store's records, or by the databases of the group unless their last confirmation failed
+    // recently. Without writes, the leadership may fail to be confirmed where a commit would not.
     bool canConfirmLeadership(const GroupId &group) const;
+    bool canConfirmCommits(const GroupId &group) const;
 
     // Sets the check whether a database is lost to its observers; without one none counts as lost.
     void setLossCheck(std::function<bool(const DatabaseId &)> isLostToObservers);
@@ -161,11 +163,12 @@
     // Refreshes the floor in advance if the newest one is older than half of bound.
     void refreshFloorAhead(const GroupId &group, Duration bound);
 
-    // Reports whether database, which committed under term, had not been replaced at the time of
-    // the commit. confirmed is called immediately if the store's records show it, otherwise after
-    // the other databases have been queried.
-    void confirmCommit(const GroupId &group, const DatabaseId &database, Term term,
-                       Confirmed confirmed);
+    // Reports whether database, which committed point by a statement sent at sentAt, had not been
+    // replaced at the time of the commit. confirmed is called immediately if the store's records
+    // show it, otherwise after the databases of the group have shown that a majority holds the
+    // commit. That also yields a floor.
+    void confirmCommit(const GroupId &group, const DatabaseId &database, LogPoint point,
+                       Instant sentAt, Confirmed confirmed);
 
     // Reports in the same way whether database, which has replied to a statement, leads its
     // group.
@@ -237,9 +240,10 @@
     void probe(const std::shared_ptr<LinkPool> &pool, Instant &probedAt);
     TermEvidence::Electorate electorate(const GroupId &group) const;
     TermEvidence &evidence(const GroupId &group);
-    void requestEvidence(const GroupId &group, const DatabaseId &database, Term term,
-                         Confirmed confirmed);
-    void recordConfirmation(const GroupId &group, bool isConfirmed);
+    void recordConfirmed(const GroupId &group);
+    void recordUnconfirmed(const GroupId &group, const TermEvidence::Outcome &outcome);
+    bool isKnownTerm(const GroupId &group, Term term) const;
+    bool hasFailedRecently(const std::map<GroupId, Instant> &failedAt, const GroupId &group) const;
     bool applyEvidence(const GroupId &group, const TermEvidence::Outcome &outcome);
     void requestFloor(const GroupId &group);
     void floorRefreshed(const GroupId &group);
@@ -256,9 +260,12 @@
     std::set<std::shared_ptr<Command>> m_commands;
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
+    // When evidence last failed for commits, and for leadership without a commit.
     std::map<GroupId, Instant> m_evidenceFailedAt;
+    std::map<GroupId, Instant> m_leadershipFailedAt;
 
-    // The first of the failed confirmations since the last one that succeeded.
+    // The first of the failed confirmations since the last one that succeeded, or that found a
+    // majority.
     std::map<GroupId, Instant> m_evidenceFailingSince;
     Instant m_evidenceRecheckedAt;
     std::map<GroupId, GroupLimits> m_limits;
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -190,7 +190,8 @@
     // A commit proves that the database led the term in the reply's position; a read proves no
     // leadership.
     if (commitsWrites() && reply.position)
-        upstreams().confirmCommit(m_route.group, attempt->database, reply.position->term, done);
+        upstreams().confirmCommit(m_route.group, attempt->database, *reply.position,
+                                  attempt->sentAt, done);
     else
         upstreams().confirmLeadership(m_route.group, attempt->database, done);
 }
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -136,7 +136,9 @@
         fail(StatementFailure::Busy, "this VM cannot reach the primary");
         return;
     }
-    if (!upstreams().canConfirmLeadership(m_route.group)) {
+    const bool canConfirm = commitsWrites() ? upstreams().canConfirmCommits(m_route.group)
+                                            : upstreams().canConfirmLeadership(m_route.group);
+    if (!canConfirm) {
         fail(StatementFailure::Busy, "the leadership of the primary cannot be confirmed");
         return;
     }
--- a/libs/statementproxy/src/upstreamevidence.cpp
+++ b/libs/statementproxy/src/upstreamevidence.cpp
@@ -53,53 +53,71 @@
     return *evidence;
 }
 
-void Upstreams::confirmCommit(const GroupId &group, const DatabaseId &database, Term term,
-                              Confirmed confirmed)
+void Upstreams::confirmCommit(const GroupId &group, const DatabaseId &database, LogPoint point,
+                              Instant sentAt, Confirmed confirmed)
 {
     if (m_leadership.isLeading(group, database, m_context.timers.now())) {
-        recordConfirmation(group, true);
+        recordConfirmed(group);
         confirmed(true);
         return;
     }
-    requestEvidence(group, database, term, std::move(confirmed));
+    m_context.counters.counter("fescuespring_evidence_rounds_total").add();
+    const auto onOutcome = [this, group, point, sentAt, confirmed = std::move(confirmed)](
+                                   const TermEvidence::Outcome &outcome) {
+        if (outcome.isConfirmed) {
+            recordConfirmed(group);
+            // The majority that holds the commit holds all that were acknowledged before it.
+            if (isKnownTerm(group, point.term))
+                m_leadership.addPrimaryPosition(group, point, sentAt);
+        } else {
+            m_evidenceFailedAt[group] = m_context.timers.now();
+            recordUnconfirmed(group, outcome);
+        }
+        confirmed(outcome.isConfirmed);
+    };
+    evidence(group).confirmCommit(database, point, onOutcome);
 }
 
 void Upstreams::confirmLeadership(const GroupId &group, const DatabaseId &database,
                                   Confirmed confirmed)
 {
     if (m_leadership.isLeading(group, database, m_context.timers.now())) {
-        recordConfirmation(group, true);
+        recordConfirmed(group);
         confirmed(true);
         return;
     }
-    requestEvidence(group, database, Term(), std::move(confirmed));
+    // Counts requests for evidence; several may share the status requests.
+    m_context.counters.counter("fescuespring_evidence_rounds_total").add();
+    const auto onOutcome =
+            [this, group, confirmed = std::move(confirmed)](const TermEvidence::Outcome &outcome) {
+                const bool leads = applyEvidence(group, outcome);
+                if (leads)
+                    recordConfirmed(group);
+                else
+                    recordUnconfirmed(group, outcome);
+                confirmed(leads);
+            };
+    evidence(group).confirmLeadership(database, onOutcome);
 }
 
-void Upstreams::requestEvidence(const GroupId &group, const DatabaseId &database, Term term,
-                                Confirmed confirmed)
+void Upstreams::recordConfirmed(const GroupId &group)
 {
-    // Counts requests for evidence; several may share a round.
-    m_context.counters.counter("fescuespring_evidence_rounds_total").add();
-    const auto onOutcome = [this, group, isCommit = term != Term(),
-                            confirmed =
-                                    std::move(confirmed)](const TermEvidence::Outcome &outcome) {
-        const bool leads = applyEvidence(group, outcome);
-        const bool isConfirmed = isCommit ? outcome.isConfirmed : leads;
-        recordConfirmation(group, isConfirmed);
-        confirmed(isConfirmed);
-    };
-    evidence(group).confirm(database, term, onOutcome);
+    m_evidenceFailedAt.erase(group);
+    m_leadershipFailedAt.erase(group);
+    m_evidenceFailingSince.erase(group);
 }
 
-void Upstreams::recordConfirmation(const GroupId &group, bool isConfirmed)
+// If only a write is missing, writes may go on, and this VM is not the one that is cut off.
+void Upstreams::recordUnconfirmed(const GroupId &group, const TermEvidence::Outcome &outcome)
 {
-    if (isConfirmed) {
-        m_evidenceFailedAt.erase(group);
+    const Instant now = m_context.timers.now();
+    m_leadershipFailedAt[group] = now;
+    if (outcome.isUncontested) {
         m_evidenceFailingSince.erase(group);
         return;
     }
-    m_evidenceFailedAt[group] = m_context.timers.now();
-    m_evidenceFailingSince.try_emplace(group, m_context.timers.now());
+    m_evidenceFailedAt[group] = now;
+    m_evidenceFailingSince.try_emplace(group, now);
 }
 
 // Callers may not come any more because this VM told them to use another one. Checks one group at a
@@ -129,13 +147,18 @@
     if (!outcome.isConfirmed || !outcome.primaryPosition)
         return false;
     // A term that is new to this VM may have begun after the time that is to be confirmed.
-    const Term lastKnownTerm = m_leadership.knownTerm(group);
-    if (lastKnownTerm != Term() && lastKnownTerm != outcome.primaryTerm)
+    if (!isKnownTerm(group, outcome.primaryTerm))
         return false;
     m_leadership.addPrimaryPosition(group, *outcome.primaryPosition, outcome.askedAt);
     return true;
 }
 
+bool Upstreams::isKnownTerm(const GroupId &group, Term term) const
+{
+    const Term lastKnownTerm = m_leadership.knownTerm(group);
+    return lastKnownTerm == Term() || lastKnownTerm == term;
+}
+
 void Upstreams::recordReply(const GroupId &group, const DatabaseId &database,
                             const StatementReply &reply, Instant sentAt)
 {
@@ -156,8 +179,7 @@
 // Ignores a point of a term other than the known one: the databases may never reach it.
 void Upstreams::recordSharedFloor(const GroupId &group, const PrimaryFloor &floor)
 {
-    const Term lastKnownTerm = m_leadership.knownTerm(group);
-    if (lastKnownTerm == Term() || lastKnownTerm == floor.point.term)
+    if (isKnownTerm(group, floor.point.term))
         m_leadership.addPrimaryPosition(group, floor.point, floor.requestedAt);
 }
 
@@ -189,16 +211,15 @@
         });
         return;
     }
-    const auto failedAt = m_evidenceFailedAt.find(group);
-    const Duration delay = failedAt == m_evidenceFailedAt.end()
+    const auto failedAt = m_leadershipFailedAt.find(group);
+    const Duration delay = failedAt == m_leadershipFailedAt.end()
                                    ? Duration(0)
                                    : failedAt->second + evidenceBackoff - askedAt;
     if (delay > Duration(0)) {
         m_context.timers.after(delay, [this, group] { requestFloor(group); });
         return;
     }
-    requestEvidence(group, primary->database, Term(),
-                    [this, group](bool) { floorRefreshed(group); });
+    confirmLeadership(group, primary->database, [this, group](bool) { floorRefreshed(group); });
 }
 
 void Upstreams::floorRefreshed(const GroupId &group)
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -363,13 +363,24 @@
 }
 
 bool Upstreams::canConfirmLeadership(const GroupId &group) const
+{
+    return !hasFailedRecently(m_leadershipFailedAt, group);
+}
+
+bool Upstreams::canConfirmCommits(const GroupId &group) const
+{
+    return !hasFailedRecently(m_evidenceFailedAt, group);
+}
+
+bool Upstreams::hasFailedRecently(const std::map<GroupId, Instant> &failedAt,
+                                  const GroupId &group) const
 {
     const Instant now = m_context.timers.now();
     const auto primary = m_leadership.primary(group);
     if (primary && m_leadership.isLeading(group, primary->database, now))
-        return true;
-    const auto failedAt = m_evidenceFailedAt.find(group);
-    return failedAt == m_evidenceFailedAt.end() || now - failedAt->second > evidenceFailureTtl;
+        return false;
+    const auto failed = failedAt.find(group);
+    return failed != failedAt.end() && now - failed->second <= evidenceFailureTtl;
 }
 
 double Upstreams::readCost(const UpstreamEntry &entry) const
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -66,6 +66,13 @@
                 .latencyTarget = 250ms};
     }
 
+    // From now on the replicas receive what the primary writes, some milliseconds later.
+    void replicate()
+    {
+        databases.sync();
+        timers.after(7ms, [this] { replicate(); });
+    }
+
     // The store's records announce no change of primary.
     void renewLease()
     {
@@ -154,6 +161,7 @@
     CPPUNIT_TEST(storeOutageDoesNotStopWrites);
     CPPUNIT_TEST(majorityIsEnoughWithinTheDepartureNotice);
     CPPUNIT_TEST(writeIsNotSentWhileConfirmationFails);
+    CPPUNIT_TEST(commitsGoOnWithOneDatabaseDown);
     CPPUNIT_TEST(unresponsivePrimaryIsRefusedQuickly);
     CPPUNIT_TEST(recoveredPrimaryIsUsedAgain);
     CPPUNIT_TEST(unresponsiveReplicaIsHedged);
@@ -415,8 +423,8 @@
         Vm vm;
         Caller writer(vm, "strict");
         Caller reader(vm, "own");
+        vm.replicate();
         vm.timers.advance(leadershipLease * 2);
-        vm.databases.sync();
         CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::None);
         CPPUNIT_ASSERT(writer.failure(readItem) == StatementFailure::None);
         CPPUNIT_ASSERT(reader.failure(readItem) == StatementFailure::None);
@@ -429,6 +437,7 @@
         for (const Duration notice : {Duration(7s), Duration(10s)}) {
             Vm vm(true, notice);
             Caller caller(vm, "strict");
+            vm.replicate();
             CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
             vm.databases["c"].isSilent = true;
             vm.timers.advance(notice - 2500ms);
@@ -451,10 +460,41 @@
         CPPUNIT_ASSERT_EQUAL(std::string("busy"), std::string(toString(caller.failure(writeItem))));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, countOf(vm.databases["a"], "write"));
         vm.databases["b"].isSilent = false;
+        vm.replicate();
         vm.timers.advance(1s);
         CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
     }
 
+    // Guards against an outage of all traffic while the store is unavailable and one database of
+    // three is down: reads at the primary that no write confirms must not stop the writes, and
+    // confirmed commits yield the points that reads from replicas need.
+    void commitsGoOnWithOneDatabaseDown()
+    {
+        Vm vm;
+        vm.replicate();
+        Caller writer(vm, "strict");
+        Caller reader(vm, "strict");
+        Caller olderReader(vm, "old");
+        vm.databases["c"].isSilent = true;
+        vm.timers.advance(leadershipLease * 2);
+        CPPUNIT_ASSERT(!reader.execute(readItem)->isSuccess());
+        for (int i = 0; i < 10; ++i) {
+            const Instant before = vm.timers.now();
+            CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::None);
+            CPPUNIT_ASSERT(vm.timers.now() - before < 100ms);
+            const auto age = vm.upstreams.leadership().newestFloorAge(group, vm.timers.now());
+            CPPUNIT_ASSERT(age && *age < 200ms);
+            CPPUNIT_ASSERT(olderReader.failure(readItem) == StatementFailure::None);
+            vm.timers.advance(100ms);
+        }
+        // A read that waits when a write arrives is confirmed by it.
+        reader.session.handle(RequestId("r"), readItem);
+        vm.timers.advance(20ms);
+        CPPUNIT_ASSERT(writer.failure(writeItem) == StatementFailure::None);
+        vm.timers.advance(200ms);
+        CPPUNIT_ASSERT(reader.replies.back().isSuccess());
+    }
+
     void unresponsivePrimaryIsRefusedQuickly()
     {
         Vm vm;
--- a/libs/statementproxy/tests/upstreamstest.cpp
+++ b/libs/statementproxy/tests/upstreamstest.cpp
@@ -72,7 +72,8 @@
         databases["c"].isSilent = true;
         const auto confirm = [&](Duration time) {
             for (const Instant end = timers.now() + time; timers.now() < end;) {
-                upstreams.confirmCommit(group, DatabaseId("a"), Term(1), [](bool) {});
+                upstreams.confirmCommit(group, DatabaseId("a"), {Term(1), LogPosition(1)},
+                                        timers.now(), [](bool) {});
                 timers.advance(100ms);
             }
         };
@@ -110,7 +111,8 @@
         }
         upstreams.leadership().snapshot({.epoch = StoreEpoch(2)}, timers.now());
         for (const Instant end = timers.now() + 1s; timers.now() < end;) {
-            upstreams.confirmCommit(group, DatabaseId("a"), Term(1), [](bool) {});
+            upstreams.confirmCommit(group, DatabaseId("a"), {Term(1), LogPosition(1)}, timers.now(),
+                                    [](bool) {});
             timers.advance(100ms);
         }
         CPPUNIT_ASSERT(upstreams.isIsolatedFromMost());
