A successor has taken part in the newest term

Cause: SuccessorChoice took the most advanced database of any majority. After two changes in a row, the old primary of an earlier term and a replica without updates are a majority: their term was promoted, the last term's commits were lost, and entries that a promotion had dropped were in force again.

Change: a candidate reports the newest known term; without one the change waits for it, or until all databases that may be of the term are gone. Then a log of an earlier term is promoted only if it is not beyond the point at which the lost term began, which the record holds (field base, optional). A later term that only a replica reports is announced. PrimaryConfirmation counted answers in the same way: it now needs all databases, or a majority that receives the primary's log.

--- a/libs/leadership/include/leadership/leadershiprecord.h
+++ b/libs/leadership/include/leadership/leadershiprecord.h
@@ -33,6 +33,10 @@
     // brought back is of an earlier one, and may lack changes.
     StoreEpoch epoch = {};
 
+    // The last entry of the log with which the term began: no entry beyond it survived the
+    // promotion. Empty if unknown, as in records of earlier versions.
+    std::optional<LogPoint> base = {};
+
     bool operator==(const LeadershipRecord &) const = default;
 };
 
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -65,7 +65,7 @@
     std::function<std::size_t(const GroupId &)> groupSize;
 
     // Number of databases of the group besides one that may hold commits, including those that left
-    // recently.
+    // recently. With an empty id, the number of all.
     std::function<std::size_t(const GroupId &, const DatabaseId &without)> otherMembers;
 
     // Replicas that must have received a commit before the group's databases acknowledge it.
@@ -129,9 +129,10 @@
 //    those that have not have expired.
 // 3. It stops the previous primary if that is reachable, and pauses a majority of the databases
 //    for a later term, so that no VM can confirm any more that the previous primary leads.
-// 4. It requests the promotion of the database with the most advanced log position, with the
-//    version of the promotion lock as fencing token. If commits need a replica, it waits until that
-//    database is known to hold every acknowledged one.
+// 4. It requests the promotion of the database with the most advanced log position among those that
+//    took part in the last term, with the version of the promotion lock as fencing token. If none
+//    did, it waits for one, or until all that did are gone for good. If commits need a replica, it
+//    waits until that database is known to hold every acknowledged one.
 // 5. When the database reports that it leads, the holder records it as the primary.
 //
 // Safe because steps 2 and 3 are both complete before step 4. In a planned change step 2 precedes
@@ -204,11 +205,15 @@
                      bool hasNoOtherPromoter = false);
     void demotePreviousPrimaries(const GroupId &group);
     void changeEnded(const GroupId &group);
+    Instant changeBeganAt(const GroupId &group) const;
     void releaseIfIdle();
 
     SuccessionOptions m_options;
     SuccessionPorts m_ports;
     std::map<GroupId, Instant> m_neededSince;
+
+    // When this VM started the first of the changes of a group that have not recorded a primary.
+    std::map<GroupId, Instant> m_changeBeganAt;
     std::map<GroupId, std::shared_ptr<detail::LeadershipChange>> m_changes;
     std::map<GroupId, std::shared_ptr<detail::PrimaryConfirmation>> m_confirmations;
     std::map<DatabaseId, Instant> m_demotedAt;
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -10,6 +10,9 @@
 // Longest wait for a candidate that has the whole log of the stopped primary and is not draining.
 constexpr Duration catchUpTime = std::chrono::milliseconds(600);
 
+// Time after which a change that finds only logs beyond the base of the previous term promotes one.
+constexpr Duration overdueTime = std::chrono::seconds(60);
+
 // A change that takes longer is abandoned and started again.
 constexpr Duration changeTime = std::chrono::seconds(12);
 
@@ -123,16 +126,25 @@
     awaitSuccessor();
 }
 
+// The base of the previous term, unless the record is of an earlier one.
+std::optional<LogPoint> LeadershipChange::knownBase() const
+{
+    const LeadershipRecord record = m_owner->m_options.view.record(m_group);
+    return record.term == m_previousTerm ? record.base : std::nullopt;
+}
+
 void LeadershipChange::announce()
 {
     LeadershipRecord record = m_owner->m_options.view.record(m_group);
     // No lease covers an unconfirmed record, so the change of its primary needs no announcement.
-    if (record.isChanging || !m_owner->m_options.view.isConfirmed(m_group)) {
+    const bool isAnnounced = record.isChanging && record.term >= m_previousTerm;
+    if (isAnnounced || !m_owner->m_options.view.isConfirmed(m_group)) {
         m_record = record;
         announced();
         return;
     }
     record.isChanging = true;
+    record.base = knownBase();
     record.term = m_previousTerm;
     record.epoch = m_owner->m_options.view.epoch();
     m_owner->m_ports.write({leadershipKey(m_group), encodeLeadership(record), record.version},
@@ -278,6 +290,9 @@
              .refused = m_refused,
              .groupSize = m_owner->m_ports.groupSize(m_group),
              .otherMembers = m_owner->m_ports.otherMembers(m_group, m_record.primary),
+             .members = m_owner->m_ports.otherMembers(m_group, DatabaseId()),
+             .base = knownBase(),
+             .isOverdue = now() - m_owner->changeBeganAt(m_group) > overdueTime,
              .synchronousReplicas = synchronousReplicas()});
 }
 
@@ -315,19 +330,13 @@
                                                           {"term", m_previousTerm},
                                                           {"former", m_record.primary},
                                                           {"age", now() - m_startedAt}});
-    recordPrimary(database, m_previousTerm);
+    recordPrimary(database, m_previousTerm, knownBase());
 }
 
 void LeadershipChange::evaluateAnswers(const DatabaseAnswers &answers)
 {
-    for (const DatabaseAnswer &answer : answers) {
-        const bool leadsLater = answer.status && answer.status->role == Role::Primary
-                                && answer.status->term > m_previousTerm;
-        if (leadsLater) {
-            recordPrimary(answer.database, answer.status->term);
-            return;
-        }
-    }
+    if (adoptLaterTerm(answers))
+        return;
     const SuccessorChoice choice = successorChoice();
     if (const DatabaseAnswer *returned = choice.returnedPrimary(answers)) {
         keepReturnedPrimary(returned->database, answers);
@@ -335,8 +344,7 @@
     }
     const DatabaseAnswer *best = choice.mostAdvanced(answers);
     if (!best) {
-        m_refused.clear();
-        after(stepRetry * 2, &LeadershipChange::queryDatabases);
+        awaitTerm(answers);
         return;
     }
     const bool isBehind = m_previousPosition && best->status->received < *m_previousPosition;
@@ -366,9 +374,57 @@
         return;
     }
     m_chosen = best->database;
+    m_chosenPosition = best->status->received;
+    m_isDiscardingTerm = choice.discardsTerm(*best);
     promoteWhenSafe();
 }
 
+// Records a primary of a later term. If only a replica reports a later term, its primary is out of
+// reach, and that term is the one to replace. It is announced, so that a change which goes on after
+// the replica is out of reach too does not fall back to an earlier term.
+bool LeadershipChange::adoptLaterTerm(const DatabaseAnswers &answers)
+{
+    const DatabaseAnswer *leader = nullptr;
+    for (const DatabaseAnswer &answer : answers) {
+        const bool leadsLater = answer.status && answer.status->role == Role::Primary
+                                && answer.status->term > m_previousTerm;
+        if (leadsLater && (!leader || answer.status->term > leader->status->term))
+            leader = &answer;
+    }
+    const Term followed = successorChoice().newestFollowedTerm(answers);
+    if (leader && leader->status->term >= followed) {
+        const UpstreamStatus &status = *leader->status;
+        const bool isBase = status.received.term < status.term;
+        recordPrimary(leader->database, status.term,
+                      isBase ? std::optional(status.received) : std::nullopt);
+        return true;
+    }
+    if (followed <= m_previousTerm)
+        return false;
+    m_owner->m_options.log.info(
+            "later-term-followed",
+            {{"group", m_group}, {"term", followed}, {"previous-term", m_previousTerm}});
+    m_previousTerm = followed;
+    m_previousPosition.reset();
+    announce();
+    return true;
+}
+
+// No database that replies may be promoted: it would discard what the previous term committed.
+void LeadershipChange::awaitTerm(const DatabaseAnswers &answers)
+{
+    if (m_refused.empty() && !std::exchange(m_hasLoggedWait, true)) {
+        m_owner->m_options.counters.counter("fescuespring_changes_without_term_total").add();
+        m_owner->m_options.log.warning("promotion-waits-for-term", {{"group", m_group},
+                                                                    {"term", m_previousTerm},
+                                                                    {"previous", m_record.primary},
+                                                                    {"answers", answers.size()},
+                                                                    {"age", now() - m_startedAt}});
+    }
+    m_refused.clear();
+    after(stepRetry * 2, &LeadershipChange::queryDatabases);
+}
+
 // Commits that were acknowledged may be missing at every database that could be promoted: waits for
 // one that holds them, a replica or the previous primary. If the previous primary is stopped, the
 // replicas go on receiving its log.
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -52,13 +52,16 @@
                void (LeadershipChange::*evaluate)(const DatabaseAnswers &));
     void evaluateAnswers(const DatabaseAnswers &answers);
     SuccessorChoice successorChoice() const;
+    bool adoptLaterTerm(const DatabaseAnswers &answers);
+    void awaitTerm(const DatabaseAnswers &answers);
     void keepReturnedPrimary(const DatabaseId &database, const DatabaseAnswers &answers);
     bool resumePaused(const DatabaseAnswers &answers);
     void awaitAcknowledgedCommits(const DatabaseAnswer &best, const DatabaseAnswers &answers);
     void promote(const DatabaseId &database);
     void promotionAnswered(PromotionOutcome outcome);
     void awaitPromotion();
-    void recordPrimary(const DatabaseId &database, Term term);
+    void recordPrimary(const DatabaseId &database, Term term, std::optional<LogPoint> base);
+    std::optional<LogPoint> knownBase() const;
     void end(const char *outcome);
 
     Options m_options;
@@ -83,6 +86,10 @@
     // The next query pauses no replica, as the replicas are being resumed.
     bool m_isResumingReplicas = false;
     DatabaseId m_chosen;
+
+    // The last entry of its log, and whether that lacks the previous term.
+    LogPoint m_chosenPosition;
+    bool m_isDiscardingTerm = false;
     Instant m_promotionRequestedAt;
 
     // The status last reported by the chosen database, for the log.
--- a/libs/leadership/src/leadershippromotion.cpp
+++ b/libs/leadership/src/leadershippromotion.cpp
@@ -38,6 +38,16 @@
                                  {"old-stopped", m_previousPosition.has_value()},
                                  {"all-read", haveAllRead()},
                                  {"age", now() - m_startedAt}});
+    if (m_isDiscardingTerm) {
+        const std::optional<LogPoint> base = knownBase();
+        m_owner->m_options.log.warning("promotion-discards-term",
+                                       {{"group", m_group},
+                                        {"database", database},
+                                        {"term", m_previousTerm},
+                                        {"position", m_chosenPosition.position},
+                                        {"base", base.value_or(LogPoint()).position},
+                                        {"beyond-base", !base || m_chosenPosition > *base}});
+    }
     m_owner->m_ports.requestPromotion(m_group, database, fencingToken,
                                       [weak = weak_from_this()](PromotionOutcome outcome) {
                                           const auto self = weak.lock();
@@ -83,22 +93,26 @@
                                                     && reply->status->role == Role::Primary
                                                     && reply->status->term > self->m_previousTerm;
                                  if (leads)
-                                     self->recordPrimary(self->m_chosen, reply->status->term);
+                                     self->recordPrimary(self->m_chosen, reply->status->term,
+                                                         self->m_chosenPosition);
                                  else
                                      self->after(stepRetry / 2, &LeadershipChange::awaitPromotion);
                              });
 }
 
-void LeadershipChange::recordPrimary(const DatabaseId &database, Term term)
+void LeadershipChange::recordPrimary(const DatabaseId &database, Term term,
+                                     std::optional<LogPoint> base)
 {
     LeadershipRecord record = m_record;
     record.isChanging = false;
     record.primary = database;
     record.term = term;
+    record.base = base;
     record.epoch = m_owner->m_options.view.epoch();
     m_owner->m_ports.write(
             {leadershipKey(m_group), encodeLeadership(record), record.version},
-            [weak = weak_from_this(), record, database, term](const Result<WriteAnswer> &answer) {
+            [weak = weak_from_this(), record, database, term,
+             base](const Result<WriteAnswer> &answer) {
                 const auto self = weak.lock();
                 if (!self || !self->canContinue())
                     return;
@@ -119,10 +133,10 @@
                     return;
                 }
                 self->m_record = seen;
-                self->m_owner->m_options.timers.after(stepRetry, [weak, database, term] {
+                self->m_owner->m_options.timers.after(stepRetry, [weak, database, term, base] {
                     const auto later = weak.lock();
                     if (later && later->canContinue())
-                        later->recordPrimary(database, term);
+                        later->recordPrimary(database, term, base);
                 });
             });
 }
--- a/libs/leadership/src/leadershiprecord.cpp
+++ b/libs/leadership/src/leadershiprecord.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
+#include <system_error>
+
 namespace json = boost::json;
 
 namespace fescuespring {
@@ -34,6 +37,30 @@
     return StoreEpoch(static_cast<std::uint64_t>(value->get_int64()));
 }
 
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+// "TERM.NUMBER". Unknown if it is missing, as in the objects of earlier versions, or unreadable:
+// the point only narrows which databases may be promoted.
+std::optional<LogPoint> pointField(const json::object &fields, std::string_view name)
+{
+    const json::string *text = textField(fields, name);
+    const std::string_view words = text ? std::string_view(*text) : std::string_view();
+    const std::size_t dot = words.find('.');
+    if (dot == std::string_view::npos)
+        return std::nullopt;
+    const auto term = numberOf(words.substr(0, dot));
+    const auto position = numberOf(words.substr(dot + 1));
+    if (!term || !position)
+        return std::nullopt;
+    return LogPoint{Term(*term), LogPosition(*position)};
+}
+
 std::optional<PromotionLock> decodePromotionLock(const json::object &fields, ObjectVersion version)
 {
     const json::string *holder = textField(fields, "holder");
@@ -58,7 +85,8 @@
                             .primary = DatabaseId(std::string(*primary)),
                             .term = Term(static_cast<std::uint64_t>(term->as_int64())),
                             .version = version,
-                            .epoch = *epoch};
+                            .epoch = *epoch,
+                            .base = pointField(fields, "base")};
 }
 
 } // namespace
@@ -80,10 +108,15 @@
 
 std::string encodeLeadership(const LeadershipRecord &record)
 {
-    return json::serialize(json::object{{"moving", record.isChanging},
-                                        {"primary", record.primary.value()},
-                                        {"term", record.term.value()},
-                                        {"epoch", record.epoch.value()}});
+    json::object fields{{"moving", record.isChanging},
+                        {"primary", record.primary.value()},
+                        {"term", record.term.value()},
+                        {"epoch", record.epoch.value()}};
+    if (record.base) {
+        fields["base"] = std::to_string(record.base->term.value()) + '.'
+                         + std::to_string(record.base->position.value());
+    }
+    return json::serialize(fields);
 }
 
 std::string encodePromotionLock(const PromotionLock &lock)
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -70,19 +70,34 @@
     return latest;
 }
 
-// Whether a majority of the group is in this term or an earlier one, and no database in a later
-// one. A database that is leaving still counts, as it answers now.
+// Whether no database of the group is in a later term: all answer; or a majority leads the term or
+// receives its log. An earlier term alone proves nothing, as a database that receives no updates
+// does not learn of a later one. A database that is leaving still counts, as it answers now.
 bool PrimaryConfirmation::isConfirmed(const Answers &answers, Term term) const
 {
-    std::size_t supporting = 0;
+    const std::size_t groupSize = m_owner->m_ports.groupSize(m_group);
+    std::size_t answering = 0;
+    std::size_t receiving = 0;
     for (const Answer &answer : answers) {
         if (!answer.status)
             continue;
         if (answer.status->term > term)
             return false;
-        ++supporting;
+        ++answering;
+        receiving += receives(answer, term) ? 1 : 0;
     }
-    return supporting * 2 > m_owner->m_ports.groupSize(m_group);
+    return answering >= groupSize || receiving * 2 > groupSize;
+}
+
+// Whether a database leads the term, or has received an entry beyond the position at which the
+// primary was when it first answered.
+bool PrimaryConfirmation::receives(const Answer &answer, Term term) const
+{
+    const UpstreamStatus &status = *answer.status;
+    if (status.role == Role::Primary)
+        return status.term == term;
+    return m_leaderPosition && status.received.term == term && status.heldTerm <= term
+           && status.received > *m_leaderPosition;
 }
 
 // Whether no promotion request of another holder can be in flight: its time is over, or a majority
@@ -143,9 +158,14 @@
         if (resumePaused(answers, latest))
             after(stepRetry, &PrimaryConfirmation::queryDatabases);
         else
-            recordPrimary(leading->candidate.database, latest);
+            recordPrimary(leading->candidate.database, *leading->status);
         return;
     }
+    // Replicas are paused until they resume, so none of them can receive what would confirm.
+    if (leadsLatest && !m_leaderPosition)
+        m_leaderPosition = leading->status->received;
+    if (leadsLatest)
+        resumePaused(answers, latest);
     if (leadsLatest || !isLost(answers)) {
         after(stepRetry, &PrimaryConfirmation::queryDatabases);
         return;
@@ -156,14 +176,19 @@
     owner.startChange(group, false, latest, true);
 }
 
-void PrimaryConfirmation::recordPrimary(const DatabaseId &database, Term term)
+void PrimaryConfirmation::recordPrimary(const DatabaseId &database, const UpstreamStatus &status)
 {
     LeadershipView &view = m_owner->m_options.view;
+    const LeadershipRecord known = view.record(m_group);
+    std::optional<LogPoint> base = known.term == status.term ? known.base : std::nullopt;
+    if (status.received.term < status.term)
+        base = status.received;
     const LeadershipRecord record{.group = m_group,
                                   .primary = database,
-                                  .term = term,
-                                  .version = view.record(m_group).version,
-                                  .epoch = view.epoch()};
+                                  .term = status.term,
+                                  .version = known.version,
+                                  .epoch = view.epoch(),
+                                  .base = base};
     m_owner->m_ports.write({leadershipKey(m_group), encodeLeadership(record), record.version},
                            [weak = weak_from_this(), record](const Result<WriteAnswer> &answer) {
                                const auto self = weak.lock();
--- a/libs/leadership/src/primaryconfirmation.h
+++ b/libs/leadership/src/primaryconfirmation.h
@@ -35,11 +35,15 @@
     void evaluate(const Answers &answers);
     static const Answer *leader(const Answers &answers);
     bool isConfirmed(const Answers &answers, Term term) const;
+    bool receives(const Answer &answer, Term term) const;
     bool isQuiet(const Answers &answers, Term term) const;
     bool resumePaused(const Answers &answers, Term term);
     bool isLost(const Answers &answers) const;
-    void recordPrimary(const DatabaseId &database, Term term);
+    void recordPrimary(const DatabaseId &database, const UpstreamStatus &status);
     void end(const char *outcome);
+
+    // Position of the primary when it first answered.
+    std::optional<LogPoint> m_leaderPosition;
 };
 
 } // namespace fescuespring::detail
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -125,6 +125,7 @@
     const ChangeReason reason = changeReason(group);
     if (reason == ChangeReason::None) {
         m_neededSince.erase(group);
+        m_changeBeganAt.erase(group);
         demotePreviousPrimaries(group);
         return;
     }
@@ -151,6 +152,7 @@
                                               .seenTerm = seenTerm,
                                               .hasNoOtherPromoter = hasNoOtherPromoter});
     m_changes[group] = change;
+    m_changeBeganAt.try_emplace(group, m_options.timers.now());
     change->start();
 }
 
@@ -293,6 +295,12 @@
     }
 }
 
+Instant Succession::changeBeganAt(const GroupId &group) const
+{
+    const auto began = m_changeBeganAt.find(group);
+    return began == m_changeBeganAt.end() ? m_options.timers.now() : began->second;
+}
+
 void Succession::changeEnded(const GroupId &group)
 {
     m_neededSince.erase(group);
--- a/libs/leadership/src/successorchoice.cpp
+++ b/libs/leadership/src/successorchoice.cpp
@@ -19,15 +19,34 @@
     return answer.status && answer.status->heldTerm > m_facts.previousTerm;
 }
 
-const DatabaseAnswer *SuccessorChoice::mostAdvanced(const DatabaseAnswers &answers) const
+// A demoted primary may report the term of the DEMOTE, which is later.
+bool SuccessorChoice::isOfTerm(const DatabaseAnswer &answer) const
+{
+    return answer.status && answer.status->term >= m_facts.previousTerm;
+}
+
+bool SuccessorChoice::mustBeOfTerm() const
+{
+    return m_facts.members > 1 && m_facts.synchronousReplicas == 0;
+}
+
+// Whether every database that may be of the previous term replies, and none is.
+bool SuccessorChoice::isTermGone(const DatabaseAnswers &answers) const
+{
+    const auto earlier = std::ranges::count_if(answers, [this](const DatabaseAnswer &answer) {
+        return answer.status && !isOfTerm(answer);
+    });
+    const auto count = static_cast<std::size_t>(earlier);
+    return count == answers.size() && count >= m_facts.members;
+}
+
+const DatabaseAnswer *
+SuccessorChoice::mostAdvancedOf(const DatabaseAnswers &answers,
+                                const std::function<bool(const DatabaseAnswer &)> &mayLead) const
 {
     const DatabaseAnswer *best = nullptr;
     for (const DatabaseAnswer &answer : answers) {
-        if (!answer.status || m_facts.refused.contains(answer.database))
-            continue;
-        // The previous primary is leaving, was lost, or is being replaced: it is excluded from a
-        // planned change, and from any other change if more than one database was queried.
-        if (isPrevious(answer) && (m_facts.isPlanned || answers.size() > 1))
+        if (!answer.status || m_facts.refused.contains(answer.database) || !mayLead(answer))
             continue;
         if (!best || answer.status->received > best->status->received
             || (answer.status->received == best->status->received && best->isDraining))
@@ -36,17 +55,68 @@
     return best;
 }
 
+const DatabaseAnswer *SuccessorChoice::mostAdvanced(const DatabaseAnswers &answers) const
+{
+    // The previous primary is leaving, was lost, or is being replaced: it is excluded from a
+    // planned change, and from any other change if more than one database was queried.
+    const auto mayReplace = [this, &answers](const DatabaseAnswer &answer) {
+        return !isPrevious(answer) || (!m_facts.isPlanned && answers.size() == 1);
+    };
+    if (!mustBeOfTerm())
+        return mostAdvancedOf(answers, mayReplace);
+    const DatabaseAnswer *best = mostAdvancedOf(answers, [&](const DatabaseAnswer &answer) {
+        return mayReplace(answer) && isOfTerm(answer);
+    });
+    if (best)
+        return best;
+    if (m_facts.isPlanned)
+        return mostAdvancedOf(answers, mayReplace);
+    // The previous primary, stopped by this change or returned as a replica.
+    best = mostAdvancedOf(answers, [this](const DatabaseAnswer &answer) {
+        return isOfTerm(answer) && answer.status->role == Role::Replica;
+    });
+    return best || !isTermGone(answers) ? best : mostAdvancedOfEarlierTerms(answers);
+}
+
+const DatabaseAnswer *
+SuccessorChoice::mostAdvancedOfEarlierTerms(const DatabaseAnswers &answers) const
+{
+    return mostAdvancedOf(answers, [this](const DatabaseAnswer &answer) {
+        return !m_facts.base || m_facts.isOverdue || answer.status->received <= *m_facts.base;
+    });
+}
+
+bool SuccessorChoice::discardsTerm(const DatabaseAnswer &candidate) const
+{
+    return mustBeOfTerm() && !isOfTerm(candidate);
+}
+
+Term SuccessorChoice::newestFollowedTerm(const DatabaseAnswers &answers) const
+{
+    Term newest;
+    for (const DatabaseAnswer &answer : answers) {
+        const bool follows =
+                !isPrevious(answer) && answer.status && answer.status->role == Role::Replica;
+        newest = std::max(newest, follows ? answer.status->term : Term());
+    }
+    return newest;
+}
+
 const DatabaseAnswer *SuccessorChoice::returnedPrimary(const DatabaseAnswers &answers) const
 {
     const DatabaseAnswer *returned = nullptr;
+    std::size_t ofTerm = 0;
     for (const DatabaseAnswer &answer : answers) {
         if (!answer.status || answer.status->term > m_facts.previousTerm)
             return nullptr;
+        ofTerm += isOfTerm(answer) ? 1 : 0;
         if (answer.status->role == Role::Primary && answer.status->term == m_facts.previousTerm)
             returned = &answer;
     }
-    const bool isOther = returned && !isPrevious(*returned);
-    return isOther && !returned->isDraining ? returned : nullptr;
+    if (!returned || returned->isDraining)
+        return nullptr;
+    const bool isOnlyOne = ofTerm == 1 && mustBeOfTerm() && !m_facts.isPlanned;
+    return !isPrevious(*returned) || isOnlyOne ? returned : nullptr;
 }
 
 bool SuccessorChoice::isMajorityStopped(const DatabaseAnswers &answers) const
--- a/libs/leadership/src/successorchoice.h
+++ b/libs/leadership/src/successorchoice.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <vector>
@@ -51,8 +52,16 @@
         // Number of databases in the group, including recently lost ones.
         std::size_t groupSize = 0;
 
-        // Number of databases besides the previous primary that may hold commits.
+        // Number of databases besides the previous primary that may hold commits, and of all that
+        // may, including recently lost ones.
         std::size_t otherMembers = 0;
+        std::size_t members = 0;
+
+        // The last entry of the log with which the previous term began, if known.
+        std::optional<LogPoint> base = {};
+
+        // The change takes so long that a log beyond base is preferred to no primary.
+        bool isOverdue = false;
 
         // Replicas that have received a commit before it is acknowledged.
         std::uint32_t synchronousReplicas = 0;
@@ -61,11 +70,26 @@
     explicit SuccessorChoice(Facts facts);
 
     // The database with the most advanced log among those that may be promoted; null if none may.
+    //
+    // A candidate must have taken part in the previous term: any other one lacks its commits, and
+    // may have entries that the promotion at its start dropped. Without one, a database of an
+    // earlier term may be promoted once all databases of the group reply and none is of the
+    // previous term, as those that were are gone; and only if its log is not beyond base, unless
+    // that is unknown or the change is overdue. The rule does not apply to planned changes without
+    // a candidate of the term, to groups of one database, and where commits need replicas: there
+    // holdsAcknowledgedCommits decides.
     const DatabaseAnswer *mostAdvanced(const DatabaseAnswers &answers) const;
 
-    // The previous primary if it has restarted under another name, that is, a database that leads
-    // the previous term and is not draining. Null unless every queried database replies and none
-    // reports a later term; otherwise another one may have been promoted in the meantime.
+    // Whether the promotion of this candidate discards what was committed in the previous term.
+    bool discardsTerm(const DatabaseAnswer &candidate) const;
+
+    // The highest term that a replica reports; 0 if none replied.
+    Term newestFollowedTerm(const DatabaseAnswers &answers) const;
+
+    // A database that leads the previous term and is not draining: the previous primary, if it has
+    // restarted under another name, or if no other database that replies is of its term. Null
+    // unless every queried database replies and none reports a later term; otherwise another one
+    // may have been promoted in the meantime.
     const DatabaseAnswer *returnedPrimary(const DatabaseAnswers &answers) const;
 
     // Whether a majority of the group accepts no further entries of the previous term.
@@ -86,6 +110,13 @@
 
 private:
     bool isPrevious(const DatabaseAnswer &answer) const;
+    bool isOfTerm(const DatabaseAnswer &answer) const;
+    bool mustBeOfTerm() const;
+    bool isTermGone(const DatabaseAnswers &answers) const;
+    const DatabaseAnswer *
+    mostAdvancedOf(const DatabaseAnswers &answers,
+                   const std::function<bool(const DatabaseAnswer &)> &mayLead) const;
+    const DatabaseAnswer *mostAdvancedOfEarlierTerms(const DatabaseAnswers &answers) const;
 
     // Whether a replica accepts no further entries of the previous term.
     bool isPaused(const DatabaseAnswer &answer) const;
--- a/libs/leadership/tests/leadershipviewtest.cpp
+++ b/libs/leadership/tests/leadershipviewtest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(floorIsTheOldestWithinTheBound);
     CPPUNIT_TEST(floorsOfAReplacedPrimaryAreDropped);
     CPPUNIT_TEST(encodedRecordsAreDecoded);
+    CPPUNIT_TEST(baseOfATermIsOptional);
     CPPUNIT_TEST(unreadableRecordFailsTheSnapshot);
     CPPUNIT_TEST(objectOfAnotherWriterIsIgnored);
     CPPUNIT_TEST(restoredRecordLacksTheChange);
@@ -187,6 +188,23 @@
         CPPUNIT_ASSERT_EQUAL(lock.incarnation, read.value().promotionLock->incarnation);
     }
 
+    // Records of earlier versions have no base; one that another writer damaged counts as unknown.
+    void baseOfATermIsOptional()
+    {
+        LeadershipRecord written = record(a, false, 7);
+        written.base = LogPoint{Term(1), LogPosition(50)};
+        const auto read = decodeSnapshot(
+                {{leadershipKey(group), written.version, encodeLeadership(written)}});
+        CPPUNIT_ASSERT(read && read.value().records.at(0) == written);
+        for (const char *base : {"", R"(,"base":7)", R"(,"base":"1.")", R"(,"base":"x.5")",
+                                 R"(,"base":"99999999999999999999.5")"}) {
+            const std::string text =
+                    R"({"moving":false,"primary":"a","term":1)" + std::string(base) + '}';
+            const auto other = decodeSnapshot({{leadershipKey(group), ObjectVersion(1), text}});
+            CPPUNIT_ASSERT(other && !other.value().records.at(0).base);
+        }
+    }
+
     // Guards against VMs that get no lease on any group because of one object of another writer.
     void objectOfAnotherWriterIsIgnored()
     {
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -113,6 +113,10 @@
         world.timers.advance(3s);
         const Instant lostAt = world.timers.now();
         const std::string primary = world.promotionRequests.front().database.value();
+        // The replicas have learned of the new term.
+        world.databases["a"].term = Term(2);
+        world.databases["b"].term = Term(2);
+        world.databases["c"].term = Term(2);
         world.databases[primary].isSilent = true;
         world.removed = {primary};
         while (world.promotionRequests.size() < 2 && world.timers.now() < lostAt + 5s)
