--- a/libs/leadership/src/evidencerequest.h
+++ b/libs/leadership/include/leadership/evidencerequest.h
@@ -9,7 +9,8 @@
 
 namespace fescuespring {
 
-// One request of a TermEvidence, and the votes for it. Decides which answers count.
+// One request of a TermEvidence, and the votes for it. Decides which answers count. Sends nothing
+// and reads no clock, so that a model can explore it.
 //
 //     request.polled(database, now);
 //     request.count(database, status);
--- a/libs/leadership/include/leadership/termevidence.h
+++ b/libs/leadership/include/leadership/termevidence.h
@@ -112,9 +112,10 @@
     // since the call.
     void confirmLeadership(const DatabaseId &primary, Done done);
 
-private:
+    // One request, which decides which answers count; see evidencerequest.h.
     struct Request;
 
+private:
     void add(Request request);
     void advance();
     void poll(const DatabaseId &database, Instant now);
--- a/libs/leadership/src/evidencerequest.cpp
+++ b/libs/leadership/src/evidencerequest.cpp
@@ -1,4 +1,4 @@
-#include "evidencerequest.h"
+#include "leadership/evidencerequest.h"
 
 namespace fescuespring {
 
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "grouptask.h"
-#include "successorchoice.h"
+#include "leadership/successorchoice.h"
 
 #include <set>
 
--- a/libs/leadership/src/successorchoice.cpp
+++ b/libs/leadership/src/successorchoice.cpp
@@ -1,4 +1,4 @@
-#include "successorchoice.h"
+#include "leadership/successorchoice.h"
 
 #include <algorithm>
 #include <utility>
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -1,6 +1,6 @@
 #include "leadership/termevidence.h"
 
-#include "evidencerequest.h"
+#include "leadership/evidencerequest.h"
 
 #include <algorithm>
 #include <iterator>
--- a/libs/leadership/tests/successorchoicetest.cpp
+++ b/libs/leadership/tests/successorchoicetest.cpp
@@ -1,4 +1,4 @@
-#include "../src/successorchoice.h"
+#include "leadership/successorchoice.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
