A removed key stops working on every VM within the revocation bound

Cause: a VM that has lost the store, or stood still, does not learn that a key was removed. A VM that relays a statement checks its key again before sending it (Run carries the key's digest and the configuration's version), as the message may have waited in a socket or a queue.

--- a/libs/coordination/tests/storeaccesstest.cpp
+++ b/libs/coordination/tests/storeaccesstest.cpp
@@ -26,7 +26,9 @@
         {
             mirror.replaceAll("kind", {}, ObjectVersion(1));
             auto listening = FeedReader::listen(world.loop, {"127.0.0.1", 0}, world.timers, mirror,
-                                                [this] { return records ? &*records : nullptr; });
+                                                {.records = [this] {
+                                                    return records ? &*records : nullptr;
+                                                }});
             CPPUNIT_ASSERT(listening);
             feed = std::move(listening.value());
         }
--- a/libs/directory/include/directory/identification.h
+++ b/libs/directory/include/directory/identification.h
@@ -34,4 +34,10 @@
 Identification identify(const RouteTable &routes, const Route &route, const KeyDigest &key,
                         Instant now);
 
+// The same for a statement that another VM accepted under a key by a version of the configuration.
+// A key that is unknown here may be of a configuration that is not in force here yet; as this one
+// was confirmed within the bound, that key was not removed longer ago.
+Identification identifyRelayed(const RouteTable &routes, const KeyDigest &key,
+                               std::uint64_t configuration, Instant now);
+
 } // namespace fescuespring
--- a/libs/directory/src/identification.cpp
+++ b/libs/directory/src/identification.cpp
@@ -29,4 +29,18 @@
     return {.customer = customer->id};
 }
 
+Identification identifyRelayed(const RouteTable &routes, const KeyDigest &key,
+                               std::uint64_t configuration, Instant now)
+{
+    const CustomerTable &customers = routes.customers();
+    if (key.isEmpty() || customers.isEmpty())
+        return {};
+    if (!routes.isCurrent(now))
+        return {.failure = StatementFailure::Busy};
+    if (const Customer *customer = customers.findByKey(key))
+        return {.customer = customer->id};
+    const bool mayBeNew = configuration > routes.configuration().version;
+    return {.failure = mayBeNew ? StatementFailure::None : StatementFailure::Unauthorized};
+}
+
 } // namespace fescuespring
--- a/libs/directory/tests/identificationtest.cpp
+++ b/libs/directory/tests/identificationtest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(keyIdentifiesItsCustomer);
     CPPUNIT_TEST(unconfirmedConfigurationIdentifiesNobody);
     CPPUNIT_TEST(restoredStoreBringsNoKeyBack);
+    CPPUNIT_TEST(relayedKeyIsCheckedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,6 +93,25 @@
                        == StatementFailure::Unauthorized);
         CPPUNIT_ASSERT(identify(routes, closed, key, Instant(2s)).isAccepted());
     }
+
+    // Guards against a statement of a removed key that another VM sent in time, but that arrives
+    // late, as the connection or the relaying VM stood still.
+    void relayedKeyIsCheckedAgain()
+    {
+        RouteTable routes(4600ms);
+        routes.apply(configuration(7, {key}));
+        routes.confirm(7, Instant(1s));
+        const auto failure = [&](const KeyDigest &sent, std::uint64_t version, Duration at) {
+            return identifyRelayed(routes, sent, version, Instant(at)).failure;
+        };
+        CPPUNIT_ASSERT(failure(key, 6, 2s) == StatementFailure::None);
+        CPPUNIT_ASSERT(failure(KeyDigest("bb"), 7, 2s) == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(failure(key, 7, 6s) == StatementFailure::Busy);
+        // A key that was added by a configuration that has not arrived here.
+        CPPUNIT_ASSERT(failure(KeyDigest("bb"), 8, 2s) == StatementFailure::None);
+        // A public route or a statement of a VM.
+        CPPUNIT_ASSERT(failure({}, 0, 1h) == StatementFailure::None);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IdentificationTest);
--- a/libs/relay/include/relay/relaymessages.h
+++ b/libs/relay/include/relay/relaymessages.h
@@ -39,6 +39,7 @@
     // Empty where callers are not identified.
     CustomerId customer = {};
     std::uint32_t priority = 0;
+    KeyUse key = {};
 
     // How long the first statement may wait for a connection.
     Duration timeout{0};
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -31,6 +31,10 @@
         // The newest point of the primary of a database's group, which is sent with each outcome so
         // that the borrower need not request it. May be empty.
         std::function<std::optional<PrimaryFloor>(const DatabaseId &)> floorOf = {};
+
+        // Called before a statement is sent to the database: None, or why the key of its caller
+        // does not allow it. Without it, all statements are sent.
+        std::function<StatementFailure(const KeyUse &)> refusalOf = {};
     };
 
     static Result<std::unique_ptr<RelayServer>> listen(EventLoop &loop, const Endpoint &endpoint,
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -210,6 +210,10 @@
     if (fields.find("customer"))
         message.customer = CustomerId(fields.text("customer"));
     message.priority = static_cast<std::uint32_t>(fields.integer("priority", UINT32_MAX));
+    if (fields.find("key")) {
+        message.key.digest = KeyDigest(fields.text("key"));
+        message.key.configuration = static_cast<std::uint64_t>(fields.integer("configuration"));
+    }
     message.timeout = Duration(fields.integer("patienceUs"));
     message.command.id = RequestId(fields.text("id"));
     message.command.after = fields.optionalPoint("after");
@@ -236,6 +240,10 @@
                         {"statement", encodeStatement(message.command.statement)}};
     if (!message.customer.isEmpty())
         fields["customer"] = message.customer.value();
+    if (!message.key.digest.isEmpty()) {
+        fields["key"] = message.key.digest.value();
+        fields["configuration"] = message.key.configuration;
+    }
     if (message.command.after)
         fields["after"] = encodePoint(*message.command.after);
     if (message.hasValues) {
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -36,6 +36,7 @@
                              .database = m_pool.m_options.database,
                              .customer = command.customer,
                              .priority = command.priority,
+                             .key = command.key,
                              .timeout = command.timeout,
                              .command = command.command};
         if (command.context) {
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -23,6 +23,7 @@
         , hooks(std::move(vmHooks))
         , statements(counters.counter("fescuespring_relayed_statements_total"))
         , refusals(counters.counter("fescuespring_relay_refusals_total"))
+        , keyRefusals(counters.counter("fescuespring_relay_key_refusals_total"))
     {}
 
     void accepted(std::unique_ptr<TcpStream> stream);
@@ -32,6 +33,7 @@
     Hooks hooks;
     Counter &statements;
     Counter &refusals;
+    Counter &keyRefusals;
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, std::shared_ptr<Peer>> peers;
     std::uint64_t lastNumber = 0;
@@ -173,6 +175,8 @@
             return;
         }
         const RelayMessage &request = loan->request;
+        if (refuseKey(request))
+            return;
         loan->lease->run({.command = request.command,
                           .context = request.hasValues ? &loan->context : nullptr,
                           .prepared = request.prepared ? &*request.prepared : nullptr,
@@ -190,6 +194,22 @@
         answer(loan->request, {.end = LinkEnd::NotSent, .reply = {.message = reason}});
     }
 
+    // The message may have waited in a socket or for a connection since the borrower has checked
+    // the key.
+    bool refuseKey(const RelayMessage &request)
+    {
+        const StatementFailure failure = m_server.hooks.refusalOf
+                                                 ? m_server.hooks.refusalOf(request.key)
+                                                 : StatementFailure::None;
+        if (failure == StatementFailure::None)
+            return false;
+        m_server.keyRefusals.add();
+        answer(request, {.end = LinkEnd::Refused,
+                         .reply = {.failure = failure,
+                                   .message = "the relaying VM could not confirm the key"}});
+        return true;
+    }
+
     void answer(const RelayMessage &request, const LinkOutcome &outcome)
     {
         RelayMessage message{
--- a/libs/relay/tests/relaymessagestest.cpp
+++ b/libs/relay/tests/relaymessagestest.cpp
@@ -15,6 +15,7 @@
             .database = DatabaseId("i-1"),
             .customer = CustomerId("harbour"),
             .priority = 2,
+            .key = {.digest = KeyDigest("ab12"), .configuration = 41},
             .timeout = 250ms,
             .command = {.id = RequestId("5c0e"),
                         .after = LogPoint{Term(3), LogPosition(1207)},
@@ -72,7 +73,7 @@
         const RelayMessage received = decoded(encodeRelayMessage(sent));
         CPPUNIT_ASSERT(received.kind == sent.kind && received.lease == sent.lease);
         CPPUNIT_ASSERT(received.database == sent.database && received.priority == sent.priority);
-        CPPUNIT_ASSERT(received.customer == sent.customer);
+        CPPUNIT_ASSERT(received.customer == sent.customer && received.key == sent.key);
         CPPUNIT_ASSERT(received.timeout == sent.timeout && received.values == sent.values);
         CPPUNIT_ASSERT(received.hasValues);
         CPPUNIT_ASSERT(received.command.id == sent.command.id
--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -97,12 +97,14 @@
 {
     Pair()
     {
-        auto listening = RelayServer::listen(loop, {"127.0.0.1", 0}, timers, counters,
-                                             {.poolOf = [this](const DatabaseId &) { return pool; },
-                                              .floorOf =
-                                                      [this](const DatabaseId &) {
-                                                          return floor;
-                                                      }});
+        auto listening =
+                RelayServer::listen(loop, {"127.0.0.1", 0}, timers, counters,
+                                    {.poolOf = [this](const DatabaseId &) { return pool; },
+                                     .floorOf = [this](const DatabaseId &) { return floor; },
+                                     .refusalOf =
+                                             [this](const KeyUse &) {
+                                                 return refusal;
+                                             }});
         CPPUNIT_ASSERT(listening);
         server = std::move(listening.value());
         peer = std::make_shared<RelayPeer>(
@@ -132,6 +134,7 @@
     Counters counters;
     std::shared_ptr<ManualPool> pool = std::make_shared<ManualPool>();
     std::optional<PrimaryFloor> floor;
+    StatementFailure refusal = StatementFailure::None;
     std::unique_ptr<RelayServer> server;
     std::shared_ptr<RelayPeer> peer;
     std::shared_ptr<RelayPool> borrowed;
@@ -150,6 +153,7 @@
     CPPUNIT_TEST(lossOfTheBorrowerReleasesTheConnection);
     CPPUNIT_TEST(answerCarriesTheLendersFloor);
     CPPUNIT_TEST(statementIsNotSentWithoutAPeer);
+    CPPUNIT_TEST(statementOfARefusedKeyIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +188,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.server->loanCount());
     }
 
+    // Guards against a statement of a removed key that runs as it was on its way when the key was
+    // removed. The lender responds, so the path to the database must not count as lost.
+    void statementOfARefusedKeyIsNotSent()
+    {
+        Pair pair;
+        pair.refusal = StatementFailure::Unauthorized;
+        std::optional<LinkOutcome> end;
+        LinkLease lease = run(pair, SessionContext(), end);
+        pair.runUntil([&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->end == LinkEnd::Refused);
+        CPPUNIT_ASSERT(end->reply.failure == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(!pair.pool->link->isBusy());
+        CPPUNIT_ASSERT(!pair.borrowed->observation().unresponsiveSince);
+        lease.release();
+        pair.runUntil([&] { return pair.pool->givenBack == 1; });
+    }
+
     void statementIsNotSentAfterTheTimeout()
     {
         Pair pair;
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "base/types.h"
+#include "customers/customer.h"
 #include "logging/log.h"
 
 #include <boost/outcome/basic_result.hpp>
@@ -48,6 +49,13 @@
     // Time for which a database goes on serving after it has announced that it will leave.
     std::chrono::milliseconds departureNotice{7000};
 
+    // A key that was removed from the configuration must not be used on any VM after this time;
+    // empty if there is no such bound.
+    std::optional<std::chrono::milliseconds> revocationBound = {};
+
+    // Bound on the operations of each customer; empty if their allowances are not enforced.
+    std::optional<AllowanceBound> allowanceBound = {};
+
     // All VMs of the installation start for the first time, and nothing was written to the store.
     bool isFirstStart = false;
 
--- a/libs/settings/src/section.cpp
+++ b/libs/settings/src/section.cpp
@@ -93,21 +93,35 @@
 
 void Section::seconds(std::string_view field, std::chrono::milliseconds &target,
                       Range<std::chrono::seconds> range)
+{
+    const auto minimum = static_cast<double>(range.minimum.count());
+    const auto maximum = static_cast<double>(range.maximum.count());
+    if (const auto found = fraction(field, {minimum, maximum}))
+        target = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::duration<double>(*found));
+}
+
+void Section::real(std::string_view field, double &target, Range<double> range)
+{
+    target = fraction(field, range).value_or(target);
+}
+
+std::optional<double> Section::fraction(std::string_view field, Range<double> range)
 {
     const auto found = scalar(field, Presence::Optional);
     if (!found)
-        return;
+        return std::nullopt;
     double number = 0;
     const char *end = found->data() + found->size();
     const auto [parsed, error] = std::from_chars(found->data(), end, number);
-    const std::chrono::duration<double> value(number);
     // Also false for a number that is none.
-    const bool isInRange = value >= range.minimum && value <= range.maximum;
+    const bool isInRange = number >= range.minimum && number <= range.maximum;
     if (error == std::errc() && parsed == end && isInRange)
-        target = std::chrono::duration_cast<std::chrono::milliseconds>(value);
-    else
-        addError(field,
-                 "must be a number " + rangeText(range.minimum.count(), range.maximum.count()));
+        return number;
+    addError(field, "must be a number "
+                            + rangeText(static_cast<std::uint64_t>(range.minimum),
+                                        static_cast<std::uint64_t>(range.maximum)));
+    return std::nullopt;
 }
 
 void Section::section(std::string_view field, Presence presence,
--- a/libs/settings/src/section.h
+++ b/libs/settings/src/section.h
@@ -62,6 +62,9 @@
     void seconds(std::string_view field, std::chrono::milliseconds &target,
                  Range<std::chrono::seconds> range);
 
+    // Reads a number that may have a fraction.
+    void real(std::string_view field, double &target, Range<double> range);
+
     // Reads a nested mapping with read.
     void section(std::string_view field, Presence presence,
                  const std::function<void(Section &)> &read);
@@ -111,6 +114,7 @@
                                          Presence presence);
     void readMapping(const YAML::Node &node, const std::string &field,
                      const std::function<void(Section &)> &read);
+    std::optional<double> fraction(std::string_view field, Range<double> range);
     std::string pathOf(std::string_view field) const;
 
     std::string m_path;
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -24,6 +24,25 @@
         settings.ownStopDeadline = deadline;
 }
 
+void readRevocationBound(Section &section, StatementVmSettings &settings)
+{
+    milliseconds bound{0};
+    section.milliseconds("revokeMs", bound, {milliseconds(1000), milliseconds(3'600'000)});
+    if (bound > milliseconds(0))
+        settings.revocationBound = bound;
+}
+
+void readAllowanceBound(Section &section, StatementVmSettings &settings)
+{
+    AllowanceBound bound{.window = milliseconds(0)};
+    section.seconds("allowanceWindowSeconds", bound.window,
+                    {std::chrono::seconds(0), std::chrono::seconds(3600)});
+    section.real("allowanceExcess", bound.excess, {0, 1000});
+    section.real("allowanceTolerance", bound.tolerance, {0, 1e9});
+    if (bound.window > milliseconds(0))
+        settings.allowanceBound = bound;
+}
+
 void readSettings(Section &section, StatementVmSettings &settings)
 {
     section.name("vm", settings.vm);
@@ -38,6 +57,8 @@
     readStopTimes(section, settings);
     section.milliseconds("departureNoticeMs", settings.departureNotice,
                          {milliseconds(0), milliseconds(3'600'000)});
+    readRevocationBound(section, settings);
+    readAllowanceBound(section, settings);
     section.boolean("firstStart", settings.isFirstStart);
     section.number("maxCallerConnections", settings.maxCallerConnections, {1, 1'000'000});
     section.section("logging", Presence::Optional,
--- a/libs/settings/tests/statementsettingstest.cpp
+++ b/libs/settings/tests/statementsettingstest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(validSettingsAreRead);
     CPPUNIT_TEST(stopDeadlineFollowsFromTheGracePeriod);
     CPPUNIT_TEST(allErrorsAreReportedWithTheirLines);
+    CPPUNIT_TEST(boundsOfCustomersAreOffUnlessGiven);
     CPPUNIT_TEST(unknownFieldIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("maxCallerConnections"), settings.error()[2].field);
     }
 
+    // Guards against bounds that an installation without customers did not ask for.
+    void boundsOfCustomersAreOffUnlessGiven()
+    {
+        const auto none = parseStatementSettings(validSettings);
+        CPPUNIT_ASSERT(none && !none.value().revocationBound && !none.value().allowanceBound);
+        const auto given = parseStatementSettings(
+                validSettings
+                + "revokeMs: 5000\nallowanceWindowSeconds: 5\nallowanceExcess: 0.25\n"
+                  "allowanceTolerance: 20\n");
+        CPPUNIT_ASSERT(given && given.value().revocationBound == 5s);
+        CPPUNIT_ASSERT(given.value().allowanceBound->window == 5s);
+        CPPUNIT_ASSERT_EQUAL(0.25, given.value().allowanceBound->excess);
+        CPPUNIT_ASSERT_EQUAL(20.0, given.value().allowanceBound->tolerance);
+        for (const char *invalid : {"revokeMs: 999", "allowanceExcess: -0.1",
+                                    "allowanceTolerance: nan", "allowanceWindowSeconds: x"})
+            CPPUNIT_ASSERT_MESSAGE(invalid, !parseStatementSettings(validSettings + invalid));
+    }
+
     void unknownFieldIsRejected()
     {
         const auto settings = parseStatementSettings(validSettings + "relays: 10.1.0.8:1\n");
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -263,6 +263,14 @@
     return true;
 }
 
+KeyUse StatementRun::keyUse() const
+{
+    if (m_customer.isEmpty())
+        return {};
+    const StatementSession::Options &options = m_session->m_options;
+    return {.digest = options.key, .configuration = options.routes.configuration().version};
+}
+
 void StatementRun::send(const AttemptPtr &attempt, std::optional<LogPoint> after)
 {
     if (refuseIfRevoked(attempt))
@@ -272,6 +280,7 @@
                         .prepared = m_prepared ? &*m_prepared : nullptr,
                         .customer = m_customer,
                         .priority = m_route.priority,
+                        .key = keyUse(),
                         .timeout = std::max(Duration(0), m_holdUntil - now())};
     if (hasNoPinnedConnection() && attempt->pool) {
         command.begin = isReadOnly() ? StatementKind::BeginReadOnly : StatementKind::Begin;
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -64,6 +64,7 @@
     void retryAfter(Duration delay);
     void attempt(const DatabaseId &database, std::optional<LogPoint> after);
     void granted(const AttemptPtr &attempt, LinkLease lease, std::optional<LogPoint> after);
+    KeyUse keyUse() const;
     bool refuseIfRevoked(const AttemptPtr &attempt);
     void send(const AttemptPtr &attempt, std::optional<LogPoint> after);
     void scheduleHedge();
--- a/libs/storefeed/include/storefeed/feedmessages.h
+++ b/libs/storefeed/include/storefeed/feedmessages.h
@@ -11,6 +11,15 @@
 
 namespace fescuespring {
 
+// A version of the configuration, and the time since the store was known to hold no newer one.
+struct ConfirmedAge
+{
+    std::uint64_t version = 0;
+    Duration age{0};
+
+    bool operator==(const ConfirmedAge &) const = default;
+};
+
 // Message between a reader and its followers: one JSON text per line.
 struct FeedMessage
 {
@@ -58,6 +67,10 @@
     // Of Answer and Unchanged: epoch of the store in which the records were read.
     StoreEpoch epoch = {};
 
+    // Of Answer and Unchanged: the newest configuration that the reader knows to be current; absent
+    // if it knows none.
+    std::optional<ConfirmedAge> configuration = {};
+
     // Of Question: digest of the records that the follower holds; 0 if it holds none.
     std::uint64_t digest = 0;
 
--- a/libs/storefeed/include/storefeed/feedreader.h
+++ b/libs/storefeed/include/storefeed/feedreader.h
@@ -13,6 +13,13 @@
 
 namespace fescuespring {
 
+// A version of the configuration, and a time at which the store held no newer one.
+struct ConfirmedConfiguration
+{
+    std::uint64_t version = 0;
+    Instant confirmedAt;
+};
+
 // The records that a VM last read, and when it requested them.
 struct DatedRecords
 {
@@ -21,22 +28,33 @@
 
     // Epoch of the store in which they were read.
     StoreEpoch epoch = {};
+
+    // Set if they came from another VM that knows its configuration to be current.
+    std::optional<ConfirmedConfiguration> configuration = {};
 };
 
 // Serves to other VMs what this VM has of the store: the objects of its mirror, and the leadership
 // records that it last read with their age. Every VM answers, but only those that read the store
 // themselves have recent records.
 //
-//     auto feed = FeedReader::listen(loop, endpoint, timers, mirror, records);
+//     auto feed = FeedReader::listen(loop, endpoint, timers, mirror, {.records = records});
 //
 // Loop thread only.
 class FeedReader
 {
 public:
-    // records returns what was last read, or null; the pointer is not used beyond the call.
-    static Result<std::unique_ptr<FeedReader>>
-    listen(EventLoop &loop, const Endpoint &endpoint, Timers &timers, StoreMirror &mirror,
-           std::function<const DatedRecords *()> records);
+    struct Hooks
+    {
+        // Returns what was last read, or null; the pointer is not used beyond the call.
+        std::function<const DatedRecords *()> records;
+
+        // Returns the configuration in force and when it was last known to be current.
+        std::function<std::optional<ConfirmedConfiguration>()> configuration = {};
+    };
+
+    static Result<std::unique_ptr<FeedReader>> listen(EventLoop &loop, const Endpoint &endpoint,
+                                                      Timers &timers, StoreMirror &mirror,
+                                                      Hooks hooks);
 
     ~FeedReader();
 
--- a/libs/storefeed/src/feedfollower.cpp
+++ b/libs/storefeed/src/feedfollower.cpp
@@ -174,8 +174,12 @@
             finish(message.number, Error{ErrorCode::Unavailable, "reader has no records"});
             return;
         }
-        finish(message.number,
-               DatedRecords{objects, question->second.askedAt - message.age, message.epoch});
+        const Instant askedAt = question->second.askedAt;
+        DatedRecords read{objects, askedAt - message.age, message.epoch};
+        if (message.configuration)
+            read.configuration = {message.configuration->version,
+                                  askedAt - message.configuration->age};
+        finish(message.number, read);
     }
 
     void finish(std::uint64_t number, const Result<DatedRecords> &end)
--- a/libs/storefeed/src/feedmessages.cpp
+++ b/libs/storefeed/src/feedmessages.cpp
@@ -91,6 +91,19 @@
     return value && value->is_int64() ? value->get_int64() : otherwise;
 }
 
+// Empty if the value is not a pair of numbers; a follower then learns nothing.
+std::optional<ConfirmedAge> decodeConfirmedAge(const json::value *value)
+{
+    const json::array *parts = value ? value->if_array() : nullptr;
+    const bool isValid = parts && parts->size() == 2 && parts->at(0).is_int64()
+                         && parts->at(1).is_int64() && parts->at(0).get_int64() >= 0
+                         && parts->at(1).get_int64() >= 0;
+    if (!isValid)
+        return std::nullopt;
+    return ConfirmedAge{static_cast<std::uint64_t>(parts->at(0).get_int64()),
+                        Duration(parts->at(1).get_int64())};
+}
+
 Result<FeedMessage> decodeOne(std::string_view line)
 {
     boost::system::error_code error;
@@ -108,6 +121,7 @@
     message.number = static_cast<std::uint64_t>(integerOr(fields, "number", 0));
     message.age = Duration(integerOr(fields, "ageUs", -1));
     message.epoch = StoreEpoch(static_cast<std::uint64_t>(integerOr(fields, "epoch", 0)));
+    message.configuration = decodeConfirmedAge(fields.if_contains("configuration"));
     message.digest = static_cast<std::uint64_t>(integerOr(fields, "digest", 0));
     message.storeVersion = ObjectVersion(static_cast<std::uint64_t>(integerOr(fields, "upTo", 0)));
     message.patchedVersion =
@@ -182,6 +196,10 @@
         fields["ageUs"] = message.age.count();
         fields["epoch"] = message.epoch.value();
     }
+    if (message.configuration) {
+        fields["configuration"] =
+                json::array{message.configuration->version, message.configuration->age.count()};
+    }
     if (message.digest != 0)
         fields["digest"] = static_cast<std::int64_t>(message.digest);
     if (!message.parts.empty())
--- a/libs/storefeed/src/feedreader.cpp
+++ b/libs/storefeed/src/feedreader.cpp
@@ -37,10 +37,10 @@
         bool hasBegun = false;
     };
 
-    Data(Timers &vmTimers, StoreMirror &vmMirror, std::function<const DatedRecords *()> vmRecords)
+    Data(Timers &vmTimers, StoreMirror &vmMirror, Hooks vmHooks)
         : timers(vmTimers)
         , mirror(vmMirror)
-        , records(std::move(vmRecords))
+        , hooks(std::move(vmHooks))
     {}
 
     void accepted(std::unique_ptr<TcpStream> stream)
@@ -147,10 +147,14 @@
     FeedMessage answer(const FeedMessage &question) const
     {
         FeedMessage message{.kind = FeedMessage::Kind::Answer, .number = question.number};
-        const DatedRecords *known = records();
+        const DatedRecords *known = hooks.records();
         if (!known)
             return message;
-        message.age = timers.now() - known->askedAt;
+        const Instant now = timers.now();
+        message.age = now - known->askedAt;
+        const auto confirmed = hooks.configuration ? hooks.configuration() : std::nullopt;
+        if (confirmed)
+            message.configuration = {confirmed->version, now - confirmed->confirmedAt};
         message.epoch = known->epoch;
         if (question.digest == digestOf(known->objects))
             message.kind = FeedMessage::Kind::Unchanged;
@@ -248,7 +252,7 @@
 
     Timers &timers;
     StoreMirror &mirror;
-    std::function<const DatedRecords *()> records;
+    Hooks hooks;
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, Follower> followers;
     std::uint64_t lastNumber = 0;
@@ -271,11 +275,11 @@
     m_data->followers.clear();
 }
 
-Result<std::unique_ptr<FeedReader>>
-FeedReader::listen(EventLoop &loop, const Endpoint &endpoint, Timers &timers, StoreMirror &mirror,
-                   std::function<const DatedRecords *()> records)
+Result<std::unique_ptr<FeedReader>> FeedReader::listen(EventLoop &loop, const Endpoint &endpoint,
+                                                       Timers &timers, StoreMirror &mirror,
+                                                       Hooks hooks)
 {
-    auto data = std::make_shared<Data>(timers, mirror, std::move(records));
+    auto data = std::make_shared<Data>(timers, mirror, std::move(hooks));
     Result<std::unique_ptr<TcpListener>> listener =
             TcpListener::listen(loop, endpoint, unacknowledgedTimeout,
                                 [weak = std::weak_ptr(data)](std::unique_ptr<TcpStream> stream) {
--- a/libs/storefeed/tests/storefeedtest.cpp
+++ b/libs/storefeed/tests/storefeedtest.cpp
@@ -24,7 +24,11 @@
         reader.replaceAll("servers", {object("servers/a", 1), object("servers/b", 2)},
                           ObjectVersion(2));
         auto feed = FeedReader::listen(loop, {"127.0.0.1", 0}, timers, reader,
-                                       [this] { return records ? &*records : nullptr; });
+                                       {.records = [this] { return records ? &*records : nullptr; },
+                                        .configuration =
+                                                [this] {
+                                                    return configuration;
+                                                }});
         CPPUNIT_ASSERT(feed);
         server = std::move(feed.value());
     }
@@ -40,6 +44,7 @@
     StoreMirror reader;
     StoreMirror mirror;
     std::optional<DatedRecords> records;
+    std::optional<ConfirmedConfiguration> configuration;
     std::unique_ptr<FeedReader> server;
 };
 
@@ -92,6 +97,7 @@
                                .number = 12,
                                .age = 345us,
                                .epoch = StoreEpoch(6),
+                               .configuration = ConfirmedAge{17, 2s},
                                .objects = {object("fescue-leadership/duty", 9, R"({"a":"\n"})")}};
         const std::string text = encodeFeedMessage(sent);
         CPPUNIT_ASSERT_EQUAL('\n', text.back());
@@ -100,6 +106,7 @@
         CPPUNIT_ASSERT(got);
         CPPUNIT_ASSERT(got.value().kind == sent.kind && got.value().number == sent.number);
         CPPUNIT_ASSERT(got.value().epoch == sent.epoch);
+        CPPUNIT_ASSERT(got.value().configuration == sent.configuration);
         CPPUNIT_ASSERT(got.value().age == sent.age && got.value().objects == sent.objects);
     }
 
@@ -148,6 +155,7 @@
     CPPUNIT_TEST(largeObjectIsSentAsAPatch);
     CPPUNIT_TEST(followerThatCannotApplyAPatchReceivesTheObject);
     CPPUNIT_TEST(ageIsCountedFromTheFollowersQuestion);
+    CPPUNIT_TEST(ageOfTheConfigurationIsCountedFromTheFollowersQuestion);
     CPPUNIT_TEST(readerWithoutRecordsReportsUnavailable);
     CPPUNIT_TEST(lossOfTheReaderIsReported);
     CPPUNIT_TEST(followerThatSendsGarbageIsDisconnected);
@@ -360,6 +368,32 @@
         CPPUNIT_ASSERT(askedAt > readAt - 1s);
     }
 
+    // Guards against a configuration that appears newer at a follower than it is, so that a removed
+    // key works for longer there. A reader without a confirmation, as one of an earlier version,
+    // sends none.
+    void ageOfTheConfigurationIsCountedFromTheFollowersQuestion()
+    {
+        Pair pair;
+        const Instant confirmedAt = pair.timers.now() - 700ms;
+        pair.records = DatedRecords{{}, pair.timers.now()};
+        FeedFollower follower(pair.loop, pair.timers, options(pair));
+        std::optional<ConfirmedConfiguration> got;
+        const auto request = [&] {
+            follower.requestRecords(2s, [&](const Result<DatedRecords> &answer) {
+                CPPUNIT_ASSERT(answer);
+                got = answer.value().configuration;
+                pair.loop.stop();
+            });
+            pair.run(3s);
+        };
+        request();
+        CPPUNIT_ASSERT(!got);
+        pair.configuration = ConfirmedConfiguration{9, confirmedAt};
+        request();
+        CPPUNIT_ASSERT(got && got->version == 9);
+        CPPUNIT_ASSERT(got->confirmedAt <= confirmedAt && got->confirmedAt > confirmedAt - 1s);
+    }
+
     void readerWithoutRecordsReportsUnavailable()
     {
         Pair pair;
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/types.h"
+#include "customers/customer.h"
 #include "statements/sessioncontext.h"
 #include "statements/upstreamchannel.h"
 
@@ -26,6 +27,16 @@
     std::uint32_t priority = 0;
 };
 
+// The key under which a statement is sent, and the configuration by which it was accepted. No
+// digest where callers are not identified, and for the VM's own statements.
+struct KeyUse
+{
+    KeyDigest digest = {};
+    std::uint64_t configuration = 0;
+
+    bool operator==(const KeyUse &) const = default;
+};
+
 // One statement to run on a link, with what it requires of the connection.
 struct LinkCommand
 {
@@ -43,10 +54,11 @@
     std::optional<StatementKind> begin = {};
     std::optional<LogPoint> beginAfter = {};
 
-    // Customer, priority and maximum wait for a connection, if the link is relayed through another
-    // VM.
+    // Customer, priority, key and maximum wait for a connection, if the link is relayed through
+    // another VM.
     CustomerId customer = {};
     std::uint32_t priority = 0;
+    KeyUse key = {};
     Duration timeout = std::chrono::milliseconds(250);
 };
 
