--- a/libs/directory/include/directory/routetable.h
+++ b/libs/directory/include/directory/routetable.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,12 @@
         return m_confirmationBound && !m_customers.isEmpty();
     }
 
+    // Whether a key was removed by a configuration that came into force here, and not added again.
+    bool wasRemoved(const KeyDigest &key) const
+    {
+        return m_removedKeys.contains(key);
+    }
+
     // nullptr if there is no such route or no configuration yet. Valid until the next apply().
     const Route *find(const RouteName &name) const;
 
@@ -129,12 +136,15 @@
     }
 
 private:
+    void applyCustomers();
+
     bool m_isLoaded = false;
     RouteConfiguration m_configuration;
     std::map<RouteName, Route> m_routes;
     CustomerTable m_customers;
     std::optional<Duration> m_confirmationBound;
     std::optional<Instant> m_confirmedAt;
+    std::set<KeyDigest> m_removedKeys;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/routetable.cpp
+++ b/libs/directory/src/routetable.cpp
@@ -18,13 +18,22 @@
         return false;
     m_isLoaded = true;
     m_configuration = std::move(configuration);
-    m_customers = CustomerTable(m_configuration.customers);
+    applyCustomers();
     m_routes.clear();
     for (const Route &route : m_configuration.routes)
         m_routes.emplace(route.name, route);
     return true;
 }
 
+void RouteTable::applyCustomers()
+{
+    for (const Customer &customer : m_customers.customers())
+        m_removedKeys.insert(customer.keys.begin(), customer.keys.end());
+    m_customers = CustomerTable(m_configuration.customers);
+    std::erase_if(m_removedKeys,
+                  [this](const KeyDigest &key) { return m_customers.findByKey(key); });
+}
+
 void RouteTable::confirm(std::uint64_t version, Instant at)
 {
     if (m_isLoaded && version <= m_configuration.version)
--- a/libs/directory/tests/identificationtest.cpp
+++ b/libs/directory/tests/identificationtest.cpp
@@ -92,6 +92,9 @@
         CPPUNIT_ASSERT(identify(routes, closed, removed, Instant(2s)).failure
                        == StatementFailure::Unauthorized);
         CPPUNIT_ASSERT(identify(routes, closed, key, Instant(2s)).isAccepted());
+        CPPUNIT_ASSERT(routes.wasRemoved(removed) && !routes.wasRemoved(key));
+        routes.apply(configuration(9, {removed}));
+        CPPUNIT_ASSERT(!routes.wasRemoved(removed) && routes.wasRemoved(key));
     }
 
     // Guards against a statement of a removed key that another VM sent in time, but that arrives
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -109,7 +109,10 @@
 {
     m_id = id;
     m_options.upstreams.context().timers.cancel(std::exchange(m_idleTimer, 0));
-    replyFailure(StatementFailure::Malformed, message);
+    if (isRevoked())
+        refuseCaller({.failure = StatementFailure::Unauthorized});
+    else
+        replyFailure(StatementFailure::Malformed, message);
 }
 
 void StatementSession::begin(bool isReadOnly, const Route &route, const CustomerId &customer)
