--- a/libs/directory/include/directory/identification.h
+++ b/libs/directory/include/directory/identification.h
@@ -30,11 +30,20 @@
     std::string message() const;
 };
 
-// An empty digest stands for a caller without a key.
+// Whether the configuration in force lets a key use a route, however old that configuration is. An
+// empty digest stands for a caller without a key, here and below.
+bool isKnown(const RouteTable &routes, const Route &route, const KeyDigest &key);
+
+// For a new caller. An unknown key is Busy if the configuration was not confirmed within its bound,
+// as the key may have been added since.
 Identification identify(const RouteTable &routes, const Route &route, const KeyDigest &key,
                         Instant now);
 
-// The same for a statement that another VM accepted under a key by a version of the configuration.
+// For a caller that was accepted before: an unknown key has been removed.
+Identification identifyAgain(const RouteTable &routes, const Route &route, const KeyDigest &key,
+                             Instant now);
+
+// For a statement that another VM accepted under a key by a version of the configuration.
 // A key that is unknown here may be of a configuration that is not in force here yet; as this one
 // was confirmed within the bound, that key was not removed longer ago.
 Identification identifyRelayed(const RouteTable &routes, const KeyDigest &key,
--- a/libs/directory/src/identification.cpp
+++ b/libs/directory/src/identification.cpp
@@ -14,13 +14,18 @@
     }
 }
 
+bool isKnown(const RouteTable &routes, const Route &route, const KeyDigest &key)
+{
+    const CustomerTable &customers = routes.customers();
+    return route.isPublic || customers.isEmpty() || customers.findByKey(key);
+}
+
 Identification identify(const RouteTable &routes, const Route &route, const KeyDigest &key,
                         Instant now)
 {
     const CustomerTable &customers = routes.customers();
     if (route.isPublic || customers.isEmpty())
         return {};
-    // A key that is unknown here may have been added since the last confirmation.
     if (!routes.isCurrent(now))
         return {.failure = StatementFailure::Busy};
     const Customer *customer = customers.findByKey(key);
@@ -29,6 +34,14 @@
     return {.customer = customer->id};
 }
 
+Identification identifyAgain(const RouteTable &routes, const Route &route, const KeyDigest &key,
+                             Instant now)
+{
+    if (!isKnown(routes, route, key))
+        return {.failure = StatementFailure::Unauthorized};
+    return identify(routes, route, key, now);
+}
+
 Identification identifyRelayed(const RouteTable &routes, const KeyDigest &key,
                                std::uint64_t configuration, Instant now)
 {
--- a/libs/directory/tests/identificationtest.cpp
+++ b/libs/directory/tests/identificationtest.cpp
@@ -70,6 +70,14 @@
         CPPUNIT_ASSERT(failure(1s + 4600ms) == StatementFailure::None);
         CPPUNIT_ASSERT(failure(1s + 4600ms + 1us) == StatementFailure::Busy);
         CPPUNIT_ASSERT(identify(routes, open, {}, Instant(1h)).isAccepted());
+        // A key that is unknown may have been added since, unless it had been accepted before.
+        const KeyDigest other("bb");
+        CPPUNIT_ASSERT(identify(routes, closed, other, Instant(1h)).failure
+                       == StatementFailure::Busy);
+        CPPUNIT_ASSERT(identifyAgain(routes, closed, other, Instant(1h)).failure
+                       == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(identifyAgain(routes, closed, key, Instant(1h)).failure
+                       == StatementFailure::Busy);
         // The store holds a version that is not in force here.
         routes.confirm(3, Instant(6s));
         CPPUNIT_ASSERT(failure(6s) == StatementFailure::Busy);
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -181,7 +181,10 @@
                           .context = request.hasValues ? &loan->context : nullptr,
                           .prepared = request.prepared ? &*request.prepared : nullptr,
                           .begin = request.begin,
-                          .beginAfter = request.beginAfter},
+                          .beginAfter = request.beginAfter,
+                          .customer = request.customer,
+                          .priority = request.priority,
+                          .key = request.key},
                          [this, weak = std::weak_ptr(loan)](const LinkOutcome &outcome) {
                              if (const auto ran = weak.lock())
                                  answer(ran->request, outcome);
--- a/libs/statementproxy/src/statementsession.cpp
+++ b/libs/statementproxy/src/statementsession.cpp
@@ -85,14 +85,14 @@
 
 Identification StatementSession::identifyCaller(const Route &route) const
 {
-    return identify(m_options.routes, route, m_options.key,
-                    m_options.upstreams.context().timers.now());
+    return identifyAgain(m_options.routes, route, m_options.key,
+                         m_options.upstreams.context().timers.now());
 }
 
 bool StatementSession::isRevoked() const
 {
     const std::optional<Route> route = currentRoute();
-    return route && identifyCaller(*route).failure == StatementFailure::Unauthorized;
+    return route && !isKnown(m_options.routes, *route, m_options.key);
 }
 
 void StatementSession::refuseCaller(const Identification &caller)
