--- a/libs/directory/tests/identificationtest.cpp
+++ b/libs/directory/tests/identificationtest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(keyIdentifiesItsCustomer);
     CPPUNIT_TEST(unconfirmedConfigurationIdentifiesNobody);
     CPPUNIT_TEST(restoredStoreBringsNoKeyBack);
+    CPPUNIT_TEST(relayedKeyIsCheckedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,14 @@
         CPPUNIT_ASSERT(failure(1s + 4600ms) == StatementFailure::None);
         CPPUNIT_ASSERT(failure(1s + 4600ms + 1us) == StatementFailure::Busy);
         CPPUNIT_ASSERT(identify(routes, open, {}, Instant(1h)).isAccepted());
+        // A key that is unknown may have been added since, unless it had been accepted before.
+        const KeyDigest other("bb");
+        CPPUNIT_ASSERT(identify(routes, closed, other, Instant(1h)).failure
+                       == StatementFailure::Busy);
+        CPPUNIT_ASSERT(identifyAgain(routes, closed, other, Instant(1h)).failure
+                       == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(identifyAgain(routes, closed, key, Instant(1h)).failure
+                       == StatementFailure::Busy);
         // The store holds a version that is not in force here.
         routes.confirm(3, Instant(6s));
         CPPUNIT_ASSERT(failure(6s) == StatementFailure::Busy);
@@ -91,6 +100,28 @@
         CPPUNIT_ASSERT(identify(routes, closed, removed, Instant(2s)).failure
                        == StatementFailure::Unauthorized);
         CPPUNIT_ASSERT(identify(routes, closed, key, Instant(2s)).isAccepted());
+        CPPUNIT_ASSERT(routes.wasRemoved(removed) && !routes.wasRemoved(key));
+        routes.apply(configuration(9, {removed}));
+        CPPUNIT_ASSERT(!routes.wasRemoved(removed) && routes.wasRemoved(key));
+    }
+
+    // Guards against a statement of a removed key that another VM sent in time, but that arrives
+    // late, as the connection or the relaying VM stood still.
+    void relayedKeyIsCheckedAgain()
+    {
+        RouteTable routes(4600ms);
+        routes.apply(configuration(7, {key}));
+        routes.confirm(7, Instant(1s));
+        const auto failure = [&](const KeyDigest &sent, std::uint64_t version, Duration at) {
+            return identifyRelayed(routes, sent, version, Instant(at)).failure;
+        };
+        CPPUNIT_ASSERT(failure(key, 6, 2s) == StatementFailure::None);
+        CPPUNIT_ASSERT(failure(KeyDigest("bb"), 7, 2s) == StatementFailure::Unauthorized);
+        CPPUNIT_ASSERT(failure(key, 7, 6s) == StatementFailure::Busy);
+        // A key that was added by a configuration that has not arrived here.
+        CPPUNIT_ASSERT(failure(KeyDigest("bb"), 8, 2s) == StatementFailure::None);
+        // A public route or a statement of a VM.
+        CPPUNIT_ASSERT(failure({}, 0, 1h) == StatementFailure::None);
     }
 };
 
