--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -138,6 +138,9 @@
         Instant openedAt = {};
         bool isLeased = false;
 
+        // Start of the latest lease.
+        std::optional<Instant> leasedAt = {};
+
         // Whether its opening counts against the limit.
         bool holdsSlot = false;
 
@@ -175,7 +178,7 @@
     std::set<TicketId> overdueTickets(const Walk &walk) const;
     void makeRoom(const Waiter &waiter, Walk &walk);
     Entry *leastRecentlyUsed(const Waiter &waiter, const Walk &walk);
-    bool hasCompanion(const CustomerId &customer, const Waiter &waiter) const;
+    bool isHeldBack(const Entry &entry, const Waiter &waiter) const;
     void replace(Entry &idle, const CustomerId &customer);
     std::map<CustomerId, std::size_t> comingByCustomer() const;
     std::size_t closing() const;
--- a/libs/upstreampool/src/databasepoolqueue.cpp
+++ b/libs/upstreampool/src/databasepoolqueue.cpp
@@ -1,27 +1,12 @@
-#include "upstreampool/databasepool.h"
+#include "databasepoolwalk.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-// Which link serves which request, and which links are opened and closed for it.
+// Which link serves which request.
 
 namespace fescuespring {
 
-// One pass over the queue, in order.
-struct DatabasePool::Walk
-{
-    // Whether the limit has room, so that links may be granted or opened for customers.
-    bool hasRoom = false;
-
-    // If false, free links are only set aside for the tickets that will get them.
-    bool mayGrant = false;
-
-    // Links that are being opened or will be, less those that earlier tickets will get.
-    std::map<CustomerId, std::size_t> coming = {};
-    std::set<const DatabaseLink *> setAside = {};
-};
-
 bool DatabasePool::hasCustomers() const
 {
     return m_areCustomersNamed || m_hadCustomer;
@@ -71,6 +56,7 @@
 LinkLease DatabasePool::lease(Entry &entry, const LinkRequest &request)
 {
     entry.isLeased = true;
+    entry.leasedAt = m_timers.now();
     *entry.used = Duration(0);
     if (hasCustomers() && request.context) {
         entry.charge = Charge{.priority = request.priority,
@@ -198,128 +184,4 @@
     return overdue;
 }
 
-// Opens a link for a waiting statement, or closes an idle one of another customer, in whose place
-// it is opened.
-void DatabasePool::makeRoom(const Waiter &waiter, Walk &walk)
-{
-    const CustomerId &customer = waiter.request.customer;
-    if (!customer.isEmpty() && !walk.hasRoom)
-        return;
-    if (m_links.size() + closing() < m_options.maximum) {
-        if (mayOpenNow())
-            open(customer, waiter.request.priority);
-        return;
-    }
-    // While openings are refused, one at a time is tried, and no more idle links are lost to it.
-    if (m_backoff > Duration(0) && opening() > 0)
-        return;
-    Entry *idle = leastRecentlyUsed(waiter, walk);
-    if (idle && mayOpenNow())
-        replace(*idle, customer);
-}
-
-DatabasePool::Entry *DatabasePool::leastRecentlyUsed(const Waiter &waiter, const Walk &walk)
-{
-    Entry *oldest = nullptr;
-    for (Entry &entry : m_links) {
-        const bool isIdle = !entry.isLeased && entry.link->isOpen();
-        if (!isIdle || walk.setAside.contains(entry.link.get())
-            || entry.customer == waiter.request.customer || hasCompanion(entry.customer, waiter))
-            continue;
-        if (!oldest || entry.link->lastUsed() < oldest->link->lastUsed())
-            oldest = &entry;
-    }
-    return oldest;
-}
-
-// Whether a statement of `customer` was queued at about the same time as `waiter` and goes first on
-// the customer's own link.
-bool DatabasePool::hasCompanion(const CustomerId &customer, const Waiter &waiter) const
-{
-    if (!m_waitingByCustomer.contains(customer)
-        || m_timers.now() - waiter.since >= m_options.groupingBound)
-        return false;
-    return std::ranges::any_of(m_waiters, [&](const auto &other) {
-        return other.second.request.customer == customer
-               && other.second.since <= waiter.since + m_options.groupingWindow;
-    });
-}
-
-// The room is used only when the connection is closed, so that the maximum is never exceeded.
-void DatabasePool::replace(Entry &idle, const CustomerId &customer)
-{
-    if (m_count.closedForOther)
-        m_count.closedForOther->add();
-    ++m_closingFor[customer];
-    auto closed = std::make_shared<std::shared_ptr<DatabaseLink>>(idle.link);
-    std::erase_if(m_links, [&closed](const Entry &entry) { return entry.link == *closed; });
-    // The link may be the caller, so it is destroyed later.
-    m_timers.after(Duration(0), [closed, customer, weak = weak_from_this()] {
-        closed->reset();
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        if (--self->m_closingFor[customer] == 0)
-            self->m_closingFor.erase(customer);
-        self->grantNext();
-    });
-}
-
-std::map<CustomerId, std::size_t> DatabasePool::comingByCustomer() const
-{
-    std::map<CustomerId, std::size_t> count = m_closingFor;
-    for (const Entry &entry : m_links) {
-        if (!entry.link->isOpen() && !entry.link->isBroken())
-            ++count[entry.customer];
-    }
-    return count;
-}
-
-std::size_t DatabasePool::closing() const
-{
-    std::size_t count = 0;
-    for (const auto &[customer, closing] : m_closingFor)
-        count += closing;
-    return count;
-}
-
-bool DatabasePool::mayOpenNow()
-{
-    const Instant now = m_timers.now();
-    if (now >= m_openNotBefore)
-        return true;
-    if (m_openTimer == 0) {
-        m_openTimer = m_timers.after(m_openNotBefore - now, [this] {
-            m_openTimer = 0;
-            serveQueue();
-        });
-    }
-    return false;
-}
-
-// A link was lost or may be opened again. Its opening may have held the slot that others wait for.
-void DatabasePool::serveQueue()
-{
-    if (hasCustomers())
-        grantNext();
-    else
-        openForDemand();
-}
-
-void DatabasePool::openForDemand()
-{
-    if (m_isClosed)
-        return;
-    if (hasCustomers()) {
-        Walk walk{.hasRoom = m_limit.hasRoom(), .coming = comingByCustomer()};
-        walkQueue(walk);
-        return;
-    }
-    while (m_links.size() < m_options.maximum && opening() < m_queue.size()) {
-        if (!mayOpenNow())
-            return;
-        open({});
-    }
-}
-
 } // namespace fescuespring
--- a/libs/upstreampool/tests/customerlinkstest.cpp
+++ b/libs/upstreampool/tests/customerlinkstest.cpp
@@ -68,6 +68,16 @@
         leases.extract(leases.find(customer));
     }
 
+    // Runs statements on the lease one after the other.
+    void runUntil(Instant end, LinkLease &lease)
+    {
+        lease->run({.command = {.statement = {.kind = StatementKind::Read}}, .context = &session},
+                   [this, end, &lease](const LinkOutcome &) {
+                       if (timers.now() < end)
+                           runUntil(end, lease);
+                   });
+    }
+
     std::uint64_t count(const std::string &name)
     {
         return counters.counter(name).value();
@@ -95,6 +105,7 @@
     CPPUNIT_TEST(freedConnectionIsClosedForTheNextCustomer);
     CPPUNIT_TEST(companionsUseTheirConnectionFirst);
     CPPUNIT_TEST(rareCustomerWaitsNoLongerThanTheBound);
+    CPPUNIT_TEST(rareCustomersDoNotCloseOneAnothersConnections);
     CPPUNIT_TEST(connectionsStayWithinTheMaximum);
     CPPUNIT_TEST(openingCountsAgainstTheLimit);
     CPPUNIT_TEST(nothingIsClosedWhileOpensAreRefused);
@@ -206,6 +217,31 @@
         }
     }
 
+    // Failure: while rare customers wait for a slot, each closes the connection that was just
+    // opened for another; in a model with an overload this doubled the openings.
+    void rareCustomersDoNotCloseOneAnothersConnections()
+    {
+        CustomerFixture fixture(5);
+        for (int i = 0; i < 4; ++i)
+            fixture.take("x");
+        fixture.pool->setLimits(3, 1, 1);
+        fixture.pool->setLimits(3, 5, 1);
+        fixture.queue("y");
+        fixture.queue("z");
+        // Four transactions take turns in the one to three slots of the limit while the connection
+        // of y opens and z becomes overdue.
+        const Instant end = fixture.timers.now() + 60ms;
+        for (auto &[customer, lease] : fixture.leases)
+            fixture.runUntil(end, lease);
+        fixture.timers.advance(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), fixture.order.back());
+        fixture.release("y");
+        fixture.timers.advance(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("z"), fixture.order.back());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.opened["y"]);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.opened["z"]);
+    }
+
     // Failure: the sum over the owners exceeds what the database allows.
     void connectionsStayWithinTheMaximum()
     {
