Allowances: counting, loans between data centres and tokens in hand

The operations of a customer need a limit over all VMs together, also when VMs are cut off, killed or added. Its messages are plain structs; it knows no network.

--- /dev/null
+++ b/libs/allowance/src/allowancevmcounting.cpp
@@ -0,0 +1,216 @@
+#include "allowance/allowancevm.h"
+
+#include "allowancetimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuespring {
+
+using namespace detail;
+
+void AllowanceVm::handle(const AllowanceRequest &request, const Reply &reply)
+{
+    ++m_statistics.requestsReceived;
+    m_contacts[request.from].heardAt = now();
+    switch (request.kind) {
+    case AllowanceRequest::Kind::Tokens:
+        handleTokens(request, reply);
+        break;
+    case AllowanceRequest::Kind::Borrow:
+        handleBorrow(request, reply);
+        break;
+    case AllowanceRequest::Kind::Hello:
+        handleHello(request, reply);
+        break;
+    }
+}
+
+void AllowanceVm::handleTokens(const AllowanceRequest &request, const Reply &reply)
+{
+    State *state = find(request.customer);
+    if (!state || !isStarted()) {
+        reply(notCounting());
+        return;
+    }
+    const std::vector<VmId> &order = m_orders[request.customer];
+    if (order.empty()) {
+        reply(notCounting());
+        return;
+    }
+    const VmId counter = order.front();
+    const bool isDeputy = order.size() > 1 && order[1] == m_options.vm;
+    if (counter == m_options.vm) {
+        updateRole(request.customer, *state);
+        reply(state->counter.grant(request, m_options.vm, share(*state), now()));
+        return;
+    }
+    if (request.isForwarded) {
+        reply(notCounting());
+        return;
+    }
+    // A counter that asks its deputy does not count itself.
+    const bool isCounterUnavailable = request.from == counter || isUnavailable(counter);
+    if (!isCounterUnavailable)
+        forward(request, counter, isDeputy, reply);
+    else if (isDeputy)
+        countAsDeputy(request, *state, reply);
+    else
+        reply(notCounting());
+}
+
+// The deputy asks the counter, since it may be only the sender that cannot reach it.
+void AllowanceVm::forward(const AllowanceRequest &request, const VmId &counter, bool isDeputy,
+                          const Reply &reply)
+{
+    AllowanceRequest forwarded = request;
+    forwarded.from = m_options.vm;
+    forwarded.isForwarded = true;
+    sendTo(counter, forwarded, forwardTimeout,
+           [this, request, isDeputy, reply](const std::optional<AllowanceAnswer> &answer) {
+               State *state = find(request.customer);
+               if (state && answer && answer->isCounting) {
+                   state->counter.stop();
+                   reply(*answer);
+               } else if (state && isDeputy) {
+                   countAsDeputy(request, *state, reply);
+               } else {
+                   reply(notCounting());
+               }
+           });
+}
+
+void AllowanceVm::countAsDeputy(const AllowanceRequest &request, State &state, const Reply &reply)
+{
+    if (!state.counter.isCounting()) {
+        state.counter.start(startLevel(), now());
+        event("allowance-deputy-counts", m_options.vm, request.customer);
+        // The answers show at once which VMs are in contact with this one.
+        sayHello(forwardTimeout);
+    }
+    reply(state.counter.grant(request, m_options.vm, share(state), now()));
+}
+
+void AllowanceVm::handleHello(const AllowanceRequest &request, const Reply &reply)
+{
+    for (const LentNote &note : request.lent) {
+        if (State *state = find(note.customer))
+            state->counter.lent.inherit(request.from, note, now());
+    }
+    AllowanceAnswer answer = notCounting();
+    answer.isCounting = isStarted();
+    reply(answer);
+}
+
+AllowanceAnswer AllowanceVm::notCounting() const
+{
+    return {.retryAfter = std::max(Duration(0), startPause - (now() - m_startedAt))};
+}
+
+bool AllowanceVm::isStarted() const
+{
+    return now() - m_startedAt >= startPause;
+}
+
+double AllowanceVm::startLevel() const
+{
+    return std::min(1.0, m_options.bound.tolerance * startTolerance
+                                 / static_cast<double>(m_dataCentreCount));
+}
+
+// A deputy counts only the VMs that it has heard of since it took over, as the counter may still
+// be in contact with the others.
+CountingShare AllowanceVm::share(const State &state) const
+{
+    const bool isCounter = state.counter.isCounter();
+    const Instant since = isCounter ? now() - contactTime
+                                    : std::max(now() - contactTime, state.counter.startedAt());
+    const double heard =
+            std::min(1.0, static_cast<double>(heardSince(since)) / static_cast<double>(m_vmCount));
+    const auto dataCentres = static_cast<double>(m_dataCentreCount);
+    return {.allowance = state.allowance,
+            .part = heard / dataCentres,
+            .extraCapacity = m_options.bound.tolerance * capacityTolerance / dataCentres};
+}
+
+// This VM is one of them.
+std::size_t AllowanceVm::heardSince(Instant since) const
+{
+    std::size_t count = 1;
+    for (const VmId &vm : m_fleet.liveVms(m_options.dataCentre)) {
+        const auto found = m_contacts.find(vm);
+        if (vm != m_options.vm && found != m_contacts.end() && found->second.heardAt >= since)
+            ++count;
+    }
+    return count;
+}
+
+void AllowanceVm::updateRoles()
+{
+    updateCounts();
+    for (auto &[customer, state] : m_states) {
+        if (!m_orders.contains(customer))
+            m_orders[customer] = m_fleet.counters(m_options.dataCentre, customer);
+        updateRole(customer, state);
+        if (state.counter.isCounting())
+            state.counter.refill(share(state), now());
+    }
+}
+
+void AllowanceVm::updateCounts()
+{
+    m_vmCount = m_fleet.vmCount(m_options.dataCentre, now());
+    m_dataCentreCount = m_fleet.dataCentreCount(now());
+}
+
+void AllowanceVm::updateRole(const CustomerId &customer, State &state)
+{
+    if (std::isinf(state.allowance.operationsPerSecond)) {
+        state.counter.stop();
+        return;
+    }
+    const std::vector<VmId> &order = m_orders[customer];
+    const bool isCounter = !order.empty() && order.front() == m_options.vm;
+    const bool isDeputy = order.size() > 1 && order[1] == m_options.vm;
+    state.counter.setCounter(isCounter);
+    if (isCounter) {
+        if (!state.counter.isCounting() && isStarted())
+            state.counter.start(startLevel(), now());
+        return;
+    }
+    if (state.counter.isCounting() && (!isDeputy || isKnownToCount(order.front()))) {
+        state.counter.stop();
+        for (const VmId &lender : state.counter.borrowed.release(now()))
+            requestLoan(customer, lender, 0);
+    }
+}
+
+void AllowanceVm::tick()
+{
+    updateCounts();
+    for (auto &[customer, state] : m_states) {
+        if (std::isinf(state.allowance.operationsPerSecond))
+            continue;
+        updateRole(customer, state);
+        if (state.counter.isCounting())
+            renewLoans(customer, state);
+    }
+    if (!m_states.empty())
+        sayHello(helloInterval);
+}
+
+// Exchanges a message with each VM of the data centre that has not been heard of for `silence`.
+void AllowanceVm::sayHello(Duration silence)
+{
+    for (const VmId &vm : m_fleet.liveVms(m_options.dataCentre)) {
+        Contact &contact = m_contacts[vm];
+        if (vm == m_options.vm || now() - contact.heardAt < silence
+            || now() - contact.helloAt < silence / 2)
+            continue;
+        contact.helloAt = now();
+        sendTo(vm, {.kind = AllowanceRequest::Kind::Hello, .from = m_options.vm}, counterTimeout,
+               [](const std::optional<AllowanceAnswer> &) {});
+    }
+}
+
+} // namespace fescuespring
