Allowances over the relay connections, asked before an operation starts

The limit per customer has to hold over all VMs, so VMs ask one another for tokens. AllowanceService joins the core library with the VMs of Upstreams::shareConnections; StatementRun takes a token before the first statement of an operation is sent, and a refusal is answered with Overload at once. A list of VMs that has expired, as in an outage of the store, changes no part of a rate.

--- a/libs/allowance/include/allowance/allowancefleet.h
+++ b/libs/allowance/include/allowance/allowancefleet.h
@@ -4,6 +4,7 @@
 #include "placement/placement.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -22,16 +23,19 @@
 // The VMs of the installation, as far as they matter for allowances: which VMs count for a
 // customer, and into how many parts its rate is divided.
 //
-//     fleet.setLive(members, now);
+//     fleet.setLive(members, now, isHeard);
 //     const std::vector<VmId> order = fleet.counters(dataCentre, customer);
 //     // order[0] counts the customer's operations in the data centre, order[1] is its deputy.
 //
-// VMs that have expired are not chosen, but keep their part of each rate for departedRetention, as
-// they may be cut off and still serve callers. VMs that have left in an orderly way keep none.
+// VMs that have expired are not chosen unless they are still heard of, but keep their part of each
+// rate for departedRetention, as they may be cut off and still serve callers. VMs that have left in
+// an orderly way keep none.
 class AllowanceFleet
 {
 public:
-    void setLive(const std::vector<AllowanceMember> &members, Instant now);
+    // isHeard tells whether a VM that is not among the members is still in contact with this one.
+    void setLive(const std::vector<AllowanceMember> &members, Instant now,
+                 const std::function<bool(const VmId &)> &isHeard = {});
 
     // A VM has left and serves no callers any more.
     void left(const VmId &vm);
@@ -39,6 +43,12 @@
     // The counter and its deputy; fewer if the data centre has fewer live VMs.
     std::vector<VmId> counters(const DataCentreId &dataCentre, const CustomerId &customer) const;
 
+    // Whether expired VMs are still chosen, so that setLive should be called again soon.
+    bool hasExpired() const
+    {
+        return m_hasExpired;
+    }
+
     // Live VMs of a data centre, in order of name.
     const std::vector<VmId> &liveVms(const DataCentreId &dataCentre) const;
 
@@ -65,11 +75,13 @@
         Placement placement;
     };
 
+    void choose(const AllowanceMember &member);
     bool isCounted(const Seen &seen, Instant now) const;
 
     std::map<VmId, Seen> m_seen;
     std::map<DataCentreId, DataCentre> m_live;
     Placement m_all;
+    bool m_hasExpired = false;
 };
 
 } // namespace fescuespring
--- a/libs/allowance/include/allowance/allowancevm.h
+++ b/libs/allowance/include/allowance/allowancevm.h
@@ -90,7 +90,8 @@
     // that is not among these may start nothing.
     void setCustomers(const std::vector<Customer> &customers);
 
-    // The live VMs of the installation, this one too.
+    // The live VMs of the installation, this one too. A later list without this VM is ignored: it
+    // comes from records that have expired because the store could not be reached.
     void setVms(const std::vector<AllowanceMember> &members);
 
     // A VM has left in an orderly way.
@@ -159,6 +160,7 @@
     CountingShare share(const State &state) const;
     double startLevel() const;
     bool isStarted() const;
+    void updateFleet();
     void updateRoles();
     void updateCounts();
     void updateRole(const CustomerId &customer, State &state);
@@ -179,7 +181,10 @@
 
     Options m_options;
     Instant m_startedAt;
+    std::vector<AllowanceMember> m_members;
+    bool m_wasListed = false;
     AllowanceFleet m_fleet;
+    Instant m_fleetUpdatedAt;
     std::size_t m_vmCount = 1;
     std::size_t m_dataCentreCount = 1;
     std::map<CustomerId, State> m_states;
--- a/libs/allowance/src/allowancefleet.cpp
+++ b/libs/allowance/src/allowancefleet.cpp
@@ -5,7 +5,8 @@
 
 namespace fescuespring {
 
-void AllowanceFleet::setLive(const std::vector<AllowanceMember> &members, Instant now)
+void AllowanceFleet::setLive(const std::vector<AllowanceMember> &members, Instant now,
+                             const std::function<bool(const VmId &)> &isHeard)
 {
     for (auto &[vm, seen] : m_seen) {
         if (seen.isLive)
@@ -13,11 +14,25 @@
         seen.isLive = false;
     }
     m_live.clear();
-    std::vector<VmId> all;
     for (const AllowanceMember &member : members) {
         m_seen[member.vm] = {member.dataCentre, now, true};
-        m_live[member.dataCentre].vms.push_back(member.vm);
-        all.push_back(member.vm);
+        choose(member);
+    }
+    m_hasExpired = false;
+    std::vector<VmId> all;
+    const auto listed = dataCentres();
+    for (auto &[vm, seen] : m_seen) {
+        all.push_back(vm);
+        if (seen.isLive)
+            continue;
+        const bool isChosen = isHeard && isHeard(vm);
+        seen.isLive = isChosen;
+        // While the store cannot be reached, the records of a whole data centre expire.
+        const bool isListed = std::ranges::find(listed, seen.dataCentre) != listed.end();
+        if (!isChosen && isListed)
+            continue;
+        m_hasExpired = true;
+        choose({vm, seen.dataCentre});
     }
     for (auto &[id, dataCentre] : m_live) {
         std::ranges::sort(dataCentre.vms);
@@ -27,6 +42,11 @@
     std::erase_if(m_seen, [&](const auto &entry) { return !isCounted(entry.second, now); });
 }
 
+void AllowanceFleet::choose(const AllowanceMember &member)
+{
+    m_live[member.dataCentre].vms.push_back(member.vm);
+}
+
 void AllowanceFleet::left(const VmId &vm)
 {
     m_seen.erase(vm);
--- a/libs/allowance/src/allowancevm.cpp
+++ b/libs/allowance/src/allowancevm.cpp
@@ -43,9 +43,13 @@
 
 void AllowanceVm::setVms(const std::vector<AllowanceMember> &members)
 {
-    m_fleet.setLive(members, now());
-    m_orders.clear();
-    updateRoles();
+    const bool isListed = std::ranges::any_of(
+            members, [this](const AllowanceMember &member) { return member.vm == m_options.vm; });
+    if (m_wasListed && !isListed)
+        return;
+    m_wasListed = isListed;
+    m_members = members;
+    updateFleet();
 }
 
 void AllowanceVm::vmLeft(const VmId &vm)
--- a/libs/allowance/src/allowancevmcounting.cpp
+++ b/libs/allowance/src/allowancevmcounting.cpp
@@ -145,6 +145,17 @@
     return count;
 }
 
+void AllowanceVm::updateFleet()
+{
+    m_fleetUpdatedAt = now();
+    m_fleet.setLive(m_members, now(), [this](const VmId &vm) {
+        const auto found = m_contacts.find(vm);
+        return found != m_contacts.end() && now() - found->second.heardAt < contactTime;
+    });
+    m_orders.clear();
+    updateRoles();
+}
+
 void AllowanceVm::updateRoles()
 {
     updateCounts();
@@ -187,6 +198,8 @@
 
 void AllowanceVm::tick()
 {
+    if (m_fleet.hasExpired() && now() - m_fleetUpdatedAt >= helloInterval)
+        updateFleet();
     updateCounts();
     for (auto &[customer, state] : m_states) {
         if (std::isinf(state.allowance.operationsPerSecond))
--- a/libs/allowance/tests/allowancefailurestest.cpp
+++ b/libs/allowance/tests/allowancefailurestest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(addedVmsAreBounded);
     CPPUNIT_TEST(pausedCounterIsBounded);
     CPPUNIT_TEST(lostMessagesAreBounded);
+    CPPUNIT_TEST(expiredListChangesNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +207,30 @@
             site.assertBounded("lost messages");
         }
     }
+
+    // Guards against larger parts, and against refusals, while the store cannot be reached and the
+    // records of all VMs expire one after the other.
+    void expiredListChangesNothing()
+    {
+        Site site({100, 100});
+        site.demandEverywhere(100 / 1.6);
+        site.run(10s);
+        site.servedShare();
+        std::vector<AllowanceMember> members;
+        for (const auto &[id, vm] : site.vms)
+            members.push_back(vm->member);
+        while (!members.empty()) {
+            members.pop_back();
+            for (const auto &[id, vm] : site.vms)
+                vm->state->setVms(members);
+            site.run(500ms);
+        }
+        site.run(700s);
+        site.assertServed("expired list", 0.99);
+        site.demandEverywhere(900);
+        site.run(20s);
+        site.assertBounded("expired list");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AllowanceFailuresTest);
--- a/libs/relay/include/relay/relaymessages.h
+++ b/libs/relay/include/relay/relaymessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance/allowancemessages.h"
 #include "base/result.h"
 #include "upstreampool/linkpool.h"
 
@@ -27,6 +28,11 @@
         // Liveness check and its reply.
         Ping,
         Pong,
+
+        // A request about allowances, and its answer with the same lease. These have no other
+        // fields.
+        AllowanceRequest,
+        AllowanceAnswer,
     };
     Kind kind = Kind::Ping;
 
@@ -58,6 +64,9 @@
     // that point.
     std::optional<LogPoint> floor = {};
     Duration floorAge{0};
+
+    AllowanceRequest allowanceRequest = {};
+    AllowanceAnswer allowanceAnswer = {};
 };
 
 // Includes the end of line.
--- a/libs/relay/include/relay/relaypeer.h
+++ b/libs/relay/include/relay/relaypeer.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescuespring {
@@ -44,6 +45,12 @@
 
     void release(std::uint64_t lease);
 
+    // Sends a request about allowances. Calls answered exactly once, never from inside the call:
+    // with nothing if the answer does not arrive within the time. Not called once the peer has been
+    // destroyed.
+    using Answered = std::function<void(const std::optional<AllowanceAnswer> &)>;
+    void ask(const AllowanceRequest &request, Duration timeout, Answered answered);
+
     bool isLost() const;
     bool isConnected() const;
 
--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -31,6 +31,11 @@
         // The newest point of the primary of a database's group, which is sent with each outcome so
         // that the borrower need not request it. May be empty.
         std::function<std::optional<PrimaryFloor>(const DatabaseId &)> floorOf = {};
+
+        // Handles a request about allowances; calls its second argument once, possibly later. If
+        // empty, the answer is that this VM does not count.
+        std::function<void(const AllowanceRequest &, std::function<void(const AllowanceAnswer &)>)>
+                handleAllowance = {};
     };
 
     static Result<std::unique_ptr<RelayServer>> listen(EventLoop &loop, const Endpoint &endpoint,
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -1,5 +1,7 @@
 #include "relay/relaymessages.h"
 
+#include "allowancecodec.h"
+
 #include <boost/json.hpp>
 
 namespace json = boost::json;
@@ -227,6 +229,19 @@
     message.beginAfter = fields.optionalPoint("beginAfter");
 }
 
+template <typename Decoded>
+void decodeAllowance(Reader &fields, std::optional<Decoded> (*decode)(const json::object &),
+                     Decoded &decoded)
+{
+    const json::value *value = fields.find("allowance");
+    std::optional<Decoded> result =
+            value && value->is_object() ? decode(value->get_object()) : std::nullopt;
+    if (result)
+        decoded = std::move(*result);
+    else
+        fields.reject("allowance");
+}
+
 json::object encodeRun(const RelayMessage &message)
 {
     json::object fields{{"database", message.database.value()},
@@ -270,6 +285,10 @@
             fields["floorAgeUs"] = message.floorAge.count();
         }
     }
+    if (message.kind == RelayMessage::Kind::AllowanceRequest)
+        fields["allowance"] = detail::encodeAllowanceRequest(message.allowanceRequest);
+    if (message.kind == RelayMessage::Kind::AllowanceAnswer)
+        fields["allowance"] = detail::encodeAllowanceAnswer(message.allowanceAnswer);
     fields["is"] = number(message.kind);
     fields["lease"] = message.lease;
     return json::serialize(fields) + '\n';
@@ -283,7 +302,7 @@
     boost::system::error_code error;
     const json::value value = json::parse(line, error, {}, options);
     Reader fields(error ? nullptr : &value);
-    RelayMessage message{.kind = fields.enumerator("is", RelayMessage::Kind::Pong),
+    RelayMessage message{.kind = fields.enumerator("is", RelayMessage::Kind::AllowanceAnswer),
                          .lease = static_cast<std::uint64_t>(fields.integer("lease"))};
     if (fields.isValid() && message.kind == RelayMessage::Kind::Run)
         decodeRun(fields, message);
@@ -294,6 +313,10 @@
         if (message.floor)
             message.floorAge = Duration(fields.integer("floorAgeUs"));
     }
+    if (fields.isValid() && message.kind == RelayMessage::Kind::AllowanceRequest)
+        decodeAllowance(fields, detail::decodeAllowanceRequest, message.allowanceRequest);
+    if (fields.isValid() && message.kind == RelayMessage::Kind::AllowanceAnswer)
+        decodeAllowance(fields, detail::decodeAllowanceAnswer, message.allowanceAnswer);
     if (!fields.isValid())
         return fields.error();
     return message;
--- a/libs/relay/src/relaypeer.cpp
+++ b/libs/relay/src/relaypeer.cpp
@@ -29,6 +29,12 @@
         Instant sentAt;
     };
 
+    struct Ask
+    {
+        Answered answered;
+        Timers::Id timer = 0;
+    };
+
     Data(Timers &vmTimers, Options peerOptions)
         : timers(vmTimers)
         , options(std::move(peerOptions))
@@ -59,6 +65,31 @@
         schedulePing();
     }
 
+    void ask(const AllowanceRequest &request, Duration timeout, Answered answered)
+    {
+        const std::uint64_t number = ++lastLease;
+        const Timers::Id timer =
+                timers.after(isLost ? Duration(0) : timeout, [weak = weak_from_this(), number] {
+                    if (const auto self = weak.lock())
+                        self->finishAsk(number, std::nullopt);
+                });
+        asks[number] = {std::move(answered), timer};
+        if (!isLost) {
+            stream->send(encodeRelayMessage({.kind = RelayMessage::Kind::AllowanceRequest,
+                                             .lease = number,
+                                             .allowanceRequest = request}));
+        }
+    }
+
+    void finishAsk(std::uint64_t number, const std::optional<AllowanceAnswer> &answer)
+    {
+        const auto node = asks.extract(number);
+        if (node.empty())
+            return;
+        timers.cancel(node.mapped().timer);
+        node.mapped().answered(answer);
+    }
+
     void schedulePing()
     {
         if (pingTimer != 0 || calls.empty())
@@ -102,6 +133,8 @@
             }
             if (message.value().kind == RelayMessage::Kind::Outcome)
                 finish(message.value());
+            if (message.value().kind == RelayMessage::Kind::AllowanceAnswer)
+                finishAsk(message.value().lease, message.value().allowanceAnswer);
         }
     }
 
@@ -128,6 +161,10 @@
         // Nothing was sent on a connection that never opened.
         const LinkEnd end = isConnected ? LinkEnd::Lost : LinkEnd::NotSent;
         options.onLost(error);
+        for (const auto &[number, ask] : std::exchange(asks, {})) {
+            timers.cancel(ask.timer);
+            ask.answered(std::nullopt);
+        }
         while (!calls.empty()) {
             finish({.lease = calls.begin()->first,
                     .outcome = {
@@ -141,6 +178,8 @@
         isLost = true;
         timers.cancel(pingTimer);
         calls.clear();
+        for (const auto &[number, ask] : std::exchange(asks, {}))
+            timers.cancel(ask.timer);
         // The stream may be the caller, so it is destroyed later; until then it calls this object.
         const auto closing = std::make_shared<std::unique_ptr<TcpStream>>(std::move(stream));
         timers.after(Duration(0), [closing, self = shared_from_this()] { closing->reset(); });
@@ -151,6 +190,7 @@
     std::unique_ptr<TcpStream> stream;
     LineCutter lines;
     std::map<std::uint64_t, Call> calls;
+    std::map<std::uint64_t, Ask> asks;
     std::uint64_t lastLease = 0;
     Instant lastReplyAt;
     Timers::Id pingTimer = 0;
@@ -188,6 +228,11 @@
     }
 }
 
+void RelayPeer::ask(const AllowanceRequest &request, Duration timeout, Answered answered)
+{
+    m_data->ask(request, timeout, std::move(answered));
+}
+
 bool RelayPeer::isLost() const
 {
     return m_data->isLost;
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -110,12 +110,32 @@
         case RelayMessage::Kind::Run:
             run(std::move(message));
             break;
+        case RelayMessage::Kind::AllowanceRequest:
+            handleAllowance(message);
+            break;
         default:
             m_server.drop(m_number);
             break;
         }
     }
 
+    void handleAllowance(const RelayMessage &message)
+    {
+        const auto answer = [weak = weak_from_this(),
+                             lease = message.lease](const AllowanceAnswer &answered) {
+            if (const auto self = weak.lock()) {
+                self->m_stream->send(
+                        encodeRelayMessage({.kind = RelayMessage::Kind::AllowanceAnswer,
+                                            .lease = lease,
+                                            .allowanceAnswer = answered}));
+            }
+        };
+        if (m_server.hooks.handleAllowance)
+            m_server.hooks.handleAllowance(message.allowanceRequest, answer);
+        else
+            answer({});
+    }
+
     void run(RelayMessage message)
     {
         m_server.statements.add();
--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -34,6 +34,9 @@
         const RouteTable &routes;
         RouteName name;
         std::function<void(const StatementReply &)> onReply = {};
+
+        // The customer whose operations these are; empty where callers are not identified.
+        CustomerId customer = {};
     };
 
     explicit StatementSession(Options options);
@@ -82,6 +85,9 @@
 
         // Fixed at the start; a change of routes applies to the next transaction.
         Route route = {};
+
+        // A token was taken for the transaction.
+        bool hasToken = false;
     };
 
     void begin(bool isReadOnly);
@@ -94,6 +100,12 @@
     void startIdleTimer();
     std::optional<Route> currentRoute() const;
 
+    // The customer of the current operation; empty if it takes no token.
+    const CustomerId &operationCustomer() const
+    {
+        return m_options.customer;
+    }
+
     Options m_options;
 
     // Id of the last statement.
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "base/latencyhistogram.h"
 #include "base/timers.h"
+#include "customers/customer.h"
 #include "directory/routetable.h"
 #include "directory/upstreamdirectory.h"
 #include "leadership/leadershipview.h"
@@ -42,8 +43,13 @@
     std::function<std::shared_ptr<RelayPeer>(const Endpoint &,
                                              std::function<void(const Error &)> onLost)>
             connectPeer = {};
+
+    // Bound on the operations of each customer.
+    AllowanceBound allowanceBound = {.tolerance = 20};
 };
 
+class AllowanceService;
+
 // The databases that this VM uses, their connections, and its view of each group's primary.
 //
 //     Upstreams upstreams(context);
@@ -75,6 +81,11 @@
     {
         return m_leadership;
     }
+    // Limits the operations of customers.
+    AllowanceService &allowances()
+    {
+        return *m_allowances;
+    }
     const ProxyContext &context() const
     {
         return m_context;
@@ -124,6 +135,10 @@
         return m_areVmsKnown;
     }
 
+    // The relay connection to another VM, opened if there is none yet. Null if it was lost a short
+    // time ago, or if this VM uses no other VMs.
+    std::shared_ptr<RelayPeer> peerFor(const VmRecord &record);
+
     // The primary that may take statements now; empty if none is known, if it is not in the
     // directory, if it has been draining for too long, or if it is unresponsive and a change of
     // primary has been announced.
@@ -253,6 +268,7 @@
     std::map<DatabaseId, std::unique_ptr<DatabasePools>> m_pools;
     std::map<VmId, std::shared_ptr<RelayPeer>> m_peers;
     std::map<VmId, Instant> m_peerLostAt;
+    std::unique_ptr<AllowanceService> m_allowances;
     std::set<std::shared_ptr<Command>> m_commands;
     std::map<GroupId, std::unique_ptr<TermEvidence>> m_evidence;
     std::map<GroupId, std::vector<Refreshed>> m_refreshing;
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -1,6 +1,10 @@
 #include "statementrun.h"
 
+#include "statementproxy/allowanceservice.h"
+
 #include <algorithm>
+#include <chrono>
+#include <string>
 #include <utility>
 
 namespace fescuespring::detail {
@@ -81,6 +85,40 @@
     m_deadline = m_startedAt + m_route.timeout;
     m_holdUntil = std::min(m_deadline, m_startedAt + maximumHoldTime);
     scheduleDeadline(m_holdUntil);
+    if (needsToken())
+        takeToken();
+    else
+        tryNext();
+}
+
+// One token covers a statement with its repeats, or a transaction.
+bool StatementRun::needsToken() const
+{
+    if (m_session->operationCustomer().isEmpty())
+        return false;
+    return !isInTransaction() || !m_session->m_transaction->hasToken;
+}
+
+void StatementRun::takeToken()
+{
+    upstreams().allowances().start(m_session->operationCustomer(),
+                                   [weak = weak_from_this()](const AllowanceDecision &decision) {
+                                       const auto self = weak.lock();
+                                       if (self && self->m_session)
+                                           self->tokenDecided(decision);
+                                   });
+}
+
+void StatementRun::tokenDecided(const AllowanceDecision &decision)
+{
+    if (!decision.isGranted()) {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
+        fail(StatementFailure::Overload, "allowance of the customer is used up; retry after "
+                                                 + std::to_string(wait.count()) + " ms");
+        return;
+    }
+    if (isInTransaction())
+        m_session->m_transaction->hasToken = true;
     tryNext();
 }
 
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance/allowancevm.h"
 #include "statementproxy/statementsession.h"
 
 #include <memory>
@@ -55,6 +56,11 @@
     bool needsPrimary() const;
     bool isReadOnly() const;
 
+    // The allowance of the customer.
+    bool needsToken() const;
+    void takeToken();
+    void tokenDecided(const AllowanceDecision &decision);
+
     // Selection of a database.
     void tryNext();
     void tryPrimary();
--- a/libs/statementproxy/src/upstreamcommands.cpp
+++ b/libs/statementproxy/src/upstreamcommands.cpp
@@ -1,3 +1,4 @@
+#include "statementproxy/allowanceservice.h"
 #include "statementproxy/upstreams.h"
 
 #include "upstreamaccess.h"
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -1,5 +1,6 @@
 #include "statementproxy/upstreams.h"
 
+#include "statementproxy/allowanceservice.h"
 #include "upstreamaccess.h"
 
 #include <algorithm>
@@ -57,6 +58,7 @@
                        [this](const UpstreamEntry &entry) {
                            entryGone(entry);
                        }})
+    , m_allowances(std::make_unique<AllowanceService>(*this, m_context.allowanceBound))
 {}
 
 const Upstreams::DatabasePools *Upstreams::findPools(const DatabaseId &database) const
@@ -214,6 +216,7 @@
                                  bool areAllKnown)
 {
     m_limits = configuration.groups;
+    m_allowances->setVms(vms);
     m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, pools] : m_pools) {
@@ -251,6 +254,16 @@
     return *pools.otherOwners;
 }
 
+std::shared_ptr<RelayPeer> Upstreams::peerFor(const VmRecord &record)
+{
+    if (!m_context.connectPeer)
+        return nullptr;
+    const auto lostAt = m_peerLostAt.find(record.vm);
+    if (lostAt != m_peerLostAt.end() && m_context.timers.now() - lostAt->second <= lostPeerBackoff)
+        return nullptr;
+    return peer(record);
+}
+
 std::shared_ptr<RelayPeer> Upstreams::peerFor(const DatabaseId &database)
 {
     const auto found = m_pools.find(database);
