Tests of operations with and without a token, and of the number of messages

The token has to be taken once per operation, before anything is sent, and messages must not load VMs of 0.12 of a core.

--- a/libs/allowance/tests/allowancevmtest.cpp
+++ b/libs/allowance/tests/allowancevmtest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(loweredLimitHoldsAtOnce);
     CPPUNIT_TEST(zeroAllowanceStartsNothing);
     CPPUNIT_TEST(unlimitedCustomerTakesNoToken);
+    CPPUNIT_TEST(messagesStayFew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +122,29 @@
         site.run(10s);
         site.assertBounded("limited later");
     }
+
+    // Guards against messages that small VMs cannot afford: 88 VMs in four data centres, with the
+    // largest, a middle and the median customer of the expected mix at their usual demand.
+    void messagesStayFew()
+    {
+        for (const double demand : {0.0, 5.0, 50.0, 425.0}) {
+            AllowanceNetwork network({std::max(1.0, demand * 1.6), std::max(1.0, demand)});
+            for (const char *dataCentre : {"a", "b", "c", "d"}) {
+                network.add(dataCentre, 22);
+                network.demand(dataCentre, demand / 4);
+            }
+            network.run(8s);
+            const std::uint64_t before = network.requests();
+            network.granted.clear();
+            network.servedShare();
+            network.run(10s);
+            const double requests = double(network.requests() - before) / 10;
+            std::cerr << "demand " << demand << "/s: requests " << requests / 88
+                      << " per VM and second, served " << network.servedShare() << '\n';
+            // Each pair of VMs of a data centre exchanges a request within 800 ms.
+            CPPUNIT_ASSERT(requests <= 88 * 21 / 0.8 + demand * 1.1 + 10);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AllowanceVmTest);
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -1,4 +1,5 @@
 #include "statementproxy/statementsession.h"
+#include "statementproxy/allowanceservice.h"
 
 #include "support/fakegroup.h"
 
@@ -11,6 +12,7 @@
 namespace {
 
 const GroupId group("herd");
+const CustomerId harbour("harbour");
 
 // One VM that serves one group, with primary a and replicas b and c, in virtual time.
 struct Vm
@@ -20,6 +22,7 @@
                      .log = log,
                      .counters = counters,
                      .connect = databases.connector(),
+                     .vm = VmId("vm-1"),
                      .dataCentre = DataCentreId("north"),
                      .departureNotice = departureNotice})
     {
@@ -66,6 +69,15 @@
                 .latencyTarget = 250ms};
     }
 
+    // This VM alone counts the operations of a customer.
+    void limit(Allowance allowance)
+    {
+        upstreams.allowances().setCustomers({{.id = harbour, .allowance = allowance}});
+        upstreams.allowances().setVms({{.vm = VmId("vm-1"), .dataCentre = DataCentreId("north")}});
+        timers.advance(10s);
+        renewLease();
+    }
+
     // The store's records announce no change of primary.
     void renewLease()
     {
@@ -82,14 +94,13 @@
 
 struct Caller
 {
-    Caller(Vm &servingVm, const std::string &name)
+    Caller(Vm &servingVm, const std::string &name, const CustomerId &customer = {})
         : vm(servingVm)
         , session({.upstreams = vm.upstreams,
                    .routes = vm.routes,
                    .name = RouteName(name),
-                   .onReply = [this](const StatementReply &reply) {
-                       replies.push_back(reply);
-                   }})
+                   .onReply = [this](const StatementReply &reply) { replies.push_back(reply); },
+                   .customer = customer})
     {}
 
     // The reply, if it arrives within time.
@@ -161,6 +172,8 @@
     CPPUNIT_TEST(discardedCommitDoesNotBlockReads);
     CPPUNIT_TEST(waitingReadsShareEvidenceRounds);
     CPPUNIT_TEST(oneConnectionServesStrictReadsWithoutTheStore);
+    CPPUNIT_TEST(allowanceRefusesAtOnceAndRunsNothing);
+    CPPUNIT_TEST(transactionTakesOneToken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -552,6 +565,41 @@
         const auto reply = caller.execute(readItem, 300ms);
         CPPUNIT_ASSERT(reply && reply->isSuccess());
     }
+
+    // Guards against operations that run beyond the allowance, and against repeats and statements
+    // without a customer that count.
+    void allowanceRefusesAtOnceAndRunsNothing()
+    {
+        Vm vm;
+        // The bucket holds 2, and half of the tolerance of 20.
+        vm.limit({.operationsPerSecond = 2, .burst = 2});
+        vm.databases["a"].failures = {StatementFailure::Busy, StatementFailure::Busy};
+        Caller caller(vm, "strict", harbour);
+        for (int i = 0; i < 12; ++i)
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        const auto refused = caller.execute(writeItem, 1ms);
+        CPPUNIT_ASSERT(refused && refused->failure == StatementFailure::Overload);
+        CPPUNIT_ASSERT(
+                refused->message.starts_with("allowance of the customer is used up; retry after "));
+        CPPUNIT_ASSERT(refused->phase == SessionPhase::Idle);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, countOf(vm.databases["a"], "write"));
+        CPPUNIT_ASSERT(Caller(vm, "strict").failure(writeItem) == StatementFailure::None);
+    }
+
+    // Guards against a transaction that is refused halfway.
+    void transactionTakesOneToken()
+    {
+        Vm vm;
+        vm.limit({.operationsPerSecond = 0.01, .burst = 0});
+        Caller caller(vm, "strict", harbour);
+        CPPUNIT_ASSERT(caller.failure(begin) == StatementFailure::None);
+        for (int i = 0; i < 12; ++i)
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+        CPPUNIT_ASSERT(caller.failure(commit) == StatementFailure::None);
+        CPPUNIT_ASSERT(caller.failure(begin) == StatementFailure::None);
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::Overload);
+        CPPUNIT_ASSERT(caller.failure(commit) == StatementFailure::Aborted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StatementSessionTest);
