--- a/libs/relay/include/relay/relayserver.h
+++ b/libs/relay/include/relay/relayserver.h
@@ -35,6 +35,10 @@
         // Called before a statement is sent to the database: None, or why the key of its caller
         // does not allow it. Without it, all statements are sent.
         std::function<StatementFailure(const KeyUse &)> refusalOf = {};
+        // Handles a request about allowances; calls its second argument once, possibly later. If
+        // empty, the answer is that this VM does not count.
+        std::function<void(const AllowanceRequest &, std::function<void(const AllowanceAnswer &)>)>
+                handleAllowance = {};
     };
 
     static Result<std::unique_ptr<RelayServer>> listen(EventLoop &loop, const Endpoint &endpoint,
--- a/libs/statementproxy/include/statementproxy/statementsession.h
+++ b/libs/statementproxy/include/statementproxy/statementsession.h
@@ -101,6 +101,9 @@
         // transaction.
         Route route = {};
         CustomerId customer = {};
+
+        // A token was taken for the transaction.
+        bool hasToken = false;
     };
 
     Identification identifyCaller(const Route &route) const;
--- a/libs/statementproxy/src/upstreamowners.cpp
+++ b/libs/statementproxy/src/upstreamowners.cpp
@@ -70,6 +70,16 @@
     return *pools.otherOwners;
 }
 
+std::shared_ptr<RelayPeer> Upstreams::peerFor(const VmRecord &record)
+{
+    if (!m_context.connectPeer)
+        return nullptr;
+    const auto lostAt = m_peerLostAt.find(record.vm);
+    if (lostAt != m_peerLostAt.end() && m_context.timers.now() - lostAt->second <= lostPeerBackoff)
+        return nullptr;
+    return peer(record);
+}
+
 std::shared_ptr<RelayPeer> Upstreams::peerFor(const DatabaseId &database)
 {
     const auto found = m_pools.find(database);
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -1,5 +1,6 @@
 #include "statementproxy/upstreams.h"
 
+#include "statementproxy/allowanceservice.h"
 #include "upstreamaccess.h"
 
 #include <algorithm>
@@ -46,6 +47,7 @@
                        [this](const UpstreamEntry &entry) {
                            entryGone(entry);
                        }})
+    , m_allowances(std::make_unique<AllowanceService>(*this, m_context.allowanceBound))
 {}
 
 const Upstreams::DatabasePools *Upstreams::findPools(const DatabaseId &database) const
@@ -195,6 +197,7 @@
 {
     m_limits = configuration.groups;
     setCustomers(configuration.customers);
+    m_allowances->setVms(vms);
     m_ownerPlan = OwnerPlan(std::move(vms));
     m_areVmsKnown = areAllKnown;
     for (const auto &[database, pools] : m_pools) {
