Allowances: returned tokens count once, an own part fills only while isolated

Two causes: a request that was sent on to the deputy returned its expired tokens a second time, and the bucket for a VM's own part was filled for the time in which the counter had served the VM.

--- a/libs/allowance/include/allowance/allowancevm.h
+++ b/libs/allowance/include/allowance/allowancevm.h
@@ -126,6 +126,17 @@
         bool isIsolated = false;
     };
 
+    // What is known of the contact between another VM and a counter.
+    struct CounterContact
+    {
+        // When the VM last reported, and when the counter was then last known to count.
+        Instant reportedAt;
+        Instant countingAt;
+
+        // When the VM last asked the deputy, as it could not reach the counter.
+        Instant askedDeputyAt;
+    };
+
     // What is known of another VM.
     struct Contact
     {
@@ -134,8 +145,7 @@
         Instant notCountingUntil;
         Instant helloAt;
 
-        // When it was last in contact with other counters, by its own account.
-        std::map<VmId, Instant> countersHeardAt;
+        std::map<VmId, CounterContact> counters;
         std::optional<Instant> failedAt;
     };
 
@@ -161,7 +171,7 @@
     void countAsDeputy(const AllowanceRequest &request, State &state, const Reply &reply);
     AllowanceAnswer notCounting() const;
     CountingShare share(const CustomerId &customer, const State &state) const;
-    std::size_t deputyContacts(const VmId &counter, Instant since) const;
+    std::size_t deputyContacts(const VmId &counter, Instant startedAt) const;
     double startLevel() const;
     bool isStarted() const;
     void updateFleet();
--- a/libs/allowance/src/allowancetimes.h
+++ b/libs/allowance/src/allowancetimes.h
@@ -19,6 +19,9 @@
 inline constexpr Duration helloInterval = std::chrono::milliseconds(800);
 inline constexpr Duration lateHelloInterval = std::chrono::milliseconds(1000);
 
+// Interval at which a deputy that counts asks the other VMs about their contact with the counter.
+inline constexpr Duration aboutInterval = std::chrono::milliseconds(150);
+
 // A VM that did not answer is asked again once it was heard of, or after this time.
 inline constexpr Duration failureMemory = std::chrono::seconds(5);
 
--- a/libs/allowance/src/allowancevm.cpp
+++ b/libs/allowance/src/allowancevm.cpp
@@ -140,10 +140,14 @@
     const auto done = [this, request, order, sentAt](const std::optional<AllowanceAnswer> &answer) {
         if (!find(request.customer))
             return;
-        if (answer && answer->isCounting)
+        if (answer && answer->isCounting) {
             answered(request.customer, *answer, sentAt);
-        else
-            askNext(request, order);
+            return;
+        }
+        // The VM that granted the returned tokens may have put them back already.
+        AllowanceRequest again = request;
+        again.returned = 0;
+        askNext(again, order);
     };
     if (vm == m_options.vm)
         handleTokens(request, done);
@@ -168,7 +172,8 @@
 {
     State &state = m_states[customer];
     const Instant at = now();
-    if (!std::exchange(state.isIsolated, true))
+    const bool wasIsolated = std::exchange(state.isIsolated, true);
+    if (!wasIsolated)
         event("allowance-counter-missing", m_options.vm, customer);
     const Allowance &allowance = state.allowance;
     // Without a list of VMs, the part is unknown.
@@ -180,9 +185,11 @@
         const auto starters =
                 static_cast<std::size_t>(m_options.bound.tolerance * isolatedTolerance);
         const bool startsWithOne = m_fleet.isAmong(starters, customer, m_options.vm);
-        // The counter grants this VM's part until it has not heard of the VM for contactTime.
-        state.ownPart = TokenBucket(at + contactTime, startsWithOne ? 1 : 0);
+        state.ownPart = TokenBucket(at, startsWithOne ? 1 : 0);
     }
+    // The counter grants this VM's part until it has not heard of the VM for contactTime.
+    if (!wasIsolated)
+        state.ownPart->pauseUntil(at + contactTime);
     const double rate = allowance.operationsPerSecond * part;
     state.ownPart->refill(
             {.rate = rate, .capacity = isZero ? 0 : std::max(1.0, allowance.burst * part)}, at);
--- a/libs/allowance/src/allowancevmcounting.cpp
+++ b/libs/allowance/src/allowancevmcounting.cpp
@@ -58,8 +58,7 @@
     if (!isCounterUnavailable) {
         forward(request, counter, isDeputy, reply);
     } else if (isDeputy) {
-        // The sender cannot reach the counter, or it would have asked that.
-        m_contacts[request.from].countersHeardAt.erase(counter);
+        m_contacts[request.from].counters[counter].askedDeputyAt = now();
         countAsDeputy(request, *state, reply);
     } else {
         reply(notCounting());
@@ -92,7 +91,6 @@
     if (!state.counter.isCounting()) {
         state.counter.start(startLevel(), now());
         event("allowance-deputy-counts", m_options.vm, request.customer);
-        // The answers show at once which VMs are in contact with this one.
         sayHelloAbout(m_orders[request.customer].front());
     }
     reply(state.counter.grant(request, m_options.vm, share(request.customer, state), now()));
@@ -106,9 +104,14 @@
     }
     AllowanceAnswer answer = notCounting();
     answer.isCounting = isStarted();
-    const auto counter = m_contacts.find(request.about);
-    if (counter != m_contacts.end() && counter->second.countingAt > Instant())
-        answer.countingAge = now() - counter->second.countingAt;
+    if (!request.about.isEmpty() && request.about != m_options.vm) {
+        const Contact &counter = m_contacts[request.about];
+        if (counter.countingAt > Instant() && !isUnavailable(request.about))
+            answer.countingAge = now() - counter.countingAt;
+        // The next answer tells whether the counter responds now.
+        if (now() - std::max(counter.heardAt, counter.helloAt) >= aboutInterval)
+            sendHello(request.about, {});
+    }
     reply(answer);
 }
 
@@ -130,14 +133,12 @@
 
 CountingShare AllowanceVm::share(const CustomerId &customer, const State &state) const
 {
-    const Instant since = now() - contactTime;
     const auto order = m_orders.find(customer);
     const bool isDeputy =
             !state.counter.isCounter() && order != m_orders.end() && !order->second.empty();
     const std::size_t contacts =
-            isDeputy ? deputyContacts(order->second.front(),
-                                      std::max(since, state.counter.startedAt()))
-                     : heardSince(since);
+            isDeputy ? deputyContacts(order->second.front(), state.counter.startedAt())
+                     : heardSince(now() - contactTime);
     const double heard =
             std::min(1.0, static_cast<double>(contacts) / static_cast<double>(m_vmCount));
     const auto dataCentres = static_cast<double>(m_dataCentreCount);
@@ -146,17 +147,23 @@
             .extraCapacity = m_options.bound.tolerance * capacityTolerance / dataCentres};
 }
 
-// A deputy counts only the VMs that it has heard of since it took over, without those that have
-// been in contact with the counter meanwhile: the counter grants their parts.
-std::size_t AllowanceVm::deputyContacts(const VmId &counter, Instant since) const
+// The VMs whose parts a deputy grants, as the counter does not grant them: those that cannot reach
+// the counter, and those that have not been in contact with it for contactTime.
+std::size_t AllowanceVm::deputyContacts(const VmId &counter, Instant startedAt) const
 {
+    const Instant since = now() - contactTime;
     std::size_t count = 1;
     for (const VmId &vm : m_fleet.liveVms(m_options.dataCentre)) {
         const auto found = m_contacts.find(vm);
         if (vm == m_options.vm || found == m_contacts.end() || found->second.heardAt < since)
             continue;
-        const auto heard = found->second.countersHeardAt.find(counter);
-        if (heard == found->second.countersHeardAt.end() || heard->second < since)
+        const auto known = found->second.counters.find(counter);
+        if (known == found->second.counters.end())
+            continue;
+        const CounterContact &contact = known->second;
+        const bool isCutOff =
+                contact.askedDeputyAt >= since && contact.askedDeputyAt >= contact.countingAt;
+        if (isCutOff || (contact.reportedAt >= startedAt && contact.countingAt < since))
             ++count;
     }
     return count;
@@ -266,7 +273,7 @@
 void AllowanceVm::sayHelloAbout(const VmId &counter)
 {
     Instant &askedAt = m_askedAbout[counter];
-    if (now() - askedAt < helloInterval)
+    if (now() - askedAt < aboutInterval)
         return;
     askedAt = now();
     for (const VmId &vm : m_fleet.liveVms(m_options.dataCentre)) {
@@ -284,8 +291,11 @@
             .isCounting = isStarted(),
             .about = about},
            counterTimeout, [this, vm, about](const std::optional<AllowanceAnswer> &answer) {
-               if (answer && answer->countingAge)
-                   m_contacts[vm].countersHeardAt[about] = now() - *answer->countingAge;
+               if (!answer || about.isEmpty())
+                   return;
+               CounterContact &contact = m_contacts[vm].counters[about];
+               contact.reportedAt = now();
+               contact.countingAt = answer->countingAge ? now() - *answer->countingAge : Instant();
            });
 }
 
--- a/libs/allowance/tests/allowancefailurestest.cpp
+++ b/libs/allowance/tests/allowancefailurestest.cpp
@@ -198,9 +198,9 @@
     // Guards against tokens and loans that a lost answer multiplies.
     void lostMessagesAreBounded()
     {
-        for (unsigned seed = 1; seed <= 5; ++seed) {
+        for (unsigned seed = 1; seed <= 20; ++seed) {
             Site site({100, 100}, seed);
-            site.loss = 0.2;
+            site.loss = seed % 2 == 0 ? 0.02 : 0.2;
             site.demand("a", 200);
             site.run(20s);
             site.demand("b", 200);
--- a/libs/allowance/tests/allowancevmtest.cpp
+++ b/libs/allowance/tests/allowancevmtest.cpp
@@ -142,7 +142,7 @@
             std::cerr << "demand " << demand << "/s: requests " << requests / 88
                       << " per VM and second, served " << network.servedShare() << '\n';
             // Each pair of VMs of a data centre exchanges a request within 800 ms.
-            CPPUNIT_ASSERT(requests <= 88 * 21 / 2 / 0.8 + demand * 1.1 + 10);
+            CPPUNIT_ASSERT(requests <= 88 * 21 / 1.6 + demand * 1.1 + 10);
         }
     }
 };
