--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -102,7 +102,7 @@
                 {.poolOf = [this](const DatabaseId &) { return pool; },
                  .floorOf = [this](const DatabaseId &) { return floor; },
                  .handleAllowance =
-                         [this](const AllowanceRequest &request, const auto &answer) {
+                         [](const AllowanceRequest &request, const auto &answer) {
                              if (request.tokens > 0)
                                  answer({.tokens = request.tokens});
                          }});
