--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -103,7 +103,7 @@
                  .floorOf = [this](const DatabaseId &) { return floor; },
                  .refusalOf = [this](const KeyUse &) { return refusal; },
                  .handleAllowance =
-                         [this](const AllowanceRequest &request, const auto &answer) {
+                         [](const AllowanceRequest &request, const auto &answer) {
                              if (request.tokens > 0)
                                  answer({.tokens = request.tokens});
                          }});
