The relaying VM's check gets the key of the statement

Cause: no test showed that the key and the configuration's version arrive with a relayed statement. Change: the relay test compares them.

--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+const KeyUse usedKey{.digest = KeyDigest("ab12"), .configuration = 41};
+
 // A connection of the lending VM that replies when the test calls answer().
 class ManualLink : public StatementLink
 {
@@ -102,7 +104,8 @@
                                     {.poolOf = [this](const DatabaseId &) { return pool; },
                                      .floorOf = [this](const DatabaseId &) { return floor; },
                                      .refusalOf =
-                                             [this](const KeyUse &) {
+                                             [this](const KeyUse &key) {
+                                                 lastKey = key;
                                                  return refusal;
                                              }});
         CPPUNIT_ASSERT(listening);
@@ -135,6 +138,7 @@
     std::shared_ptr<ManualPool> pool = std::make_shared<ManualPool>();
     std::optional<PrimaryFloor> floor;
     StatementFailure refusal = StatementFailure::None;
+    KeyUse lastKey;
     std::unique_ptr<RelayServer> server;
     std::shared_ptr<RelayPeer> peer;
     std::shared_ptr<RelayPool> borrowed;
@@ -199,7 +203,7 @@
         pair.runUntil([&] { return end.has_value(); });
         CPPUNIT_ASSERT(end->end == LinkEnd::Refused);
         CPPUNIT_ASSERT(end->reply.failure == StatementFailure::Unauthorized);
-        CPPUNIT_ASSERT(!pair.pool->link->isBusy());
+        CPPUNIT_ASSERT(!pair.pool->link->isBusy() && pair.lastKey == usedKey);
         CPPUNIT_ASSERT(!pair.borrowed->observation().unresponsiveSince);
         lease.release();
         pair.runUntil([&] { return pair.pool->givenBack == 1; });
@@ -291,6 +295,7 @@
                     .context = &context,
                     .customer = CustomerId("harbour"),
                     .priority = 7,
+                    .key = usedKey,
                     .timeout = 50ms},
                    [&end](const LinkOutcome &outcome) { end = outcome; });
         return lease;
