--- a/libs/customers/include/customers/customer.h
+++ b/libs/customers/include/customers/customer.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,8 @@
 // a transaction, or one transaction. Enforced as a token bucket.
 struct Allowance
 {
-    // 0 means that there is no limit.
-    double operationsPerSecond = 0;
+    // Infinite where there is no limit; 0 allows none beyond the burst.
+    double operationsPerSecond = std::numeric_limits<double>::infinity();
 
     // Operations that may start at once after a pause.
     double burst = 0;
