--- a/libs/leadership/include/leadership/evidencerequest.h
+++ b/libs/leadership/include/leadership/evidencerequest.h
@@ -38,6 +38,7 @@
     std::optional<LogPoint> commit = {};
     Duration firstPoll = {};
     Duration interval = {};
+    Duration longestInterval = {};
     Done done;
     Instant askedAt = {};
     Instant deadline = {};
--- a/libs/leadership/include/leadership/termevidence.h
+++ b/libs/leadership/include/leadership/termevidence.h
@@ -60,7 +60,7 @@
         DatabaseId database;
 
         // False for a database that is leaving: it counts towards the size of the group, but its
-        // status confirms nothing.
+        // status confirms no commit, and leadership only if all databases do.
         bool counts = true;
     };
 
@@ -92,9 +92,11 @@
         Duration timeout = std::chrono::milliseconds(400);
 
         // Delay of the status requests for a commit, as replicas receive it some milliseconds
-        // after the primary, and interval at which they are repeated.
+        // after the primary. They are repeated after the first interval, which doubles each time up
+        // to the longest one.
         Duration commitDelay = std::chrono::milliseconds(5);
-        Duration commitInterval = std::chrono::milliseconds(50);
+        Duration commitInterval = std::chrono::milliseconds(10);
+        Duration longestCommitInterval = std::chrono::milliseconds(50);
 
         // First interval at which replicas are asked again for an entry beyond the position of the
         // primary. It doubles each time: without writes no answer confirms anything, and status
--- a/libs/leadership/src/evidencerequest.cpp
+++ b/libs/leadership/src/evidencerequest.cpp
@@ -13,8 +13,8 @@
     const bool cannotConfirm = !electorate.voters[index].counts && ballot.status;
     if (isEnough || cannotConfirm)
         return Instant::max();
-    const unsigned doublings = commit ? 0 : ballot.polls - 1;
-    return *ballot.polledAt + interval * (1U << std::min(doublings, 10U));
+    const unsigned doublings = std::min(ballot.polls - 1, 10U);
+    return *ballot.polledAt + std::min(interval * (1U << doublings), longestInterval);
 }
 
 void TermEvidence::Request::polled(const DatabaseId &database, Instant now)
@@ -56,7 +56,10 @@
 
 bool TermEvidence::Request::agrees(std::size_t index, const UpstreamStatus &status) const
 {
-    if (!term() || !electorate.voters[index].counts)
+    // A database that is leaving would have been promoted in sight of this VM, too; but the list
+    // may lack the one that takes its place if it is outdated.
+    const bool counts = electorate.voters[index].counts || (!commit && !electorate.needsAllVotes);
+    if (!term() || !counts)
         return false;
     if (isPrimary(index))
         return status.role == Role::Primary && status.term == *term();
@@ -67,7 +70,7 @@
 // promotion at the start of this term has dropped.
 bool TermEvidence::Request::holds(std::size_t index, const UpstreamStatus &status) const
 {
-    if (!agrees(index, status))
+    if (!electorate.voters[index].counts || !agrees(index, status))
         return false;
     if (isPrimary(index))
         return true;
--- a/libs/leadership/src/termevidence.cpp
+++ b/libs/leadership/src/termevidence.cpp
@@ -32,12 +32,16 @@
          .commit = point,
          .firstPoll = m_options.commitDelay,
          .interval = m_options.commitInterval,
+         .longestInterval = m_options.longestCommitInterval,
          .done = std::move(done)});
 }
 
 void TermEvidence::confirmLeadership(const DatabaseId &primary, Done done)
 {
-    add({.primary = primary, .interval = m_options.leadershipInterval, .done = std::move(done)});
+    add({.primary = primary,
+         .interval = m_options.leadershipInterval,
+         .longestInterval = m_options.timeout,
+         .done = std::move(done)});
 }
 
 void TermEvidence::add(Request request)
