--- a/libs/allowance/src/allowancetimes.h
+++ b/libs/allowance/src/allowancetimes.h
@@ -27,8 +27,8 @@
 
 // Fractions of the tolerance that the additional capacity of the buckets and the first tokens of
 // isolated VMs may use, and the number of tokens of all counters together that start anew.
-inline constexpr double capacityTolerance = 0.5;
-inline constexpr double isolatedTolerance = 0.25;
-inline constexpr double startTolerance = 0.25;
+inline constexpr double capacityTolerance = 0.7;
+inline constexpr double isolatedTolerance = 0.2;
+inline constexpr double startTolerance = 0.1;
 
 } // namespace fescuespring::detail
--- a/libs/allowance/tests/allowancevmtest.cpp
+++ b/libs/allowance/tests/allowancevmtest.cpp
@@ -123,7 +123,8 @@
         site.assertBounded("limited later");
     }
 
-    // Guards against messages that small VMs cannot afford: 88 VMs in four data centres, with the
+    // Guards against messages that small VMs cannot afford, and against refusals because many VMs
+    // share a small allowance: 88 VMs in four data centres, with the
     // largest, a middle and the median customer of the expected mix at their usual demand.
     void messagesStayFew()
     {
@@ -137,10 +138,13 @@
             const std::uint64_t before = network.requests();
             network.granted.clear();
             network.servedShare();
-            network.run(10s);
-            const double requests = double(network.requests() - before) / 10;
+            network.idealShare();
+            network.run(60s);
+            const double requests = double(network.requests() - before) / 60;
+            const double served = network.servedShare();
             std::cerr << "demand " << demand << "/s: requests " << requests / 88
-                      << " per VM and second, served " << network.servedShare() << '\n';
+                      << " per VM and second, served " << served << '\n';
+            CPPUNIT_ASSERT(served >= network.idealShare() - 0.02);
             // Each pair of VMs of a data centre exchanges a request within 800 ms.
             CPPUNIT_ASSERT(requests <= 88 * 21 / 1.6 + demand * 1.1 + 10);
         }
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -74,7 +74,7 @@
     {
         upstreams.allowances().setCustomers({{.id = harbour, .allowance = allowance}});
         upstreams.allowances().setVms({{.vm = VmId("vm-1"), .dataCentre = DataCentreId("north")}});
-        timers.advance(10s);
+        timers.advance(20s);
         renewLease();
     }
 
@@ -571,18 +571,18 @@
     void allowanceRefusesAtOnceAndRunsNothing()
     {
         Vm vm;
-        // The bucket holds 2, and half of the tolerance of 20.
+        // The bucket holds 2, and 14 of the tolerance of 20.
         vm.limit({.operationsPerSecond = 2, .burst = 2});
         vm.databases["a"].failures = {StatementFailure::Busy, StatementFailure::Busy};
         Caller caller(vm, "strict", harbour);
-        for (int i = 0; i < 12; ++i)
+        for (int i = 0; i < 16; ++i)
             CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
         const auto refused = caller.execute(writeItem, 1ms);
         CPPUNIT_ASSERT(refused && refused->failure == StatementFailure::Overload);
         CPPUNIT_ASSERT(
                 refused->message.starts_with("allowance of the customer is used up; retry after "));
         CPPUNIT_ASSERT(refused->phase == SessionPhase::Idle);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, countOf(vm.databases["a"], "write"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, countOf(vm.databases["a"], "write"));
         CPPUNIT_ASSERT(Caller(vm, "strict").failure(writeItem) == StatementFailure::None);
     }
 
