Learned limit of the statements at one database

A fixed response time of 45 ms takes long statements for a slow database and does not see that a fast one has slowed down. LearnedLimit compares each kind of work with its own base time, learned at low concurrency, and moves the limit with the ratio. ConcurrencyLimit uses it if isLearned is set; otherwise nothing changes.

--- a/libs/admission/include/admission/concurrencylimit.h
+++ b/libs/admission/include/admission/concurrencylimit.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "admission/learnedlimit.h"
 #include "base/types.h"
 
+#include <functional>
+#include <optional>
+
 namespace fescuespring {
 
 struct ConcurrencyLimitOptions
@@ -15,6 +19,12 @@
 
     // Time until a change of the limit takes effect; the limit is not changed again before.
     Duration settling = std::chrono::milliseconds(60);
+
+    // Learns the limit instead of comparing with target; see LearnedLimit.
+    bool isLearned = false;
+
+    // For a learned limit: whether this process did not run in an interval. May be empty.
+    std::function<bool(Instant from, Instant to)> wasPaused = {};
 };
 
 // Limits the number of statements in flight at a server, so that excess statements wait in the
@@ -37,22 +47,30 @@
 
     bool hasRoom() const
     {
-        return m_active < m_limit;
+        return m_learned ? m_learned->hasRoom() : m_active < m_limit;
     }
 
     // A statement is sent. May be called without room, for work that must not wait.
-    void begin();
+    // Only a learned limit uses the time.
+    void begin(Instant now = {});
 
-    // A statement was answered after time. Pass zero if the time is not that of the server.
-    void end(Duration time, Instant now);
+    // A statement was answered after time. Pass zero if the time is not that of the server. Only a
+    // learned limit uses the kind.
+    void end(Duration time, Instant now, const WorkKind &kind = {});
 
     double limit() const
     {
-        return m_limit;
+        return m_learned ? m_learned->limit() : m_limit;
     }
     unsigned active() const
     {
-        return m_active;
+        return m_learned ? m_learned->active() : m_active;
+    }
+
+    // Null unless the limit is learned.
+    const LearnedLimit *learned() const
+    {
+        return m_learned ? &*m_learned : nullptr;
     }
 
 private:
@@ -62,6 +80,7 @@
     double m_smoothed = 0;
     bool m_wasFull = false;
     Instant m_nextChangeAt;
+    std::optional<LearnedLimit> m_learned;
 };
 
 } // namespace fescuespring
--- a/libs/admission/src/concurrencylimit.cpp
+++ b/libs/admission/src/concurrencylimit.cpp
@@ -1,6 +1,7 @@
 #include "admission/concurrencylimit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuespring {
 
@@ -17,26 +18,43 @@
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
-    : m_options(options)
-    , m_limit(options.maximum)
-{}
+    : m_options(std::move(options))
+    , m_limit(m_options.maximum)
+{
+    if (!m_options.isLearned)
+        return;
+    m_learned.emplace(LearnedLimitOptions{.minimum = m_options.minimum,
+                                          .maximum = m_options.maximum,
+                                          .settling = m_options.settling,
+                                          .wasPaused = m_options.wasPaused});
+}
 
 void ConcurrencyLimit::setBounds(double minimum, double maximum)
 {
     m_options.minimum = minimum;
     m_options.maximum = maximum;
     m_limit = std::clamp(m_limit, minimum, maximum);
+    if (m_learned)
+        m_learned->setBounds(minimum, maximum);
 }
 
-void ConcurrencyLimit::begin()
+void ConcurrencyLimit::begin(Instant now)
 {
+    if (m_learned) {
+        m_learned->begin(now);
+        return;
+    }
     ++m_active;
     if (!hasRoom())
         m_wasFull = true;
 }
 
-void ConcurrencyLimit::end(Duration time, Instant now)
+void ConcurrencyLimit::end(Duration time, Instant now, const WorkKind &kind)
 {
+    if (m_learned) {
+        m_learned->end(kind, time, now);
+        return;
+    }
     if (m_active > 0)
         --m_active;
     if (time <= Duration(0))
