--- a/libs/admission/include/admission/learnedlimit.h
+++ b/libs/admission/include/admission/learnedlimit.h
@@ -56,7 +56,7 @@
 //     if (limit.hasRoom())
 //         limit.begin(now), send();
 //     limit.end(kind, responseTime, now);
-//     const Duration wait = limit.expectedWait(queue.size());
+//     const Duration wait = limit.expectedWait(queue.size(), now);
 //
 // Starts at the minimum, so that the first base times contain no queueing. Not thread-safe. Time is
 // passed in by the caller.
@@ -96,8 +96,9 @@
     // one, zero if nothing was measured.
     Duration serviceTime(const WorkKind &kind) const;
 
-    // Expected time until a statement that is queued now behind `queued` others is sent.
-    Duration expectedWait(std::size_t queued) const;
+    // Expected time until a statement that is queued now behind `queued` others is sent. If no
+    // statement in flight has ended for long, as much time again is expected to pass.
+    Duration expectedWait(std::size_t queued, Instant now) const;
 
     LimitChange lastChange() const
     {
@@ -144,6 +145,9 @@
 
     std::map<WorkKind, Base> m_bases;
     std::deque<ActiveSince> m_history;
+
+    // Since when no statement has ended while some are in flight.
+    Instant m_noEndSince;
     LimitChange m_lastChange = LimitChange::None;
 };
 
--- a/libs/admission/src/learnedlimit.cpp
+++ b/libs/admission/src/learnedlimit.cpp
@@ -44,6 +44,9 @@
 constexpr double increaseFraction = 0.1;
 constexpr double smallestIncrease = 0.5;
 
+// A server counts as stalled after this many mean times without an end.
+constexpr double stallFactor = 8;
+
 // Changes of the number in flight that are remembered, enough for the longest statements at 100
 // statements per second.
 constexpr std::size_t maximumHistory = 512;
@@ -97,6 +100,8 @@
 
 void LearnedLimit::begin(Instant now)
 {
+    if (m_active == 0)
+        m_noEndSince = now;
     ++m_active;
     recordActive(now);
     if (!hasRoom())
@@ -124,6 +129,7 @@
     if (m_active > 0)
         --m_active;
     recordActive(now);
+    m_noEndSince = now;
     if (time <= Duration(0))
         return;
     if (m_options.wasPaused && m_options.wasPaused(now - time, now))
@@ -224,12 +230,15 @@
     return fromMicroseconds(found->second.time * std::max(m_slowdown, 1.0));
 }
 
-Duration LearnedLimit::expectedWait(std::size_t queued) const
+Duration LearnedLimit::expectedWait(std::size_t queued, Instant now) const
 {
+    const Duration withoutEnd = m_active > 0 ? now - m_noEndSince : Duration(0);
+    const bool isStalled = microseconds(withoutEnd) > stallFactor * m_meanTime && m_meanTime > 0;
+    const Duration stall = isStalled ? withoutEnd : Duration(0);
     if (queued == 0 && hasRoom())
-        return Duration(0);
+        return stall;
     const double ahead = static_cast<double>(queued) + 1;
-    return fromMicroseconds(ahead * m_meanTime / std::max(m_limit, 1.0));
+    return stall + fromMicroseconds(ahead * m_meanTime / std::max(m_limit, 1.0));
 }
 
 } // namespace fescuespring
--- a/libs/admission/tests/learnedlimittest.cpp
+++ b/libs/admission/tests/learnedlimittest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(hiddenLoadLowersTheLimit);
     CPPUNIT_TEST(timesAcrossAPauseAreDropped);
     CPPUNIT_TEST(waitFollowsQueueAndLimit);
+    CPPUNIT_TEST(stallIsExpectedToGoOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,7 +63,7 @@
             followed += owner.limit.limit() <= 0.7 * before ? 1 : 0;
             sum += owner.limit.learned()->slowdown();
         }
-        // With some 30 samples of this spread, one seed in ten takes up to 2.5 s.
+        // With some 30 samples of this spread, one seed in ten takes a little longer.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(followed), followed >= 9);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(sum / seeds), sum / seeds > 2.2);
     }
@@ -204,11 +205,28 @@
             now += 20ms;
             limit.end(WorkKind("q"), 20ms, now);
         }
-        CPPUNIT_ASSERT(limit.expectedWait(0) == 0ms);
+        CPPUNIT_ASSERT(limit.expectedWait(0, now) == 0ms);
         limit.begin(now);
         limit.begin(now);
-        CPPUNIT_ASSERT(limit.expectedWait(0) == 10ms);
-        CPPUNIT_ASSERT(limit.expectedWait(9) == 100ms);
+        CPPUNIT_ASSERT(limit.expectedWait(0, now) == 10ms);
+        CPPUNIT_ASSERT(limit.expectedWait(9, now) == 100ms);
+    }
+
+    // Failure: the database answers status requests, but no statement ends. Guards against figures
+    // that stay as good as before because only ended statements change them.
+    void stallIsExpectedToGoOn()
+    {
+        LearnedLimit limit({.minimum = 2, .maximum = 8});
+        Instant now{std::chrono::hours(1)};
+        for (int i = 0; i < 50; ++i) {
+            limit.begin(now);
+            now += 20ms;
+            limit.end(WorkKind("q"), 20ms, now);
+        }
+        now += 10s;
+        limit.begin(now);
+        CPPUNIT_ASSERT(limit.expectedWait(0, now + 60ms) == 0ms);
+        CPPUNIT_ASSERT(limit.expectedWait(0, now + 400ms) == 400ms);
     }
 };
 
--- a/libs/relay/include/relay/relaymessages.h
+++ b/libs/relay/include/relay/relaymessages.h
@@ -42,6 +42,10 @@
 
     // How long the first statement may wait for a connection.
     Duration timeout{0};
+
+    // Empty, and not transmitted, where capacity is not learned.
+    WorkKind work = {};
+    std::optional<StartLimits> limits = {};
     UpstreamCommand command = {};
     std::map<std::string, std::string> values = {};
 
@@ -51,7 +55,8 @@
     std::optional<StatementKind> begin = {};
     std::optional<LogPoint> beginAfter = {};
 
-    // Of Outcome. Its sentAt and floor are not transmitted: they are valid on one VM only.
+    // Of Outcome. Its sentAt and floor are not transmitted: they are valid on one VM only. Its load
+    // is transmitted if the lender learns capacity.
     LinkOutcome outcome = {};
 
     // Of Outcome: the lender's newest point of the group's primary, and the time since it requested
--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/lenderfigures.h"
 #include "relay/relaypeer.h"
 #include "upstreampool/linkpool.h"
 
@@ -37,6 +38,12 @@
         return m_inUse;
     }
 
+    // Empty unless a lender has returned figures.
+    std::optional<ExpectedLoad> expected(const WorkKind &work) const override
+    {
+        return m_figures.expected(work, m_options.timers.now());
+    }
+
 private:
     class Link;
 
@@ -45,6 +52,7 @@
 
     Options m_options;
     DatabaseObserver m_observer;
+    LenderFigures m_figures;
     std::size_t m_inUse = 0;
 };
 
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -209,6 +209,12 @@
     message.database = DatabaseId(fields.text("database"));
     if (fields.find("customer"))
         message.customer = CustomerId(fields.text("customer"));
+    if (fields.find("work"))
+        message.work = WorkKind(fields.text("work"));
+    if (fields.find("usefulUs")) {
+        message.limits = StartLimits{.useful = Duration(fields.integer("usefulUs")),
+                                     .hold = Duration(fields.integer("holdUs"))};
+    }
     message.priority = static_cast<std::uint32_t>(fields.integer("priority", UINT32_MAX));
     message.timeout = Duration(fields.integer("patienceUs"));
     message.command.id = RequestId(fields.text("id"));
@@ -236,6 +242,12 @@
                         {"statement", encodeStatement(message.command.statement)}};
     if (!message.customer.isEmpty())
         fields["customer"] = message.customer.value();
+    if (!message.work.isEmpty())
+        fields["work"] = message.work.value();
+    if (message.limits) {
+        fields["usefulUs"] = message.limits->useful.count();
+        fields["holdUs"] = message.limits->hold.count();
+    }
     if (message.command.after)
         fields["after"] = encodePoint(*message.command.after);
     if (message.hasValues) {
@@ -269,6 +281,10 @@
             fields["floor"] = encodePoint(*message.floor);
             fields["floorAgeUs"] = message.floorAge.count();
         }
+        if (message.outcome.load) {
+            fields["waitUs"] = message.outcome.load->wait.count();
+            fields["serviceUs"] = message.outcome.load->service.count();
+        }
     }
     fields["is"] = number(message.kind);
     fields["lease"] = message.lease;
@@ -293,6 +309,10 @@
         message.floor = fields.optionalPoint("floor");
         if (message.floor)
             message.floorAge = Duration(fields.integer("floorAgeUs"));
+        if (fields.find("waitUs")) {
+            message.outcome.load = ExpectedLoad{.wait = Duration(fields.integer("waitUs")),
+                                                .service = Duration(fields.integer("serviceUs"))};
+        }
     }
     if (!fields.isValid())
         return fields.error();
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -37,6 +37,8 @@
                              .customer = command.customer,
                              .priority = command.priority,
                              .timeout = command.timeout,
+                             .work = command.work,
+                             .limits = command.limits,
                              .command = command.command};
         if (command.context) {
             request.hasValues = true;
@@ -48,6 +50,11 @@
         request.beginAfter = command.beginAfter;
         m_sentAt = m_pool.m_options.timers.now();
         m_pool.m_observer.sent(m_sentAt);
+        m_work = command.work;
+        // The VM's own statements say nothing about those of callers.
+        m_isCounted = command.context != nullptr;
+        if (m_isCounted)
+            m_pool.m_figures.sent(m_sentAt);
         m_peer->run(request, [weak = weak_from_this()](const LinkOutcome &outcome) {
             if (const auto self = weak.lock())
                 self->outcomeReceived(outcome);
@@ -70,6 +77,7 @@
     void end()
     {
         m_done = nullptr;
+        endFigures(std::nullopt);
         if (m_peer)
             m_peer->release(m_lease);
     }
@@ -78,6 +86,7 @@
     void outcomeReceived(const LinkOutcome &outcome)
     {
         const Instant now = m_pool.m_options.timers.now();
+        endFigures(outcome.load);
         if (outcome.end == LinkEnd::Answered)
             m_pool.m_observer.replied(outcome.reply, now - m_sentAt, now);
         else if (outcome.end == LinkEnd::Refused)
@@ -91,6 +100,12 @@
         finish(outcome);
     }
 
+    void endFigures(const std::optional<ExpectedLoad> &load)
+    {
+        if (std::exchange(m_isCounted, false))
+            m_pool.m_figures.ended(m_work, load, m_pool.m_options.timers.now());
+    }
+
     void finish(const LinkOutcome &outcome)
     {
         if (const Done done = std::exchange(m_done, nullptr))
@@ -103,6 +118,8 @@
     SessionPhase m_phase = SessionPhase::Idle;
     bool m_isBroken = false;
     Instant m_sentAt;
+    WorkKind m_work;
+    bool m_isCounted = false;
     Done m_done;
 };
 
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -12,6 +12,11 @@
 
 constexpr std::chrono::milliseconds unacknowledgedTimeout{3000};
 
+// Interval at which the figures for a statement that waits beyond its hold time are checked.
+constexpr Duration holdRecheck = std::chrono::milliseconds(25);
+
+constexpr const char *cannotStartReason = "cannot start in time";
+
 } // namespace
 
 struct RelayServer::Data : std::enable_shared_from_this<RelayServer::Data>
@@ -23,6 +28,7 @@
         , hooks(std::move(vmHooks))
         , statements(counters.counter("fescuespring_relayed_statements_total"))
         , refusals(counters.counter("fescuespring_relay_refusals_total"))
+        , expectedLate(counters.counter("fescuespring_relay_expected_late_total"))
     {}
 
     void accepted(std::unique_ptr<TcpStream> stream);
@@ -32,6 +38,9 @@
     Hooks hooks;
     Counter &statements;
     Counter &refusals;
+
+    // Refusals of statements that the figures show not to start in time.
+    Counter &expectedLate;
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, std::shared_ptr<Peer>> peers;
     std::uint64_t lastNumber = 0;
@@ -77,6 +86,7 @@
         LinkLease lease = {};
         LinkPool::TicketId ticket = 0;
         Timers::Id timeoutTimer = 0;
+        Instant arrivedAt = {};
         RelayMessage request = {};
         SessionContext context = {};
     };
@@ -145,15 +155,13 @@
             start(loan);
             return;
         }
-        loan->timeoutTimer =
-                m_server.timers.after(loan->request.timeout, [this, weak = std::weak_ptr(loan)] {
-                    const auto waiting = weak.lock();
-                    if (!waiting)
-                        return;
-                    waiting->timeoutTimer = 0;
-                    waiting->pool->cancel(std::exchange(waiting->ticket, 0));
-                    refuse(waiting, "no connection became free in time");
-                });
+        loan->arrivedAt = m_server.timers.now();
+        if (cannotStart(*loan)) {
+            m_server.expectedLate.add();
+            refuse(loan, cannotStartReason);
+            return;
+        }
+        scheduleTimeout(loan);
         loan->ticket =
                 loan->pool->wait(request, [this, weak = std::weak_ptr(loan)](LinkLease lease) {
                     const auto granted = weak.lock();
@@ -165,6 +173,41 @@
                 });
     }
 
+    // Whether the statement is not expected to start while its answer is useful.
+    bool cannotStart(const Loan &loan) const
+    {
+        const auto &limits = loan.request.limits;
+        const auto load = limits ? loan.pool->expected(loan.request.work) : std::nullopt;
+        return load && load->wait > limits->useful - (m_server.timers.now() - loan.arrivedAt);
+    }
+
+    // Ends the wait at the timeout, or from the end of the hold time on if the figures show that
+    // the statement cannot start.
+    void scheduleTimeout(const std::shared_ptr<Loan> &loan)
+    {
+        const Duration waited = m_server.timers.now() - loan->arrivedAt;
+        Duration delay = loan->request.timeout - waited;
+        if (const auto &limits = loan->request.limits)
+            delay = std::min(delay, waited < limits->hold ? limits->hold - waited : holdRecheck);
+        delay = std::max(delay, Duration(0));
+        loan->timeoutTimer = m_server.timers.after(delay, [this, weak = std::weak_ptr(loan)] {
+            const auto waiting = weak.lock();
+            if (!waiting)
+                return;
+            waiting->timeoutTimer = 0;
+            const bool isLate =
+                    m_server.timers.now() - waiting->arrivedAt >= waiting->request.timeout;
+            if (!isLate && !cannotStart(*waiting)) {
+                scheduleTimeout(waiting);
+                return;
+            }
+            waiting->pool->cancel(std::exchange(waiting->ticket, 0));
+            if (!isLate)
+                m_server.expectedLate.add();
+            refuse(waiting, isLate ? "no connection became free in time" : cannotStartReason);
+        });
+    }
+
     void start(const std::shared_ptr<Loan> &loan)
     {
         m_server.timers.cancel(std::exchange(loan->timeoutTimer, 0));
@@ -177,7 +220,8 @@
                           .context = request.hasValues ? &loan->context : nullptr,
                           .prepared = request.prepared ? &*request.prepared : nullptr,
                           .begin = request.begin,
-                          .beginAfter = request.beginAfter},
+                          .beginAfter = request.beginAfter,
+                          .work = request.work},
                          [this, weak = std::weak_ptr(loan)](const LinkOutcome &outcome) {
                              if (const auto ran = weak.lock())
                                  answer(ran->request, outcome);
@@ -194,6 +238,9 @@
     {
         RelayMessage message{
                 .kind = RelayMessage::Kind::Outcome, .lease = request.lease, .outcome = outcome};
+        if (const auto found = m_loans.find(request.lease);
+            found != m_loans.end() && found->second->pool)
+            message.outcome.load = found->second->pool->expected(request.work);
         const auto floor =
                 m_server.hooks.floorOf ? m_server.hooks.floorOf(request.database) : std::nullopt;
         if (floor) {
--- a/libs/relay/tests/relaymessagestest.cpp
+++ b/libs/relay/tests/relaymessagestest.cpp
@@ -16,6 +16,8 @@
             .customer = CustomerId("harbour"),
             .priority = 2,
             .timeout = 250ms,
+            .work = WorkKind("q2c"),
+            .limits = StartLimits{.useful = 600ms, .hold = 150ms},
             .command = {.id = RequestId("5c0e"),
                         .after = LogPoint{Term(3), LogPosition(1207)},
                         .statement = {.kind = StatementKind::Execute,
@@ -43,6 +45,7 @@
     CPPUNIT_TEST_SUITE(RelayMessagesTest);
     CPPUNIT_TEST(runRoundTrips);
     CPPUNIT_TEST(outcomeRoundTrips);
+    CPPUNIT_TEST(learnedFiguresAreOptional);
     CPPUNIT_TEST(bytesThatAreNotUtf8RoundTrip);
     CPPUNIT_TEST(errorNamesTheMissingField);
     CPPUNIT_TEST(malformedTextsAreRefused);
@@ -74,7 +77,9 @@
         CPPUNIT_ASSERT(received.database == sent.database && received.priority == sent.priority);
         CPPUNIT_ASSERT(received.customer == sent.customer);
         CPPUNIT_ASSERT(received.timeout == sent.timeout && received.values == sent.values);
-        CPPUNIT_ASSERT(received.hasValues);
+        CPPUNIT_ASSERT(received.hasValues && received.work == sent.work);
+        CPPUNIT_ASSERT(received.limits && received.limits->useful == 600ms);
+        CPPUNIT_ASSERT(received.limits->hold == 150ms);
         CPPUNIT_ASSERT(received.command.id == sent.command.id
                        && received.command.after == sent.command.after);
         CPPUNIT_ASSERT(received.command.statement == sent.command.statement);
@@ -111,6 +116,23 @@
         CPPUNIT_ASSERT(reply.status->received == LogPoint({Term(3), LogPosition(8)}));
     }
 
+    // Guards against VMs of an earlier version, or without learned capacity, that lose statements
+    // of the others or get fields that they do not know.
+    void learnedFiguresAreOptional()
+    {
+        RelayMessage message{.kind = RelayMessage::Kind::Outcome};
+        const std::string without = encodeRelayMessage(message);
+        CPPUNIT_ASSERT(without.find("waitUs") == std::string::npos);
+        CPPUNIT_ASSERT(!decoded(without).outcome.load);
+        message.outcome.load = ExpectedLoad{.wait = 40ms, .service = 7ms};
+        const RelayMessage received = decoded(encodeRelayMessage(message));
+        CPPUNIT_ASSERT(received.outcome.load && received.outcome.load->wait == 40ms);
+        CPPUNIT_ASSERT(received.outcome.load->service == 7ms);
+        const RelayMessage run{.kind = RelayMessage::Kind::Run, .database = DatabaseId("i-1")};
+        CPPUNIT_ASSERT(encodeRelayMessage(run).find("usefulUs") == std::string::npos);
+        CPPUNIT_ASSERT(!decoded(encodeRelayMessage(run)).limits);
+    }
+
     void errorNamesTheMissingField()
     {
         const Result<RelayMessage> run = decodeRelayMessage(R"({"is":0,"lease":1})");
--- a/libs/upstreampool/include/upstreampool/databaselink.h
+++ b/libs/upstreampool/include/upstreampool/databaselink.h
@@ -16,8 +16,9 @@
     // still to be sent.
     std::function<void(std::function<bool()> start)> enter = {};
 
-    // A statement that entered has ended. Receives the time at the database, zero if unknown.
-    std::function<void(Duration)> leave = {};
+    // A statement that entered has ended. Receives the time at the database, zero if unknown, and
+    // its kind.
+    std::function<void(Duration, const WorkKind &)> leave = {};
 };
 
 // Receives what a link sends and the replies, to observe the state of its database.
@@ -106,6 +107,7 @@
     std::size_t m_prologueLeft = 0;
     bool m_prologueBegins = false;
     UpstreamCommand m_command;
+    WorkKind m_work;
     Instant m_sentAt;
     Instant m_lastUsed;
     Done m_done;
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -30,6 +30,9 @@
 
     // An abandoned transaction must be rolled back within this time, or its connection is closed.
     Duration rollbackTimeout = std::chrono::milliseconds(1000);
+
+    // Limit of concurrent statements, fixed or learned.
+    ConcurrencyLimitOptions limit = {};
 };
 
 // The connections of this VM to one database, the queue for them, and the limit of concurrent
@@ -57,6 +60,13 @@
         return inUse() + m_queue.size();
     }
 
+    std::optional<ExpectedLoad> expected(const WorkKind &work) const override;
+
+    const ConcurrencyLimit &limit() const
+    {
+        return m_limit;
+    }
+
     // The limit of concurrent statements lies between minimumStatements and maximum. Connections in
     // excess of maximum are closed now if free, the others when they become free.
     void setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements);
@@ -112,7 +122,7 @@
     void grantNext();
     void enterGate(std::function<bool()> start);
     void passGate(const std::function<bool()> &start);
-    void leaveGate(Duration time);
+    void leaveGate(Duration time, const WorkKind &work);
     void openFailed();
     void closeIdle();
     void closeExcess();
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/learnedlimit.h"
 #include "base/types.h"
 #include "statements/sessioncontext.h"
 #include "statements/upstreamchannel.h"
@@ -26,6 +27,27 @@
     std::uint32_t priority = 0;
 };
 
+// What is expected of a statement that comes to a pool now, from learned figures.
+struct ExpectedLoad
+{
+    // Time until it is sent to the database.
+    Duration wait{0};
+
+    // Time at the database; zero if unknown.
+    Duration service{0};
+};
+
+// Limits of the wait of a statement that has not been sent to a database. One whose expected wait
+// exceeds useful is refused on arrival, and again from the end of hold on.
+struct StartLimits
+{
+    // Time left in which its answer is useful.
+    Duration useful{0};
+
+    // Time for which it may wait whatever the figures show.
+    Duration hold{0};
+};
+
 // One statement to run on a link, with what it requires of the connection.
 struct LinkCommand
 {
@@ -48,6 +70,12 @@
     CustomerId customer = {};
     std::uint32_t priority = 0;
     Duration timeout = std::chrono::milliseconds(250);
+
+    // Kind of work, for learned times.
+    WorkKind work = {};
+
+    // For a relayed statement, if capacity is learned.
+    std::optional<StartLimits> limits = {};
 };
 
 enum class LinkEnd {
@@ -84,6 +112,10 @@
 
     // Newest point of the group's primary at the lending VM; only for relayed links.
     std::optional<PrimaryFloor> floor = {};
+
+    // What the lending VM expects of the next statement of this kind; only for relayed links, if
+    // capacity is learned there.
+    std::optional<ExpectedLoad> load = {};
 };
 
 // A connection to a database, own or relayed through another VM, for use by one statement or
@@ -206,6 +238,12 @@
     // Number of links in use and waiting tickets.
     virtual std::size_t load() const = 0;
 
+    // Empty if capacity is not learned.
+    virtual std::optional<ExpectedLoad> expected(const WorkKind &) const
+    {
+        return std::nullopt;
+    }
+
 private:
     friend class LinkLease;
     virtual void giveBack(const std::shared_ptr<StatementLink> &link) = 0;
--- a/libs/upstreampool/src/databaselink.cpp
+++ b/libs/upstreampool/src/databaselink.cpp
@@ -34,6 +34,7 @@
 {
     m_done = std::move(done);
     m_command = command.command;
+    m_work = command.work;
     m_statementSent = false;
     m_lastUsed = m_timers.now();
     m_prologueLeft = 0;
@@ -62,7 +63,7 @@
 void DatabaseLink::leaveGate(Duration time)
 {
     if (std::exchange(m_isInGate, false))
-        m_options.gate.leave(time);
+        m_options.gate.leave(time, m_work);
 }
 
 void DatabaseLink::sendPrologue(const LinkCommand &command)
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -16,6 +16,7 @@
     : m_timers(timers)
     , m_connect(std::move(connect))
     , m_options(std::move(options))
+    , m_limit(m_options.limit)
     , m_observer(timers.now())
 {}
 
@@ -81,6 +82,16 @@
     m_waiters.erase(ticket);
 }
 
+std::optional<ExpectedLoad> DatabasePool::expected(const WorkKind &work) const
+{
+    const LearnedLimit *limit = m_limit.learned();
+    if (!limit)
+        return std::nullopt;
+    return ExpectedLoad{
+            .wait = limit->expectedWait(m_queue.size() + m_atGate.size(), m_timers.now()),
+            .service = limit->serviceTime(work)};
+}
+
 void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements)
 {
     m_limit.setBounds(minimumStatements, std::max<double>(minimumStatements, maximum));
@@ -140,8 +151,8 @@
                                  }},
             .gate = {.enter = [this](std::function<bool()> start) { enterGate(std::move(start)); },
                      .leave =
-                             [this](Duration time) {
-                                 leaveGate(time);
+                             [this](Duration time, const WorkKind &work) {
+                                 leaveGate(time, work);
                              }},
             .onOpened = [this](DatabaseLink &link,
                                const StatementReply &reply) { linkOpened(link, reply); },
@@ -298,14 +309,14 @@
 
 void DatabasePool::passGate(const std::function<bool()> &start)
 {
-    m_limit.begin();
+    m_limit.begin(m_timers.now());
     if (!start())
         m_limit.end(Duration(0), m_timers.now());
 }
 
-void DatabasePool::leaveGate(Duration time)
+void DatabasePool::leaveGate(Duration time, const WorkKind &work)
 {
-    m_limit.end(time, m_timers.now());
+    m_limit.end(time, m_timers.now(), work);
     while (!m_atGate.empty() && m_limit.hasRoom()) {
         const std::function<bool()> start = std::move(m_atGate.front());
         m_atGate.pop_front();
