Readers by learned capacity; refusal of what cannot start in time

With isCapacityLearned set in ProxyContext, Upstreams gives each pool a learned limit, chooses readers by its figures, and reports the limit, service time, statements in flight and the reason of the last change of each owned database. A statement whose expected wait exceeds what is left of its latency target is refused with Busy on arrival; one that waits unsent is checked from a quarter of the target (at least 50 ms) on. Without it nothing changes.

--- a/libs/admission/include/admission/waitqueue.h
+++ b/libs/admission/include/admission/waitqueue.h
@@ -37,6 +37,10 @@
     // The ticket that goes next, which stays in the queue; nothing if the queue is empty.
     std::optional<Ticket> next(Instant now) const;
 
+    // Number of tickets that go before a new one of this priority, if none is preferred for its
+    // age.
+    std::size_t countAhead(std::uint32_t priority) const;
+
     std::size_t size() const
     {
         return m_waiting.size();
--- a/libs/admission/src/waitqueue.cpp
+++ b/libs/admission/src/waitqueue.cpp
@@ -23,6 +23,14 @@
            > 0;
 }
 
+std::size_t WaitQueue::countAhead(std::uint32_t priority) const
+{
+    const auto end = std::upper_bound(
+            m_waiting.begin(), m_waiting.end(), priority,
+            [](std::uint32_t value, const Waiting &waiting) { return value < waiting.priority; });
+    return static_cast<std::size_t>(end - m_waiting.begin());
+}
+
 std::optional<WaitQueue::Ticket> WaitQueue::next(Instant now) const
 {
     if (m_waiting.empty())
--- a/libs/relay/include/relay/lenderfigures.h
+++ b/libs/relay/include/relay/lenderfigures.h
@@ -3,6 +3,7 @@
 #include "upstreampool/linkpool.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -14,30 +15,42 @@
 // the time since then counts as wait.
 //
 //     figures.sent(now);
-//     figures.ended(work, outcome.load, now);
-//     const auto load = figures.expected(work, now);
+//     figures.ended({work, priority}, outcome.load, now);
+//     const auto load = figures.expected({work, priority}, now);
 //
 // Not thread-safe. Time is passed in by the caller.
 class LenderFigures
 {
 public:
+    // The service time depends on the kind of work, the wait on the priority.
+    struct Key
+    {
+        WorkKind work;
+        std::uint32_t priority = 0;
+    };
+
     static constexpr Duration halfLife = std::chrono::milliseconds(250);
 
     void sent(Instant now);
 
     // load is empty if the lender returned none.
-    void ended(const WorkKind &work, const std::optional<ExpectedLoad> &load, Instant now);
+    void ended(const Key &key, const std::optional<ExpectedLoad> &load, Instant now);
 
     // Empty until a lender returned figures.
-    std::optional<ExpectedLoad> expected(const WorkKind &work, Instant now) const;
+    std::optional<ExpectedLoad> expected(const Key &key, Instant now) const;
 
 private:
+    struct Wait
+    {
+        Duration time{0};
+        Instant at;
+    };
+
     std::size_t m_inFlight = 0;
     Instant m_noEndSince;
     bool m_hasFigures = false;
-    Duration m_wait{0};
     Duration m_lastService{0};
-    Instant m_waitAt;
+    std::map<std::uint32_t, Wait> m_waits;
     std::map<WorkKind, Duration> m_services;
 };
 
--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -39,9 +39,10 @@
     }
 
     // Empty unless a lender has returned figures.
-    std::optional<ExpectedLoad> expected(const WorkKind &work) const override
+    std::optional<ExpectedLoad> expected(const WorkKind &work,
+                                         std::uint32_t priority) const override
     {
-        return m_figures.expected(work, m_options.timers.now());
+        return m_figures.expected({work, priority}, m_options.timers.now());
     }
 
 private:
--- a/libs/relay/src/lenderfigures.cpp
+++ b/libs/relay/src/lenderfigures.cpp
@@ -12,7 +12,7 @@
 constexpr Duration minimumStall = std::chrono::milliseconds(100);
 constexpr int stallFactor = 8;
 
-// Bounds the memory for kinds of work.
+// Bounds the memory for kinds of work and priorities.
 constexpr std::size_t maximumKinds = 256;
 
 } // namespace
@@ -23,8 +23,7 @@
         m_noEndSince = now;
 }
 
-void LenderFigures::ended(const WorkKind &work, const std::optional<ExpectedLoad> &load,
-                          Instant now)
+void LenderFigures::ended(const Key &key, const std::optional<ExpectedLoad> &load, Instant now)
 {
     if (m_inFlight > 0)
         --m_inFlight;
@@ -32,24 +31,28 @@
     if (!load)
         return;
     m_hasFigures = true;
-    m_wait = load->wait;
-    m_waitAt = now;
+    if (m_waits.size() < maximumKinds || m_waits.contains(key.priority))
+        m_waits[key.priority] = {load->wait, now};
     if (load->service <= Duration(0))
         return;
     m_lastService = load->service;
-    if (m_services.size() < maximumKinds || m_services.contains(work))
-        m_services[work] = load->service;
+    if (m_services.size() < maximumKinds || m_services.contains(key.work))
+        m_services[key.work] = load->service;
 }
 
-std::optional<ExpectedLoad> LenderFigures::expected(const WorkKind &work, Instant now) const
+std::optional<ExpectedLoad> LenderFigures::expected(const Key &key, Instant now) const
 {
     if (!m_hasFigures)
         return std::nullopt;
-    const auto found = m_services.find(work);
+    const auto found = m_services.find(key.work);
     ExpectedLoad load{.service = found == m_services.end() ? m_lastService : found->second};
-    const double halves =
-            static_cast<double>((now - m_waitAt).count()) / static_cast<double>(halfLife.count());
-    load.wait = Duration(std::llround(static_cast<double>(m_wait.count()) * std::exp2(-halves)));
+    const auto reported = m_waits.find(key.priority);
+    if (reported != m_waits.end()) {
+        const auto &[time, at] = reported->second;
+        const double halves =
+                static_cast<double>((now - at).count()) / static_cast<double>(halfLife.count());
+        load.wait = Duration(std::llround(static_cast<double>(time.count()) * std::exp2(-halves)));
+    }
     const Duration withoutEnd = m_inFlight > 0 ? now - m_noEndSince : Duration(0);
     if (withoutEnd > std::max(minimumStall, load.wait + load.service * stallFactor))
         load.wait += withoutEnd;
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -50,7 +50,7 @@
         request.beginAfter = command.beginAfter;
         m_sentAt = m_pool.m_options.timers.now();
         m_pool.m_observer.sent(m_sentAt);
-        m_work = command.work;
+        m_key = {command.work, command.priority};
         // The VM's own statements say nothing about those of callers.
         m_isCounted = command.context != nullptr;
         if (m_isCounted)
@@ -103,7 +103,7 @@
     void endFigures(const std::optional<ExpectedLoad> &load)
     {
         if (std::exchange(m_isCounted, false))
-            m_pool.m_figures.ended(m_work, load, m_pool.m_options.timers.now());
+            m_pool.m_figures.ended(m_key, load, m_pool.m_options.timers.now());
     }
 
     void finish(const LinkOutcome &outcome)
@@ -118,7 +118,7 @@
     SessionPhase m_phase = SessionPhase::Idle;
     bool m_isBroken = false;
     Instant m_sentAt;
-    WorkKind m_work;
+    LenderFigures::Key m_key;
     bool m_isCounted = false;
     Done m_done;
 };
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -177,7 +177,8 @@
     bool cannotStart(const Loan &loan) const
     {
         const auto &limits = loan.request.limits;
-        const auto load = limits ? loan.pool->expected(loan.request.work) : std::nullopt;
+        const auto load = limits ? loan.pool->expected(loan.request.work, loan.request.priority)
+                                 : std::nullopt;
         return load && load->wait > limits->useful - (m_server.timers.now() - loan.arrivedAt);
     }
 
@@ -240,7 +241,7 @@
                 .kind = RelayMessage::Kind::Outcome, .lease = request.lease, .outcome = outcome};
         if (const auto found = m_loans.find(request.lease);
             found != m_loans.end() && found->second->pool)
-            message.outcome.load = found->second->pool->expected(request.work);
+            message.outcome.load = found->second->pool->expected(request.work, request.priority);
         const auto floor =
                 m_server.hooks.floorOf ? m_server.hooks.floorOf(request.database) : std::nullopt;
         if (floor) {
--- a/libs/relay/tests/lenderfigurestest.cpp
+++ b/libs/relay/tests/lenderfigurestest.cpp
@@ -18,17 +18,18 @@
     {
         LenderFigures figures;
         const Instant now{std::chrono::hours(1)};
-        CPPUNIT_ASSERT(!figures.expected(WorkKind("q"), now));
+        CPPUNIT_ASSERT(!figures.expected({WorkKind("q"), 0}, now));
         figures.sent(now);
-        figures.ended(WorkKind("q"), ExpectedLoad{.wait = 400ms, .service = 20ms}, now);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now)->wait == 400ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 250ms)->wait == 200ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 5s)->wait < 1ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 5s)->service == 20ms);
+        figures.ended({WorkKind("q"), 0}, ExpectedLoad{.wait = 400ms, .service = 20ms}, now);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now)->wait == 400ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 250ms)->wait == 200ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 5s)->wait < 1ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 5s)->service == 20ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 2}, now)->wait == 0ms);
         figures.sent(now);
-        figures.ended(WorkKind("long"), ExpectedLoad{.wait = 0ms, .service = 80ms}, now);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now)->service == 20ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("long"), now)->service == 80ms);
+        figures.ended({WorkKind("long"), 0}, ExpectedLoad{.wait = 0ms, .service = 80ms}, now);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now)->service == 20ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("long"), 0}, now)->service == 80ms);
     }
 
     // Failure: a database answers status requests, but no statement ends.
@@ -37,12 +38,12 @@
         LenderFigures figures;
         const Instant now{std::chrono::hours(1)};
         figures.sent(now);
-        figures.ended(WorkKind("q"), ExpectedLoad{.service = 20ms}, now);
+        figures.ended({WorkKind("q"), 0}, ExpectedLoad{.service = 20ms}, now);
         figures.sent(now);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 80ms)->wait == 0ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 400ms)->wait == 400ms);
-        figures.ended(WorkKind("q"), std::nullopt, now + 400ms);
-        CPPUNIT_ASSERT(figures.expected(WorkKind("q"), now + 800ms)->wait == 0ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 80ms)->wait == 0ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 400ms)->wait == 400ms);
+        figures.ended({WorkKind("q"), 0}, std::nullopt, now + 400ms);
+        CPPUNIT_ASSERT(figures.expected({WorkKind("q"), 0}, now + 800ms)->wait == 0ms);
     }
 };
 
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/pausedetector.h"
 #include "base/counters.h"
 #include "base/latencyhistogram.h"
 #include "base/timers.h"
@@ -10,6 +11,7 @@
 #include "logging/log.h"
 #include "relay/ownership.h"
 #include "relay/relaypool.h"
+#include "statementproxy/readerchoice.h"
 #include "upstreampool/databasepool.h"
 #include "vmregistry/vmregistry.h"
 
@@ -17,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -42,6 +45,20 @@
     std::function<std::shared_ptr<RelayPeer>(const Endpoint &,
                                              std::function<void(const Error &)> onLost)>
             connectPeer = {};
+
+    // Learns the capacity of databases, chooses readers by it, and refuses statements that are not
+    // expected to start in time.
+    bool isCapacityLearned = false;
+};
+
+// A read to be placed, for a choice by learned capacity.
+struct ReadWork
+{
+    WorkKind kind = {};
+    std::uint32_t priority = 0;
+
+    // Time left in which its answer is useful.
+    Duration useful = std::chrono::hours(1);
 };
 
 // The databases that this VM uses, their connections, and its view of each group's primary.
@@ -129,9 +146,16 @@
     // primary has been announced.
     std::optional<DatabaseId> usablePrimary(const GroupId &group) const;
 
-    // The database of the group with the lowest read cost, without draining and excluded ones.
+    // The database of the group with the lowest read cost, without draining and excluded ones. If
+    // capacity is learned, one by chance with shares that follow it; see readerchoice.h.
     std::optional<DatabaseId> chooseReader(const GroupId &group,
-                                           const std::set<DatabaseId> &excluded) const;
+                                           const std::set<DatabaseId> &excluded,
+                                           const ReadWork &work = {});
+
+    // What a statement at the preferred pool of a database is to expect; empty if unknown or if
+    // capacity is not learned.
+    std::optional<ExpectedLoad> expected(const DatabaseId &database, const WorkKind &kind,
+                                         std::uint32_t priority) const;
 
     // False for a database that has not replied to requests for too long, and for an unknown one.
     bool isResponsive(const DatabaseId &database) const;
@@ -244,6 +268,14 @@
     void requestFloor(const GroupId &group);
     void floorRefreshed(const GroupId &group);
     double readCost(const UpstreamEntry &entry) const;
+    std::optional<DatabaseId> chooseByCapacity(const GroupId &group,
+                                               const std::set<DatabaseId> &excluded,
+                                               const ReadWork &work);
+    ReaderCandidate readerCandidate(const UpstreamEntry &entry, const ReadWork &work) const;
+    ConcurrencyLimitOptions limitOptions() const;
+    void tickCapacity();
+    void recordReturns();
+    void reportCapacity(const DatabaseId &database, DatabasePools &pools);
 
     ProxyContext m_context;
     LatencyHistogram m_servedTimes{m_context.counters, "fescuespring_statement_ms"};
@@ -264,6 +296,12 @@
     std::map<GroupId, GroupLimits> m_limits;
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
+
+    // For learned capacity. Pools refer to the detector and may outlive this object.
+    std::shared_ptr<PauseDetector> m_pauses = std::make_shared<PauseDetector>();
+    Timers::Id m_capacityTimer = 0;
+    Instant m_capacityReportedAt;
+    std::mt19937_64 m_random{std::hash<std::string>()(m_context.vm.value())};
     std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -291,6 +291,7 @@
     timers.cancel(std::exchange(m_deadlineTimer, 0));
     timers.cancel(std::exchange(m_retryTimer, 0));
     timers.cancel(std::exchange(m_hedgeTimer, 0));
+    timers.cancel(std::exchange(m_holdTimer, 0));
     dropQueuedAttempts();
     for (const AttemptPtr &attempt : m_attempts) {
         if (!attempt->isSent || attempt->isEnded)
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -81,6 +81,8 @@
     m_deadline = m_startedAt + m_route.timeout;
     m_holdUntil = std::min(m_deadline, m_startedAt + maximumHoldTime);
     scheduleDeadline(m_holdUntil);
+    if (const auto limits = startLimits())
+        scheduleHoldCheck(limits->hold);
     tryNext();
 }
 
@@ -187,7 +189,12 @@
         return;
     }
     upstreams().refreshFloorAhead(m_route.group, m_route.maximumStaleness);
-    const std::optional<DatabaseId> database = upstreams().chooseReader(m_route.group, m_excluded);
+    const std::optional<StartLimits> limits = startLimits();
+    const std::optional<DatabaseId> database =
+            upstreams().chooseReader(m_route.group, m_excluded,
+                                     {.kind = work(),
+                                      .priority = m_route.priority,
+                                      .useful = limits ? limits->useful : m_route.timeout});
     if (!database) {
         m_excluded.clear();
         retryAfter(noReaderRetryDelay);
@@ -217,6 +224,11 @@
         retryAfter(noReaderRetryDelay);
         return;
     }
+    if (cannotStart(database)) {
+        if (!isRunning())
+            failLate("arrival");
+        return;
+    }
     ++m_tries;
     auto attempt = std::make_shared<Attempt>();
     attempt->database = database;
@@ -251,7 +263,9 @@
                         .context = m_context.get(),
                         .prepared = m_prepared ? &*m_prepared : nullptr,
                         .priority = m_route.priority,
-                        .timeout = std::max(Duration(0), m_holdUntil - now())};
+                        .timeout = std::max(Duration(0), m_holdUntil - now()),
+                        .work = work(),
+                        .limits = startLimits()};
     if (hasNoPinnedConnection() && attempt->pool) {
         command.begin = isReadOnly() ? StatementKind::BeginReadOnly : StatementKind::Begin;
         command.beginAfter = after;
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -68,6 +68,15 @@
     void scheduleHedge();
     void hedge();
 
+    // Refusal of what cannot start in time, if capacity is learned.
+    WorkKind work() const;
+    std::optional<StartLimits> startLimits() const;
+    bool cannotStart(const DatabaseId &database) const;
+    bool isRunning() const;
+    void failLate(const char *reason);
+    void scheduleHoldCheck(Duration delay);
+    void checkHold();
+
     // Outcomes of an attempt.
     void ended(const AttemptPtr &attempt, const LinkOutcome &outcome);
     void lost(const AttemptPtr &attempt, const LinkOutcome &outcome);
@@ -114,6 +123,7 @@
     Timers::Id m_deadlineTimer = 0;
     Timers::Id m_retryTimer = 0;
     Timers::Id m_hedgeTimer = 0;
+    Timers::Id m_holdTimer = 0;
 };
 
 } // namespace fescuespring::detail
--- a/libs/statementproxy/src/upstreamaccess.h
+++ b/libs/statementproxy/src/upstreamaccess.h
@@ -29,6 +29,14 @@
 
     std::optional<Instant> drainingSince;
 
+    // When the database was found or last responded again; kept only if capacity is learned.
+    Instant returnedAt;
+    bool isResponsive = true;
+
+    // What was last logged of the learned limit.
+    LimitChange loggedChange = LimitChange::None;
+    double loggedLimit = 0;
+
     // When each pool was last probed.
     Instant ownProbedAt;
     Instant relayedProbedAt;
--- a/libs/statementproxy/src/upstreamcommands.cpp
+++ b/libs/statementproxy/src/upstreamcommands.cpp
@@ -19,6 +19,7 @@
 
 Upstreams::~Upstreams()
 {
+    m_context.timers.cancel(m_capacityTimer);
     for (const auto &command : std::exchange(m_commands, {}))
         dropCommand(*command);
 }
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -57,7 +57,10 @@
                        [this](const UpstreamEntry &entry) {
                            entryGone(entry);
                        }})
-{}
+{
+    if (m_context.isCapacityLearned)
+        tickCapacity();
+}
 
 const Upstreams::DatabasePools *Upstreams::findPools(const DatabaseId &database) const
 {
@@ -138,8 +141,9 @@
         if (pools)
             pools->own->close();
         pools = std::make_unique<DatabasePools>();
-        pools->own =
-                DatabasePool::make(m_context.timers, m_context.connect, {.target = entry.target});
+        pools->own = DatabasePool::make(m_context.timers, m_context.connect,
+                                        {.target = entry.target, .limit = limitOptions()});
+        pools->returnedAt = m_context.timers.now();
         pools->relayed = RelayPool::make(
                 {.timers = m_context.timers, .database = database, .peer = [this, database] {
                      return peerFor(database);
@@ -391,8 +395,11 @@
 }
 
 std::optional<DatabaseId> Upstreams::chooseReader(const GroupId &group,
-                                                  const std::set<DatabaseId> &excluded) const
+                                                  const std::set<DatabaseId> &excluded,
+                                                  const ReadWork &work)
 {
+    if (m_context.isCapacityLearned)
+        return chooseByCapacity(group, excluded, work);
     std::optional<DatabaseId> chosen;
     double lowest = 0;
     for (const UpstreamEntry *entry : m_directory.group(group)) {
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -60,7 +60,8 @@
         return inUse() + m_queue.size();
     }
 
-    std::optional<ExpectedLoad> expected(const WorkKind &work) const override;
+    std::optional<ExpectedLoad> expected(const WorkKind &work,
+                                         std::uint32_t priority) const override;
 
     const ConcurrencyLimit &limit() const
     {
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -238,8 +238,9 @@
     // Number of links in use and waiting tickets.
     virtual std::size_t load() const = 0;
 
-    // Empty if capacity is not learned.
-    virtual std::optional<ExpectedLoad> expected(const WorkKind &) const
+    // What a statement of this kind and priority is to expect. Empty if capacity is not learned.
+    virtual std::optional<ExpectedLoad> expected(const WorkKind & /*work*/,
+                                                 std::uint32_t /*priority*/) const
     {
         return std::nullopt;
     }
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -82,14 +82,15 @@
     m_waiters.erase(ticket);
 }
 
-std::optional<ExpectedLoad> DatabasePool::expected(const WorkKind &work) const
+std::optional<ExpectedLoad> DatabasePool::expected(const WorkKind &work,
+                                                   std::uint32_t priority) const
 {
     const LearnedLimit *limit = m_limit.learned();
     if (!limit)
         return std::nullopt;
-    return ExpectedLoad{
-            .wait = limit->expectedWait(m_queue.size() + m_atGate.size(), m_timers.now()),
-            .service = limit->serviceTime(work)};
+    return ExpectedLoad{.wait = limit->expectedWait(m_queue.countAhead(priority) + m_atGate.size(),
+                                                    m_timers.now()),
+                        .service = limit->serviceTime(work)};
 }
 
 void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements)
--- a/tests/support/fakegroup.h
+++ b/tests/support/fakegroup.h
@@ -38,6 +38,9 @@
         std::size_t connections = 0;
         std::size_t maximumConnections = 100;
 
+        // Time that a caller's statement takes, whatever else runs.
+        Duration work{0};
+
         // Failure of the next statements of callers.
         std::deque<StatementFailure> failures;
         std::vector<std::string> ran;
@@ -141,8 +144,10 @@
 
         void send(const std::vector<UpstreamCommand> &commands) override
         {
-            for (const UpstreamCommand &command : commands)
-                later([this, command] { run(command); });
+            for (const UpstreamCommand &command : commands) {
+                const Duration work = command.id.isEmpty() ? Duration(0) : database().work;
+                later([this, command] { run(command); }, work);
+            }
         }
 
     private:
@@ -151,9 +156,9 @@
             return (*m_databases)[m_id];
         }
 
-        void later(const std::function<void()> &task)
+        void later(const std::function<void()> &task, Duration work = Duration(0))
         {
-            m_group.m_timers.after(delay, [alive = std::weak_ptr(m_alive), task] {
+            m_group.m_timers.after(delay + work, [alive = std::weak_ptr(m_alive), task] {
                 if (!alive.expired())
                     task();
             });
