Setting databaseCapacity; doubtful statements are refused before the hold time ends

A statement that was not served costs more once it waited unsent for a quarter of its latency target. A statement is refused on arrival if it is expected to be answered late (wait and service time), and just before the hold time ends if it needs more than half of the time left.

--- a/libs/admission/src/learnedlimit.cpp
+++ b/libs/admission/src/learnedlimit.cpp
@@ -45,7 +45,7 @@
 constexpr double smallestIncrease = 0.5;
 
 // A server counts as stalled after this many mean times without an end.
-constexpr double stallFactor = 8;
+constexpr double stallFactor = 4;
 
 // Changes of the number in flight that are remembered, enough for the longest statements at 100
 // statements per second.
@@ -238,7 +238,7 @@
     if (queued == 0 && hasRoom())
         return stall;
     const double ahead = static_cast<double>(queued) + 1;
-    return stall + fromMicroseconds(ahead * m_meanTime / std::max(m_limit, 1.0));
+    return stall + fromMicroseconds(ahead * m_meanTime / std::ceil(std::max(m_limit, 1.0)));
 }
 
 } // namespace fescuespring
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -156,7 +156,7 @@
             return;
         }
         loan->arrivedAt = m_server.timers.now();
-        if (cannotStart(*loan)) {
+        if (cannotStart(*loan, StartCheck::Arrival)) {
             m_server.expectedLate.add();
             refuse(loan, cannotStartReason);
             return;
@@ -173,40 +173,47 @@
                 });
     }
 
-    // Whether the statement is not expected to start while its answer is useful.
-    bool cannotStart(const Loan &loan) const
+    bool cannotStart(const Loan &loan, StartCheck check) const
     {
         const auto &limits = loan.request.limits;
         const auto load = limits ? loan.pool->expected(loan.request.work, loan.request.priority)
                                  : std::nullopt;
-        return load && load->wait > limits->useful - (m_server.timers.now() - loan.arrivedAt);
+        const Duration waited = m_server.timers.now() - loan.arrivedAt;
+        return load && isExpectedLate(*load, limits->useful - waited, check);
     }
 
     // Ends the wait at the timeout, or from the end of the hold time on if the figures show that
-    // the statement cannot start.
+    // the statement cannot start in time.
     void scheduleTimeout(const std::shared_ptr<Loan> &loan)
     {
         const Duration waited = m_server.timers.now() - loan->arrivedAt;
         Duration delay = loan->request.timeout - waited;
-        if (const auto &limits = loan->request.limits)
+        StartCheck check = StartCheck::Later;
+        if (const auto &limits = loan->request.limits) {
+            if (waited < limits->hold)
+                check = StartCheck::HoldEnd;
             delay = std::min(delay, waited < limits->hold ? limits->hold - waited : holdRecheck);
+        }
         delay = std::max(delay, Duration(0));
-        loan->timeoutTimer = m_server.timers.after(delay, [this, weak = std::weak_ptr(loan)] {
-            const auto waiting = weak.lock();
-            if (!waiting)
-                return;
-            waiting->timeoutTimer = 0;
-            const bool isLate =
-                    m_server.timers.now() - waiting->arrivedAt >= waiting->request.timeout;
-            if (!isLate && !cannotStart(*waiting)) {
-                scheduleTimeout(waiting);
-                return;
-            }
-            waiting->pool->cancel(std::exchange(waiting->ticket, 0));
-            if (!isLate)
-                m_server.expectedLate.add();
-            refuse(waiting, isLate ? "no connection became free in time" : cannotStartReason);
-        });
+        loan->timeoutTimer =
+                m_server.timers.after(delay, [this, weak = std::weak_ptr(loan), check] {
+                    if (const auto waiting = weak.lock())
+                        checkWait(waiting, check);
+                });
+    }
+
+    void checkWait(const std::shared_ptr<Loan> &loan, StartCheck check)
+    {
+        loan->timeoutTimer = 0;
+        const bool hasTimedOut = m_server.timers.now() - loan->arrivedAt >= loan->request.timeout;
+        if (!hasTimedOut && !cannotStart(*loan, check)) {
+            scheduleTimeout(loan);
+            return;
+        }
+        loan->pool->cancel(std::exchange(loan->ticket, 0));
+        if (!hasTimedOut)
+            m_server.expectedLate.add();
+        refuse(loan, hasTimedOut ? "no connection became free in time" : cannotStartReason);
     }
 
     void start(const std::shared_ptr<Loan> &loan)
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -15,6 +15,15 @@
 
 namespace fescuespring {
 
+// How many statements may be in flight at a database: below a fixed response time, or as learned
+// from its service times.
+enum class DatabaseCapacity {
+    Fixed,
+    Learned,
+};
+
+std::optional<DatabaseCapacity> databaseCapacityFromString(std::string_view text);
+
 // The settings of a VM that serves interactive sessions, read from a YAML file. docs/SETTINGS.md
 // describes each field.
 struct StatementVmSettings
@@ -51,6 +60,8 @@
     // All VMs of the installation start for the first time, and nothing was written to the store.
     bool isFirstStart = false;
 
+    DatabaseCapacity databaseCapacity = DatabaseCapacity::Fixed;
+
     // Maximum number of open caller connections.
     std::uint32_t maxCallerConnections = 3000;
 
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -1,7 +1,10 @@
 #include "settings/statementsettings.h"
 
+#include "base/enumnames.h"
 #include "settingsfile.h"
 
+#include <array>
+
 namespace fescuespring {
 
 using detail::Presence;
@@ -39,6 +42,8 @@
     section.milliseconds("departureNoticeMs", settings.departureNotice,
                          {milliseconds(0), milliseconds(3'600'000)});
     section.boolean("firstStart", settings.isFirstStart);
+    section.choice("databaseCapacity", settings.databaseCapacity, databaseCapacityFromString,
+                   "fixed, learned");
     section.number("maxCallerConnections", settings.maxCallerConnections, {1, 1'000'000});
     section.section("logging", Presence::Optional,
                     [&](Section &inner) { detail::readLogging(inner, settings.logging); });
@@ -47,6 +52,12 @@
 
 } // namespace
 
+std::optional<DatabaseCapacity> databaseCapacityFromString(std::string_view text)
+{
+    constexpr std::array names{"fixed", "learned"};
+    return detail::enumFromName<DatabaseCapacity>(names, text);
+}
+
 milliseconds StatementVmSettings::stopDeadline() const
 {
     return ownStopDeadline.value_or(stopGrace - exitTime);
--- a/libs/settings/tests/statementsettingstest.cpp
+++ b/libs/settings/tests/statementsettingstest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(validSettingsAreRead);
     CPPUNIT_TEST(stopDeadlineFollowsFromTheGracePeriod);
     CPPUNIT_TEST(allErrorsAreReportedWithTheirLines);
+    CPPUNIT_TEST(capacityIsLearnedOnlyOnRequest);
     CPPUNIT_TEST(unknownFieldIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +68,20 @@
         }
     }
 
+    // Guards against a VM that learns capacity without being asked to.
+    void capacityIsLearnedOnlyOnRequest()
+    {
+        const auto byDefault = parseStatementSettings(validSettings);
+        CPPUNIT_ASSERT(byDefault.value().databaseCapacity == DatabaseCapacity::Fixed);
+        const auto learned = parseStatementSettings(validSettings + "databaseCapacity: learned\n");
+        CPPUNIT_ASSERT(learned.value().databaseCapacity == DatabaseCapacity::Learned);
+        const auto fixed = parseStatementSettings(validSettings + "databaseCapacity: fixed\n");
+        CPPUNIT_ASSERT(fixed.value().databaseCapacity == DatabaseCapacity::Fixed);
+        const auto invalid = parseStatementSettings(validSettings + "databaseCapacity: guessed\n");
+        CPPUNIT_ASSERT(!invalid);
+        CPPUNIT_ASSERT_EQUAL(std::string("databaseCapacity"), invalid.error().at(0).field);
+    }
+
     void allErrorsAreReportedWithTheirLines()
     {
         std::string text = validSettings;
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -82,7 +82,7 @@
     m_holdUntil = std::min(m_deadline, m_startedAt + maximumHoldTime);
     scheduleDeadline(m_holdUntil);
     if (const auto limits = startLimits())
-        scheduleHoldCheck(limits->hold);
+        scheduleHoldCheck(limits->hold, StartCheck::HoldEnd);
     tryNext();
 }
 
@@ -224,7 +224,7 @@
         retryAfter(noReaderRetryDelay);
         return;
     }
-    if (cannotStart(database)) {
+    if (cannotStart(database, StartCheck::Arrival)) {
         if (!isRunning())
             failLate("arrival");
         return;
--- a/libs/statementproxy/src/statementrun.h
+++ b/libs/statementproxy/src/statementrun.h
@@ -71,11 +71,11 @@
     // Refusal of what cannot start in time, if capacity is learned.
     WorkKind work() const;
     std::optional<StartLimits> startLimits() const;
-    bool cannotStart(const DatabaseId &database) const;
+    bool cannotStart(const DatabaseId &database, StartCheck check) const;
     bool isRunning() const;
     void failLate(const char *reason);
-    void scheduleHoldCheck(Duration delay);
-    void checkHold();
+    void scheduleHoldCheck(Duration delay, StartCheck check);
+    void checkHold(StartCheck check);
 
     // Outcomes of an attempt.
     void ended(const AttemptPtr &attempt, const LinkOutcome &outcome);
--- a/libs/statementproxy/src/statementstart.cpp
+++ b/libs/statementproxy/src/statementstart.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Part of the latency target for which a statement may wait unsent whatever the figures show.
-constexpr int holdDivisor = 4;
+// A statement that was not served counts as held if it waited unsent for a quarter of the latency
+// target. It is refused before that, with time left for the reply's way through another VM.
+constexpr double holdPart = 0.85 / 4;
 constexpr Duration minimumHold = std::chrono::milliseconds(50);
 
 // Interval of the checks after that.
@@ -37,18 +38,19 @@
     const Duration waited = now() - m_startedAt;
     const Duration target = m_route.latencyTarget;
     const Duration useful = std::min(target, m_deadline - m_startedAt);
-    const Duration hold = std::max(target / holdDivisor, minimumHold);
+    const Duration hold =
+            std::max(std::chrono::duration_cast<Duration>(target * holdPart), minimumHold);
     return StartLimits{.useful = std::max(useful - waited, Duration(0)),
                        .hold = std::max(hold - waited, Duration(0))};
 }
 
-bool StatementRun::cannotStart(const DatabaseId &database) const
+bool StatementRun::cannotStart(const DatabaseId &database, StartCheck check) const
 {
     const auto limits = startLimits();
     if (!limits)
         return false;
     const auto load = upstreams().expected(database, work(), m_route.priority);
-    return load && load->wait > limits->useful;
+    return load && isExpectedLate(*load, limits->useful, check);
 }
 
 bool StatementRun::isRunning() const
@@ -69,30 +71,30 @@
          "the statement cannot start within the latency target of its route");
 }
 
-void StatementRun::scheduleHoldCheck(Duration delay)
+void StatementRun::scheduleHoldCheck(Duration delay, StartCheck check)
 {
-    m_holdTimer = upstreams().context().timers.after(delay, [weak = weak_from_this()] {
+    m_holdTimer = upstreams().context().timers.after(delay, [weak = weak_from_this(), check] {
         const auto self = weak.lock();
         if (!self || !self->m_session)
             return;
         self->m_holdTimer = 0;
-        self->checkHold();
+        self->checkHold(check);
     });
 }
 
 // A statement that waits at another VM is checked there.
-void StatementRun::checkHold()
+void StatementRun::checkHold(StartCheck check)
 {
     if (isRunning())
         return;
-    const bool isLate =
-            std::any_of(m_attempts.begin(), m_attempts.end(), [this](const AttemptPtr &attempt) {
-                return attempt->ticket != 0 && cannotStart(attempt->database);
+    const bool isLate = std::any_of(
+            m_attempts.begin(), m_attempts.end(), [this, check](const AttemptPtr &attempt) {
+                return attempt->ticket != 0 && cannotStart(attempt->database, check);
             });
     if (isLate)
         failLate("held");
     else
-        scheduleHoldCheck(holdRecheck);
+        scheduleHoldCheck(holdRecheck, StartCheck::Later);
 }
 
 } // namespace fescuespring::detail
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -37,17 +37,28 @@
     Duration service{0};
 };
 
-// Limits of the wait of a statement that has not been sent to a database. One whose expected wait
-// exceeds useful is refused on arrival, and again from the end of hold on.
+// Limits of the wait of a statement that has not been sent to a database.
 struct StartLimits
 {
     // Time left in which its answer is useful.
     Duration useful{0};
 
-    // Time for which it may wait whatever the figures show.
+    // Time left until it must be refused if its answer is doubtful.
     Duration hold{0};
 };
 
+// When the figures for a waiting statement are compared with its limits. On arrival and later, it
+// is refused if its answer is expected too late. At the end of the hold time, it is refused already
+// if it needs more than half of the time left, as a refusal after that costs more than a prompt
+// one.
+enum class StartCheck {
+    Arrival,
+    HoldEnd,
+    Later,
+};
+
+bool isExpectedLate(const ExpectedLoad &load, Duration useful, StartCheck check);
+
 // One statement to run on a link, with what it requires of the connection.
 struct LinkCommand
 {
--- a/libs/upstreampool/src/linkpool.cpp
+++ b/libs/upstreampool/src/linkpool.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+bool isExpectedLate(const ExpectedLoad &load, Duration useful, StartCheck check)
+{
+    return load.wait + load.service > (check == StartCheck::HoldEnd ? useful / 2 : useful);
+}
+
 DatabaseObserver::DatabaseObserver(Instant now)
 {
     m_observation.lastReplyAt = now;
