--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -156,7 +156,9 @@
             return;
         }
         loan->arrivedAt = m_server.timers.now();
-        if (cannotStart(*loan, StartCheck::Arrival)) {
+        const auto &limits = loan->request.limits;
+        const bool isHeldAlready = limits && limits->hold == Duration(0);
+        if (cannotStart(*loan, isHeldAlready ? StartCheck::HoldEnd : StartCheck::Arrival)) {
             m_server.expectedLate.add();
             refuse(loan, cannotStartReason);
             return;
--- a/libs/relay/tests/relaytest.cpp
+++ b/libs/relay/tests/relaytest.cpp
@@ -75,6 +75,12 @@
         return 0;
     }
 
+    std::optional<ExpectedLoad> expected(const WorkKind &, std::uint32_t) const override
+    {
+        return figures;
+    }
+
+    std::optional<ExpectedLoad> figures;
     std::shared_ptr<ManualLink> link = std::make_shared<ManualLink>();
     std::size_t free = 1;
     std::size_t givenBack = 0;
@@ -146,6 +152,7 @@
     CPPUNIT_TEST(statementRunsWithTheSessionValues);
     CPPUNIT_TEST(connectionIsReleasedWithTheLease);
     CPPUNIT_TEST(statementIsNotSentAfterTheTimeout);
+    CPPUNIT_TEST(lenderRefusesWhatIsExpectedLate);
     CPPUNIT_TEST(lossOfTheLenderLosesTheSentStatement);
     CPPUNIT_TEST(lossOfTheBorrowerReleasesTheConnection);
     CPPUNIT_TEST(answerCarriesTheLendersFloor);
@@ -199,6 +206,36 @@
         CPPUNIT_ASSERT(lease->isBroken());
     }
 
+    // Guards against statements that wait at the lender although its figures show that they cannot
+    // start in time, and against a borrower that does not learn of these figures.
+    void lenderRefusesWhatIsExpectedLate()
+    {
+        Pair pair;
+        pair.pool->free = 0;
+        pair.pool->figures = ExpectedLoad{.wait = 400ms, .service = 20ms};
+        const SessionContext context;
+        const LinkCommand command{.command = {.id = RequestId("5c0e")},
+                                  .context = &context,
+                                  .timeout = 10s,
+                                  .work = WorkKind("q"),
+                                  .limits = StartLimits{.useful = 250ms, .hold = 50ms}};
+        const auto refused = [&] {
+            std::optional<LinkOutcome> end;
+            LinkLease lease = pair.borrowed->tryAcquire({});
+            lease->run(command, [&end](const LinkOutcome &outcome) { end = outcome; });
+            pair.runUntil([&] { return end.has_value(); });
+            return end->end == LinkEnd::NotSent;
+        };
+        CPPUNIT_ASSERT(refused());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, pair.pool->waits);
+        CPPUNIT_ASSERT(pair.borrowed->expected(WorkKind("q"), 0)->wait > 300ms);
+        // Doubtful: it may wait until the end of the hold time.
+        pair.pool->figures = ExpectedLoad{.wait = 150ms, .service = 20ms};
+        CPPUNIT_ASSERT(refused());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pair.pool->waits);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.pool->cancelled);
+    }
+
     void lossOfTheLenderLosesTheSentStatement()
     {
         Pair pair;
--- a/libs/statementproxy/src/statementstart.cpp
+++ b/libs/statementproxy/src/statementstart.cpp
@@ -49,6 +49,9 @@
     const auto limits = startLimits();
     if (!limits)
         return false;
+    // A retry after the hold time must not wait either if its answer is doubtful.
+    if (check == StartCheck::Arrival && limits->hold == Duration(0))
+        check = StartCheck::HoldEnd;
     const auto load = upstreams().expected(database, work(), m_route.priority);
     return load && isExpectedLate(*load, limits->useful, check);
 }
