--- a/libs/admission/include/admission/waitqueue.h
+++ b/libs/admission/include/admission/waitqueue.h
@@ -70,6 +70,11 @@
     void settle(std::uint32_t priority, const CustomerId &customer, Duration charged,
                 Duration used);
 
+    // Approximate number of tickets that go before a new one, if none is preferred for its age: all
+    // of higher priorities, and of each other customer of its priority as many as its own customer
+    // has waiting, as customers take turns.
+    std::size_t countAhead(std::uint32_t priority, const CustomerId &customer = {}) const;
+
     std::size_t size() const
     {
         return m_places.size();
--- a/libs/relay/include/relay/relaypool.h
+++ b/libs/relay/include/relay/relaypool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/lenderfigures.h"
 #include "relay/relaypeer.h"
 #include "upstreampool/linkpool.h"
 
@@ -63,6 +64,14 @@
         return m_inUse;
     }
 
+    // Empty unless a lender has returned figures.
+    std::optional<ExpectedLoad> expected(const WorkKind &work,
+                                         const LinkRequest &request) const override
+    {
+        return m_figures.expected({work, request.priority, request.customer},
+                                  m_options.timers.now());
+    }
+
 private:
     class Link;
 
@@ -76,6 +85,7 @@
 
     // Each lender of customers' links by itself: replies through others do not show that it works.
     std::map<VmId, DatabaseObserver> m_lenders;
+    LenderFigures m_figures;
     std::size_t m_inUse = 0;
 };
 
--- a/libs/relay/src/relaymessages.cpp
+++ b/libs/relay/src/relaymessages.cpp
@@ -211,6 +211,12 @@
     message.database = DatabaseId(fields.text("database"));
     if (fields.find("customer"))
         message.customer = CustomerId(fields.text("customer"));
+    if (fields.find("work"))
+        message.work = WorkKind(fields.text("work"));
+    if (fields.find("usefulUs")) {
+        message.limits = StartLimits{.useful = Duration(fields.integer("usefulUs")),
+                                     .hold = Duration(fields.integer("holdUs"))};
+    }
     message.priority = static_cast<std::uint32_t>(fields.integer("priority", UINT32_MAX));
     if (fields.find("key")) {
         message.key.digest = KeyDigest(fields.text("key"));
@@ -259,6 +265,12 @@
         fields["key"] = message.key.digest.value();
         fields["configuration"] = message.key.configuration;
     }
+    if (!message.work.isEmpty())
+        fields["work"] = message.work.value();
+    if (message.limits) {
+        fields["usefulUs"] = message.limits->useful.count();
+        fields["holdUs"] = message.limits->hold.count();
+    }
     if (message.command.after)
         fields["after"] = encodePoint(*message.command.after);
     if (message.hasValues) {
@@ -292,6 +304,10 @@
             fields["floor"] = encodePoint(*message.floor);
             fields["floorAgeUs"] = message.floorAge.count();
         }
+        if (message.outcome.load) {
+            fields["waitUs"] = message.outcome.load->wait.count();
+            fields["serviceUs"] = message.outcome.load->service.count();
+        }
     }
     if (message.kind == RelayMessage::Kind::AllowanceRequest)
         fields["allowance"] = detail::encodeAllowanceRequest(message.allowanceRequest);
@@ -320,6 +336,10 @@
         message.floor = fields.optionalPoint("floor");
         if (message.floor)
             message.floorAge = Duration(fields.integer("floorAgeUs"));
+        if (fields.find("waitUs")) {
+            message.outcome.load = ExpectedLoad{.wait = Duration(fields.integer("waitUs")),
+                                                .service = Duration(fields.integer("serviceUs"))};
+        }
     }
     if (fields.isValid() && message.kind == RelayMessage::Kind::AllowanceRequest)
         decodeAllowance(fields, detail::decodeAllowanceRequest, message.allowanceRequest);
--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/pausedetector.h"
 #include "base/counters.h"
 #include "base/latencyhistogram.h"
 #include "base/timers.h"
@@ -12,6 +13,7 @@
 #include "relay/customerowners.h"
 #include "relay/ownership.h"
 #include "relay/relaypool.h"
+#include "statementproxy/readerchoice.h"
 #include "upstreampool/databasepool.h"
 #include "vmregistry/vmregistry.h"
 
@@ -19,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -47,6 +50,20 @@
 
     // Bound on the operations of each customer.
     AllowanceBound allowanceBound = {.tolerance = 20};
+
+    // Learns the capacity of databases, chooses readers by it, and refuses statements that are not
+    // expected to start in time.
+    bool isCapacityLearned = false;
+};
+
+// A read to be placed, for a choice by learned capacity.
+struct ReadWork
+{
+    WorkKind kind = {};
+    LinkRequest request = {};
+
+    // Time left in which its answer is useful.
+    Duration useful = std::chrono::hours(1);
 };
 
 class AllowanceService;
@@ -149,9 +166,16 @@
     // primary has been announced.
     std::optional<DatabaseId> usablePrimary(const GroupId &group) const;
 
-    // The database of the group with the lowest read cost, without draining and excluded ones.
+    // The database of the group with the lowest read cost, without draining and excluded ones. If
+    // capacity is learned, one by chance with shares that follow it; see readerchoice.h.
     std::optional<DatabaseId> chooseReader(const GroupId &group,
-                                           const std::set<DatabaseId> &excluded) const;
+                                           const std::set<DatabaseId> &excluded,
+                                           const ReadWork &work = {});
+
+    // What a statement at the preferred pool of a database is to expect; empty if unknown or if
+    // capacity is not learned.
+    std::optional<ExpectedLoad> expected(const DatabaseId &database, const WorkKind &kind,
+                                         const LinkRequest &request);
 
     // False for a database that has not replied to requests for too long, and for an unknown one.
     bool isResponsive(const DatabaseId &database) const;
@@ -275,6 +299,14 @@
     void requestFloor(const GroupId &group);
     void floorRefreshed(const GroupId &group);
     double readCost(const UpstreamEntry &entry) const;
+    std::optional<DatabaseId> chooseByCapacity(const GroupId &group,
+                                               const std::set<DatabaseId> &excluded,
+                                               const ReadWork &work);
+    ReaderCandidate readerCandidate(const UpstreamEntry &entry, const ReadWork &work);
+    ConcurrencyLimitOptions limitOptions() const;
+    void tickCapacity();
+    void recordReturns();
+    void reportCapacity(const DatabaseId &database, DatabasePools &pools);
 
     ProxyContext m_context;
     LatencyHistogram m_servedTimes{m_context.counters, "fescuespring_statement_ms"};
@@ -301,6 +333,12 @@
     bool m_areVmsKnown = false;
     bool m_areCustomersNamed = false;
     std::shared_ptr<const CustomerShares> m_customerShares = std::make_shared<CustomerShares>();
+
+    // For learned capacity. Pools refer to the detector and may outlive this object.
+    std::shared_ptr<PauseDetector> m_pauses = std::make_shared<PauseDetector>();
+    Timers::Id m_capacityTimer = 0;
+    Instant m_capacityReportedAt;
+    std::mt19937_64 m_random{std::hash<std::string>()(m_context.vm.value())};
     std::function<bool(const DatabaseId &)> m_isLostToObservers = [](const DatabaseId &) {
         return false;
     };
