--- a/libs/admission/src/waitqueue.cpp
+++ b/libs/admission/src/waitqueue.cpp
@@ -181,6 +181,24 @@
     m_levels.clear();
 }
 
+std::size_t WaitQueue::countAhead(std::uint32_t priority, const CustomerId &customer) const
+{
+    std::size_t count = 0;
+    for (const auto &[levelPriority, level] : m_levels) {
+        if (levelPriority < priority)
+            count += level.waiting;
+    }
+    const auto level = m_levels.find(priority);
+    if (level == m_levels.end())
+        return count;
+    const auto own = level->second.flows.find(customer);
+    const std::size_t ownWaiting =
+            own == level->second.flows.end() ? 0 : own->second.waiting.size();
+    for (const auto &[id, flow] : level->second.flows)
+        count += id == customer ? ownWaiting : std::min(flow.waiting.size(), ownWaiting + 1);
+    return count;
+}
+
 std::optional<WaitQueue::Ticket> WaitQueue::next(Instant now) const
 {
     return Order(*this, now).take();
--- a/libs/relay/src/relaypool.cpp
+++ b/libs/relay/src/relaypool.cpp
@@ -41,6 +41,8 @@
                              .priority = command.priority,
                              .key = command.key,
                              .timeout = command.timeout,
+                             .work = command.work,
+                             .limits = command.limits,
                              .command = command.command};
         if (command.context) {
             request.hasValues = true;
@@ -52,6 +54,11 @@
         request.beginAfter = command.beginAfter;
         m_sentAt = m_pool.m_options.timers.now();
         m_pool.observe(m_vm, [this](DatabaseObserver &observer) { observer.sent(m_sentAt); });
+        m_key = {command.work, command.priority, command.customer};
+        // The VM's own statements say nothing about those of callers.
+        m_isCounted = command.context != nullptr;
+        if (m_isCounted)
+            m_pool.m_figures.sent(m_sentAt);
         m_peer->run(request, [weak = weak_from_this()](const LinkOutcome &outcome) {
             if (const auto self = weak.lock())
                 self->outcomeReceived(outcome);
@@ -74,6 +81,7 @@
     void end()
     {
         m_done = nullptr;
+        endFigures(std::nullopt);
         if (m_peer)
             m_peer->release(m_lease);
     }
@@ -82,6 +90,7 @@
     void outcomeReceived(const LinkOutcome &outcome)
     {
         const Instant now = m_pool.m_options.timers.now();
+        endFigures(outcome.load);
         m_pool.observe(m_vm, [&](DatabaseObserver &observer) {
             if (outcome.end == LinkEnd::Answered)
                 observer.replied(outcome.reply, now - m_sentAt, now);
@@ -97,6 +106,12 @@
         finish(outcome);
     }
 
+    void endFigures(const std::optional<ExpectedLoad> &load)
+    {
+        if (std::exchange(m_isCounted, false))
+            m_pool.m_figures.ended(m_key, load, m_pool.m_options.timers.now());
+    }
+
     void finish(const LinkOutcome &outcome)
     {
         if (const Done done = std::exchange(m_done, nullptr))
@@ -112,6 +127,8 @@
     SessionPhase m_phase = SessionPhase::Idle;
     bool m_isBroken = false;
     Instant m_sentAt;
+    LenderFigures::Key m_key;
+    bool m_isCounted = false;
     Done m_done;
 };
 
--- a/libs/relay/src/relayserver.cpp
+++ b/libs/relay/src/relayserver.cpp
@@ -12,6 +12,11 @@
 
 constexpr std::chrono::milliseconds unacknowledgedTimeout{3000};
 
+// Interval at which the figures for a statement that waits beyond its hold time are checked.
+constexpr Duration holdRecheck = std::chrono::milliseconds(25);
+
+constexpr const char *cannotStartReason = "cannot start in time";
+
 } // namespace
 
 struct RelayServer::Data : std::enable_shared_from_this<RelayServer::Data>
@@ -24,6 +29,7 @@
         , statements(counters.counter("fescuespring_relayed_statements_total"))
         , refusals(counters.counter("fescuespring_relay_refusals_total"))
         , keyRefusals(counters.counter("fescuespring_relay_key_refusals_total"))
+        , expectedLate(counters.counter("fescuespring_relay_expected_late_total"))
     {}
 
     void accepted(std::unique_ptr<TcpStream> stream);
@@ -34,6 +40,9 @@
     Counter &statements;
     Counter &refusals;
     Counter &keyRefusals;
+
+    // Refusals of statements that the figures show not to start in time.
+    Counter &expectedLate;
     std::unique_ptr<TcpListener> listener;
     std::map<std::uint64_t, std::shared_ptr<Peer>> peers;
     std::uint64_t lastNumber = 0;
@@ -79,6 +88,7 @@
         LinkLease lease = {};
         LinkPool::TicketId ticket = 0;
         Timers::Id timeoutTimer = 0;
+        Instant arrivedAt = {};
         RelayMessage request = {};
         SessionContext context = {};
     };
@@ -167,15 +177,15 @@
             start(loan);
             return;
         }
-        loan->timeoutTimer =
-                m_server.timers.after(loan->request.timeout, [this, weak = std::weak_ptr(loan)] {
-                    const auto waiting = weak.lock();
-                    if (!waiting)
-                        return;
-                    waiting->timeoutTimer = 0;
-                    waiting->pool->cancel(std::exchange(waiting->ticket, 0));
-                    refuse(waiting, "no connection became free in time");
-                });
+        loan->arrivedAt = m_server.timers.now();
+        const auto &limits = loan->request.limits;
+        const bool isHeldAlready = limits && limits->hold == Duration(0);
+        if (cannotStart(*loan, isHeldAlready ? StartCheck::HoldEnd : StartCheck::Arrival)) {
+            m_server.expectedLate.add();
+            refuse(loan, cannotStartReason);
+            return;
+        }
+        scheduleTimeout(loan);
         loan->ticket =
                 loan->pool->wait(request, [this, weak = std::weak_ptr(loan)](LinkLease lease) {
                     const auto granted = weak.lock();
@@ -187,6 +197,54 @@
                 });
     }
 
+    static LinkRequest requirement(const RelayMessage &request)
+    {
+        return {.customer = request.customer, .priority = request.priority};
+    }
+
+    bool cannotStart(const Loan &loan, StartCheck check) const
+    {
+        const auto &limits = loan.request.limits;
+        const auto load = limits ? loan.pool->expected(loan.request.work, requirement(loan.request))
+                                 : std::nullopt;
+        const Duration waited = m_server.timers.now() - loan.arrivedAt;
+        return load && isExpectedLate(*load, limits->useful - waited, check);
+    }
+
+    // Ends the wait at the timeout, or from the end of the hold time on if the figures show that
+    // the statement cannot start in time.
+    void scheduleTimeout(const std::shared_ptr<Loan> &loan)
+    {
+        const Duration waited = m_server.timers.now() - loan->arrivedAt;
+        Duration delay = loan->request.timeout - waited;
+        StartCheck check = StartCheck::Later;
+        if (const auto &limits = loan->request.limits) {
+            if (waited < limits->hold)
+                check = StartCheck::HoldEnd;
+            delay = std::min(delay, waited < limits->hold ? limits->hold - waited : holdRecheck);
+        }
+        delay = std::max(delay, Duration(0));
+        loan->timeoutTimer =
+                m_server.timers.after(delay, [this, weak = std::weak_ptr(loan), check] {
+                    if (const auto waiting = weak.lock())
+                        checkWait(waiting, check);
+                });
+    }
+
+    void checkWait(const std::shared_ptr<Loan> &loan, StartCheck check)
+    {
+        loan->timeoutTimer = 0;
+        const bool hasTimedOut = m_server.timers.now() - loan->arrivedAt >= loan->request.timeout;
+        if (!hasTimedOut && !cannotStart(*loan, check)) {
+            scheduleTimeout(loan);
+            return;
+        }
+        loan->pool->cancel(std::exchange(loan->ticket, 0));
+        if (!hasTimedOut)
+            m_server.expectedLate.add();
+        refuse(loan, hasTimedOut ? "no connection became free in time" : cannotStartReason);
+    }
+
     void start(const std::shared_ptr<Loan> &loan)
     {
         m_server.timers.cancel(std::exchange(loan->timeoutTimer, 0));
@@ -204,7 +262,8 @@
                           .beginAfter = request.beginAfter,
                           .customer = request.customer,
                           .priority = request.priority,
-                          .key = request.key},
+                          .key = request.key,
+                          .work = request.work},
                          [this, weak = std::weak_ptr(loan)](const LinkOutcome &outcome) {
                              if (const auto ran = weak.lock())
                                  answer(ran->request, outcome);
@@ -237,6 +296,10 @@
     {
         RelayMessage message{
                 .kind = RelayMessage::Kind::Outcome, .lease = request.lease, .outcome = outcome};
+        if (const auto found = m_loans.find(request.lease);
+            found != m_loans.end() && found->second->pool)
+            message.outcome.load =
+                    found->second->pool->expected(request.work, requirement(request));
         const auto floor =
                 m_server.hooks.floorOf ? m_server.hooks.floorOf(request.database) : std::nullopt;
         if (floor) {
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -48,7 +48,10 @@
                            entryGone(entry);
                        }})
     , m_allowances(std::make_unique<AllowanceService>(*this, m_context.allowanceBound))
-{}
+{
+    if (m_context.isCapacityLearned)
+        tickCapacity();
+}
 
 const Upstreams::DatabasePools *Upstreams::findPools(const DatabaseId &database) const
 {
@@ -115,9 +118,11 @@
         if (pools)
             pools->own->close();
         pools = std::make_unique<DatabasePools>();
-        pools->own = DatabasePool::make(m_context.timers, m_context.connect,
-                                        {.target = entry.target, .counters = &m_context.counters});
+        pools->own = DatabasePool::make(
+                m_context.timers, m_context.connect,
+                {.target = entry.target, .counters = &m_context.counters, .limit = limitOptions()});
         serveCustomers(*pools->own);
+        pools->returnedAt = m_context.timers.now();
         pools->relayed = RelayPool::make({.timers = m_context.timers,
                                           .database = database,
                                           .peer = [this, database] { return peerFor(database); },
@@ -325,8 +330,11 @@
 }
 
 std::optional<DatabaseId> Upstreams::chooseReader(const GroupId &group,
-                                                  const std::set<DatabaseId> &excluded) const
+                                                  const std::set<DatabaseId> &excluded,
+                                                  const ReadWork &work)
 {
+    if (m_context.isCapacityLearned)
+        return chooseByCapacity(group, excluded, work);
     std::optional<DatabaseId> chosen;
     double lowest = 0;
     for (const UpstreamEntry *entry : m_directory.group(group)) {
--- a/libs/upstreampool/include/upstreampool/databasepool.h
+++ b/libs/upstreampool/include/upstreampool/databasepool.h
@@ -48,6 +48,8 @@
     // If set, counts connections opened, connections closed for another customer, and waits
     // granted. Must outlive the pool.
     Counters *counters = nullptr;
+    // Limit of concurrent statements, fixed or learned.
+    ConcurrencyLimitOptions limit = {};
 };
 
 // The connections of this VM to one database, the queue for them, and the limit of concurrent
@@ -84,6 +86,14 @@
         return inUse() + m_queue.size();
     }
 
+    std::optional<ExpectedLoad> expected(const WorkKind &work,
+                                         const LinkRequest &request) const override;
+
+    const ConcurrencyLimit &limit() const
+    {
+        return m_limit;
+    }
+
     // The limit of concurrent statements lies between minimumStatements and maximum. Connections in
     // excess of maximum are closed now if free, the others when they become free.
     void setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements);
@@ -186,7 +196,7 @@
     void passGates();
     void enterGate(std::function<bool()> start);
     void passGate(const std::function<bool()> &start);
-    void leaveGate(Duration time);
+    void leaveGate(Duration time, const WorkKind &work);
     void openFailed();
     void closeIdle();
     void closeExcess();
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/learnedlimit.h"
 #include "base/types.h"
 #include "customers/customer.h"
 #include "statements/sessioncontext.h"
@@ -37,6 +38,38 @@
     bool operator==(const KeyUse &) const = default;
 };
 
+// What is expected of a statement that comes to a pool now, from learned figures.
+struct ExpectedLoad
+{
+    // Time until it is sent to the database.
+    Duration wait{0};
+
+    // Time at the database; zero if unknown.
+    Duration service{0};
+};
+
+// Limits of the wait of a statement that has not been sent to a database.
+struct StartLimits
+{
+    // Time left in which its answer is useful.
+    Duration useful{0};
+
+    // Time left until it must be refused if its answer is doubtful.
+    Duration hold{0};
+};
+
+// When the figures for a waiting statement are compared with its limits. On arrival and later, it
+// is refused if its answer is expected too late. At the end of the hold time, it is refused already
+// if it needs more than half of the time left, as a refusal after that costs more than a prompt
+// one.
+enum class StartCheck {
+    Arrival,
+    HoldEnd,
+    Later,
+};
+
+bool isExpectedLate(const ExpectedLoad &load, Duration useful, StartCheck check);
+
 // One statement to run on a link, with what it requires of the connection.
 struct LinkCommand
 {
@@ -60,6 +93,12 @@
     std::uint32_t priority = 0;
     KeyUse key = {};
     Duration timeout = std::chrono::milliseconds(250);
+
+    // Kind of work, for learned times.
+    WorkKind work = {};
+
+    // For a relayed statement, if capacity is learned.
+    std::optional<StartLimits> limits = {};
 };
 
 enum class LinkEnd {
@@ -96,6 +135,10 @@
 
     // Newest point of the group's primary at the lending VM; only for relayed links.
     std::optional<PrimaryFloor> floor = {};
+
+    // What the lending VM expects of the next statement of this kind; only for relayed links, if
+    // capacity is learned there.
+    std::optional<ExpectedLoad> load = {};
 };
 
 // A connection to a database, own or relayed through another VM, for use by one statement or
@@ -218,6 +261,13 @@
     // Number of links in use and waiting tickets.
     virtual std::size_t load() const = 0;
 
+    // What a statement of this kind is to expect. Empty if unknown, or if capacity is not learned.
+    virtual std::optional<ExpectedLoad> expected(const WorkKind & /*work*/,
+                                                 const LinkRequest & /*request*/) const
+    {
+        return std::nullopt;
+    }
+
 private:
     friend class LinkLease;
     virtual void giveBack(const std::shared_ptr<StatementLink> &link) = 0;
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -16,6 +16,7 @@
     : m_timers(timers)
     , m_connect(std::move(connect))
     , m_options(std::move(options))
+    , m_limit(m_options.limit)
     , m_observer(timers.now())
 {
     if (!m_options.counters)
@@ -45,6 +46,18 @@
     return found == m_links.end() ? nullptr : &*found;
 }
 
+std::optional<ExpectedLoad> DatabasePool::expected(const WorkKind &work,
+                                                   const LinkRequest &request) const
+{
+    const LearnedLimit *limit = m_limit.learned();
+    if (!limit)
+        return std::nullopt;
+    const std::size_t ahead =
+            m_queue.countAhead(request.priority, request.customer) + m_atGate.size();
+    return ExpectedLoad{.wait = limit->expectedWait(ahead, m_timers.now()),
+                        .service = limit->serviceTime(work)};
+}
+
 void DatabasePool::setLimits(std::uint32_t kept, std::uint32_t maximum, double minimumStatements)
 {
     m_limit.setBounds(minimumStatements, std::max<double>(minimumStatements, maximum));
@@ -121,9 +134,9 @@
                                  }},
             .gate = {.enter = [this](std::function<bool()> start) { enterGate(std::move(start)); },
                      .leave =
-                             [this, used](Duration time) {
+                             [this, used](Duration time, const WorkKind &work) {
                                  *used += time;
-                                 leaveGate(time);
+                                 leaveGate(time, work);
                              }},
             .onOpened = [this](DatabaseLink &link,
                                const StatementReply &reply) { linkOpened(link, reply); },
@@ -258,14 +271,14 @@
 
 void DatabasePool::passGate(const std::function<bool()> &start)
 {
-    m_limit.begin();
+    m_limit.begin(m_timers.now());
     if (!start())
         m_limit.end(Duration(0), m_timers.now());
 }
 
-void DatabasePool::leaveGate(Duration time)
+void DatabasePool::leaveGate(Duration time, const WorkKind &work)
 {
-    m_limit.end(time, m_timers.now());
+    m_limit.end(time, m_timers.now(), work);
     passGates();
     grantNext();
 }
