--- a/libs/relay/include/relay/customerowners.h
+++ b/libs/relay/include/relay/customerowners.h
@@ -23,9 +23,9 @@
     // Between 0 and 1; 0 for a customer without a known share.
     double share(const CustomerId &customer) const;
 
-    // The share as a multiple of the mean, at least a quarter: the operations of a rare customer
-    // come singly, and its share would delay each second one. 1 for a customer without a known
-    // share.
+    // The share as a multiple of the mean, at least 1: with less, each second operation of a rare
+    // customer waits behind those of larger ones, which gains these little. 1 for a customer
+    // without a known share.
     double weight(const CustomerId &customer) const;
 
 private:
--- a/libs/relay/src/customerowners.cpp
+++ b/libs/relay/src/customerowners.cpp
@@ -25,7 +25,7 @@
 
 double CustomerShares::weight(const CustomerId &customer) const
 {
-    constexpr double minimumWeight = 0.25;
+    constexpr double minimumWeight = 1;
     const auto found = m_shares.find(customer);
     if (found == m_shares.end())
         return 1;
--- a/libs/relay/tests/connectionmodel.cpp
+++ b/libs/relay/tests/connectionmodel.cpp
@@ -77,6 +77,8 @@
     SlotDatabase database{timers};
     std::uint64_t started = 0;
     std::uint64_t good = 0;
+    std::uint64_t othersStarted = 0;
+    std::uint64_t othersGood = 0;
     std::uint64_t smallStarted = 0;
     std::uint64_t smallGood = 0;
     std::vector<Duration> smallWaits;
@@ -147,6 +149,7 @@
         operation->statements = m_random() % 10 < 3 ? 1 + static_cast<int>(m_random() % 12) : 1;
         operation->issuedAt = timers.now();
         ++started;
+        othersStarted += rank != m_options.surging ? 1 : 0;
         smallStarted += rank >= firstSmall ? 1 : 0;
         operation->pool = poolOf(rank);
         const LinkRequest request{
@@ -192,6 +195,7 @@
         if (--operation->statements == 0) {
             operation->lease.release();
             good += operation->isLate ? 0 : 1;
+            othersGood += operation->isLate || operation->rank == m_options.surging ? 0 : 1;
             smallGood += operation->isLate || operation->rank < firstSmall ? 0 : 1;
             return;
         }
@@ -225,6 +229,8 @@
     double opened = 0;
     double started = 0;
     double good = 0;
+    double othersStarted = 0;
+    double othersGood = 0;
     double smallStarted = 0;
     double smallGood = 0;
     Duration openings{0};
@@ -236,6 +242,8 @@
         openings += model.database.usedByOpenings;
         started += static_cast<double>(model.started);
         good += static_cast<double>(model.good);
+        othersStarted += static_cast<double>(model.othersStarted);
+        othersGood += static_cast<double>(model.othersGood);
         smallStarted += static_cast<double>(model.smallStarted);
         smallGood += static_cast<double>(model.smallGood);
         waits.insert(waits.end(), model.smallWaits.begin(), model.smallWaits.end());
@@ -247,6 +255,7 @@
     result.openingShare = std::chrono::duration<double>(openings).count()
                           / (databaseSeconds * SlotDatabase::slots);
     result.goodput = ratio(good, started);
+    result.othersGoodput = ratio(othersGood, othersStarted);
     result.smallGoodput = ratio(smallGood, smallStarted);
     std::ranges::sort(waits);
     Duration sum{0};
--- a/libs/relay/tests/connectionmodel.h
+++ b/libs/relay/tests/connectionmodel.h
@@ -167,6 +167,9 @@
     double openedPerSecond = 0;
     double openingShare = 0;
     double goodput = 0;
+
+    // Of all customers but the surging one.
+    double othersGoodput = 0;
     double smallGoodput = 0;
     Duration smallWait{0};
     Duration smallWait99{0};
--- a/libs/statementproxy/src/upstreamowners.cpp
+++ b/libs/statementproxy/src/upstreamowners.cpp
@@ -185,11 +185,22 @@
     return {.peer = peerFor(database)};
 }
 
-// A lender that does not respond is not used for customers until it has answered a probe.
+// A lender that does not respond is not used for customers until it has answered a probe. Its last
+// probe is kept as long.
 void Upstreams::probeLenders(const DatabaseId &database, DatabasePools &pools)
 {
     const Instant now = m_context.timers.now();
+    std::erase_if(pools.lenderProbedAt, [&](const auto &probed) {
+        const bool responds = !pools.relayed->unresponsiveSince(probed.first);
+        if (responds)
+            m_context.log.info("lender-responds", {{"vm", probed.first}, {"database", database}});
+        return responds;
+    });
     for (const VmId &vm : pools.relayed->unresponsiveLenders()) {
+        if (now - *pools.relayed->unresponsiveSince(vm) < relayPeerTimeout)
+            continue;
+        if (!pools.lenderProbedAt.contains(vm))
+            m_context.log.info("lender-unresponsive", {{"vm", vm}, {"database", database}});
         Instant &probedAt = pools.lenderProbedAt[vm];
         if (now < probedAt + lenderProbeInterval)
             continue;
