A long statement is not refused for its length alone

Expected wait and service time together exceed the latency target of a statement that takes longer than it even when the database is idle; such statements were always refused. A statement is now late only if its wait also exceeds a quarter of the time left. New test longStatementIsServed.

--- a/libs/admission/tests/serverload.h
+++ b/libs/admission/tests/serverload.h
@@ -127,10 +127,9 @@
         if (waited != Duration(0) && !isHoldEnd && waited <= hold)
             return false;
         const std::size_t ahead = owner.waiting.countAhead(job.work->priority);
-        const Duration time =
-                limit->expectedWait(ahead, now) + limit->serviceTime(WorkKind(job.work->kind));
-        const Duration left = job.work->target - waited;
-        return time > (isHoldEnd ? left / 2 : left);
+        const Duration left = (job.work->target - waited) / (isHoldEnd ? 2 : 1);
+        const Duration service = limit->serviceTime(WorkKind(job.work->kind));
+        return limit->expectedWait(ahead, now) > std::max(left - service, left / 4);
     }
 
     void step()
--- a/libs/statementproxy/tests/learnedcapacitytest.cpp
+++ b/libs/statementproxy/tests/learnedcapacitytest.cpp
@@ -133,6 +133,7 @@
     CPPUNIT_TEST(excessIsRefusedOnArrival);
     CPPUNIT_TEST(fixedCapacityRefusesNothingOnArrival);
     CPPUNIT_TEST(queuedStatementOfAStalledDatabaseIsNotHeld);
+    CPPUNIT_TEST(longStatementIsServed);
     CPPUNIT_TEST(readsAreSpreadOverFastDatabases);
     CPPUNIT_TEST_SUITE_END();
 
@@ -181,6 +182,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{30}, callers.replies.size());
     }
 
+    // Load: statements that take longer than their latency target. Guards against refusing them for
+    // their length alone: a late answer is worth more than none.
+    void longStatementIsServed()
+    {
+        Vm vm(true);
+        vm.databases["a"].work = 300ms;
+        Callers callers(vm, ReadConsistency::Primary, 2);
+        for (int i = 0; i < 20; ++i) {
+            vm.upstreams.leadership().snapshot({}, vm.timers.now());
+            callers.readAtOnce(400ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, callers.count(StatementFailure::None));
+        }
+    }
+
     // Load: one replica runs at a fifth of its speed. Guards against a choice that keeps sending it
     // an equal part.
     void readsAreSpreadOverFastDatabases()
--- a/libs/upstreampool/include/upstreampool/linkpool.h
+++ b/libs/upstreampool/include/upstreampool/linkpool.h
@@ -57,6 +57,8 @@
     Later,
 };
 
+// A statement that takes nearly the whole time, or more, is not late if it starts in a quarter of
+// it: its late answer is worth more than none.
 bool isExpectedLate(const ExpectedLoad &load, Duration useful, StartCheck check);
 
 // One statement to run on a link, with what it requires of the connection.
--- a/libs/upstreampool/src/linkpool.cpp
+++ b/libs/upstreampool/src/linkpool.cpp
@@ -1,5 +1,6 @@
 #include "upstreampool/linkpool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuespring {
@@ -13,7 +14,8 @@
 
 bool isExpectedLate(const ExpectedLoad &load, Duration useful, StartCheck check)
 {
-    return load.wait + load.service > (check == StartCheck::HoldEnd ? useful / 2 : useful);
+    const Duration left = check == StartCheck::HoldEnd ? useful / 2 : useful;
+    return load.wait > std::max(left - load.service, left / 4);
 }
 
 DatabaseObserver::DatabaseObserver(Instant now)
