Statements are refused at once while a change of primary waits long

Cause: while a change waits for a database of the newest term, each statement that needs the primary was held for 600 ms before its refusal.

Change: after 3 s without a usable primary, longer than a change takes, it is refused at once.

--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -136,6 +136,10 @@
     // False for a database that has not replied to requests for too long, and for an unknown one.
     bool isResponsive(const DatabaseId &database) const;
 
+    // Whether statements have found no usable primary for longer than a change of primary takes, so
+    // that they are refused at once.
+    bool isWithoutPrimary(const GroupId &group);
+
     // Whether the group's primary does not respond to this VM although it may respond to others, so
     // that this VM cannot serve statements that need the primary.
     bool isIsolated(const GroupId &group) const;
@@ -268,6 +272,9 @@
     // majority.
     std::map<GroupId, Instant> m_evidenceFailingSince;
     Instant m_evidenceRecheckedAt;
+
+    // When a statement first found no usable primary, since one last found one.
+    std::map<GroupId, Instant> m_withoutPrimarySince;
     std::map<GroupId, GroupLimits> m_limits;
     OwnerPlan m_ownerPlan;
     bool m_areVmsKnown = false;
--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -136,6 +136,10 @@
         fail(StatementFailure::Busy, "this VM cannot reach the primary");
         return;
     }
+    if (upstreams().isWithoutPrimary(m_route.group)) {
+        fail(StatementFailure::Busy, "the group currently has no usable primary");
+        return;
+    }
     const bool canConfirm = commitsWrites() ? upstreams().canConfirmCommits(m_route.group)
                                             : upstreams().canConfirmLeadership(m_route.group);
     if (!canConfirm) {
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -38,6 +38,10 @@
 // Maximum time for which a draining primary gets new statements while it has no successor.
 constexpr Duration maximumDrainingUse = std::chrono::milliseconds(5500);
 
+// Time without a usable primary after which a statement is not held for one: a change of primary
+// that takes longer waits for a database.
+constexpr Duration longestChange = std::chrono::seconds(3);
+
 // Weights for the cost of a read, which is based on the service time: the primary's slots are
 // needed for writes, another data centre adds latency, and failing databases are avoided.
 constexpr double primaryFactor = 1.6;
@@ -305,6 +309,17 @@
     return primary->database;
 }
 
+bool Upstreams::isWithoutPrimary(const GroupId &group)
+{
+    if (usablePrimary(group)) {
+        m_withoutPrimarySince.erase(group);
+        return false;
+    }
+    const Instant now = m_context.timers.now();
+    const Instant since = m_withoutPrimarySince.try_emplace(group, now).first->second;
+    return now - since > longestChange;
+}
+
 bool Upstreams::isResponsive(const DatabaseId &database) const
 {
     const auto linkPool = pool(database);
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -162,6 +162,7 @@
     CPPUNIT_TEST(majorityIsEnoughWithinTheDepartureNotice);
     CPPUNIT_TEST(writeIsNotSentWhileConfirmationFails);
     CPPUNIT_TEST(commitsGoOnWithOneDatabaseDown);
+    CPPUNIT_TEST(longChangeRefusesAtOnce);
     CPPUNIT_TEST(unresponsivePrimaryIsRefusedQuickly);
     CPPUNIT_TEST(recoveredPrimaryIsUsedAgain);
     CPPUNIT_TEST(unresponsiveReplicaIsHedged);
@@ -507,6 +508,36 @@
         CPPUNIT_ASSERT(vm.timers.now() - sentAt < 100ms);
     }
 
+    // A change of primary waits for a database of the newest term: guards against statements that
+    // are held for it, as a late refusal costs more than a prompt one.
+    void longChangeRefusesAtOnce()
+    {
+        Vm vm;
+        Caller caller(vm, "strict");
+        vm.databases["a"].isSilent = true;
+        caller.execute(readItem);
+        const LeadershipRecord announced{.group = group,
+                                         .isChanging = true,
+                                         .primary = DatabaseId("a"),
+                                         .term = Term(1),
+                                         .version = ObjectVersion(5)};
+        const auto refusalTime = [&] {
+            vm.upstreams.leadership().snapshot({.records = {announced}}, vm.timers.now());
+            const Instant before = vm.timers.now();
+            CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::Busy);
+            return vm.timers.now() - before;
+        };
+        CPPUNIT_ASSERT(refusalTime() > 300ms);
+        vm.timers.advance(3s);
+        CPPUNIT_ASSERT(refusalTime() < 20ms);
+        vm.databases["a"].isSilent = false;
+        vm.timers.advance(1s);
+        vm.upstreams.probeUnresponsive();
+        vm.timers.advance(100ms);
+        vm.replicate();
+        CPPUNIT_ASSERT(caller.failure(writeItem) == StatementFailure::None);
+    }
+
     // Refused statements are not sent, so only a probe detects the recovery.
     void recoveredPrimaryIsUsedAgain()
     {
