Statements of a customer go to the owner that serves it

Cause: StatementRun asked for the preferred pool of the database, so a customer's statements were spread over all owners. Change: it asks for the pool of the customer; openings tell the limit when they begin.

--- a/libs/statementproxy/src/statementrun.cpp
+++ b/libs/statementproxy/src/statementrun.cpp
@@ -263,7 +263,7 @@
 
 void StatementRun::attempt(const DatabaseId &database, std::optional<LogPoint> after)
 {
-    const std::shared_ptr<LinkPool> pool = upstreams().pool(database);
+    const std::shared_ptr<LinkPool> pool = upstreams().pool(database, m_customer);
     if (!pool) {
         m_excluded.insert(database);
         retryAfter(noReaderRetryDelay);
--- a/libs/upstreampool/src/databasepool.cpp
+++ b/libs/upstreampool/src/databasepool.cpp
@@ -153,7 +153,7 @@
              .holdsSlot = !customer.isEmpty(),
              .used = used});
     if (!customer.isEmpty())
-        m_limit.begin();
+        m_limit.begin(m_timers.now());
 }
 
 void DatabasePool::openFailed()
