A VM that the others knew before its start counts allowances after 0.3 s

Change: the pause of 3 s is for VMs that the others may not know yet; a restarted one waits until the tokens of its predecessor have expired. statement-failed names the customer. Result: test restartOfAllIsBoundedAndShort; windows stay within the bound.

--- a/libs/allowance/include/allowance/allowancevm.h
+++ b/libs/allowance/include/allowance/allowancevm.h
@@ -94,6 +94,12 @@
     // comes from records that have expired because the store could not be reached.
     void setVms(const std::vector<AllowanceMember> &members);
 
+    // The other VMs know this VM from before its start, so that it may count sooner.
+    void setRestarted()
+    {
+        m_isRestarted = true;
+    }
+
     // A VM has left in an orderly way.
     void vmLeft(const VmId &vm);
 
@@ -173,6 +179,8 @@
     CountingShare share(const CustomerId &customer, const State &state) const;
     std::size_t deputyContacts(const VmId &counter, Instant startedAt) const;
     double startLevel() const;
+    // Until it counts for others.
+    Duration pauseLeft() const;
     bool isStarted() const;
     void updateFleet();
     void updateRoles();
@@ -197,6 +205,7 @@
 
     Options m_options;
     Instant m_startedAt;
+    bool m_isRestarted = false;
     std::vector<AllowanceMember> m_members;
     bool m_wasListed = false;
     AllowanceFleet m_fleet;
--- a/libs/allowance/src/allowancetimes.h
+++ b/libs/allowance/src/allowancetimes.h
@@ -4,8 +4,10 @@
 
 namespace fescuespring::detail {
 
-// A VM counts for no one in its first seconds, until all others know of it.
+// A VM counts for no one in its first seconds, until all others know of it. One that they know from
+// before its start only waits until its predecessor's tokens have expired.
 inline constexpr Duration startPause = std::chrono::seconds(3);
+inline constexpr Duration restartPause = std::chrono::milliseconds(300);
 
 // Times without an answer after which the deputy is asked, and after which the deputy, which asks
 // the counter first, counts as not responding either.
--- a/libs/allowance/src/allowancevmcounting.cpp
+++ b/libs/allowance/src/allowancevmcounting.cpp
@@ -117,12 +117,18 @@
 
 AllowanceAnswer AllowanceVm::notCounting() const
 {
-    return {.retryAfter = std::max(Duration(0), startPause - (now() - m_startedAt))};
+    return {.retryAfter = pauseLeft()};
+}
+
+Duration AllowanceVm::pauseLeft() const
+{
+    const Duration pause = m_isRestarted ? restartPause : startPause;
+    return std::max(Duration(0), pause - (now() - m_startedAt));
 }
 
 bool AllowanceVm::isStarted() const
 {
-    return now() - m_startedAt >= startPause;
+    return pauseLeft() == Duration(0);
 }
 
 double AllowanceVm::startLevel() const
--- a/libs/allowance/tests/allowancefailurestest.cpp
+++ b/libs/allowance/tests/allowancefailurestest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(cutDataCentreIsBounded);
     CPPUNIT_TEST(splitDataCentreIsBounded);
     CPPUNIT_TEST(killedCounterIsReplaced);
+    CPPUNIT_TEST(restartOfAllIsBoundedAndShort);
     CPPUNIT_TEST(killedLenderIsBounded);
     CPPUNIT_TEST(isolatedVmsAreBounded);
     CPPUNIT_TEST(allIsolatedVmsAreBounded);
@@ -97,6 +98,25 @@
         site.assertBounded("killed counter");
     }
 
+    // Guards against VMs that refuse everything for seconds after all of them lost power, and
+    // against a second burst.
+    void restartOfAllIsBoundedAndShort()
+    {
+        Site site({100, 100});
+        site.demandEverywhere(100 / 1.6);
+        site.run(10s);
+        site.restartAll();
+        site.run(500ms);
+        site.servedShare();
+        site.run(2s);
+        site.assertServed("restart of all, from 0.5 to 2.5 s", 0.9);
+        site.demandEverywhere(300);
+        site.run(10s);
+        site.restartAll();
+        site.run(10s);
+        site.assertBounded("restart of all");
+    }
+
     // Guards against a deputy that grants what the counter had lent.
     void killedLenderIsBounded()
     {
--- a/libs/allowance/tests/allowancenetwork.h
+++ b/libs/allowance/tests/allowancenetwork.h
@@ -109,6 +109,23 @@
         vms[vm]->operationsPerSecond = 0;
     }
 
+    // All VMs start again at once, and know nothing of before.
+    void restartAll()
+    {
+        std::vector<std::pair<AllowanceMember, double>> members;
+        for (const auto &[id, vm] : vms) {
+            members.emplace_back(vm->member, vm->operationsPerSecond);
+            // Timers still refer to it.
+            m_ended.push_back(vm);
+        }
+        for (const auto &[member, operationsPerSecond] : members) {
+            boot(member);
+            vms[member.vm]->operationsPerSecond = operationsPerSecond;
+            vms[member.vm]->state->setRestarted();
+        }
+        announce();
+    }
+
     // A paused VM handles nothing until it is resumed, and then everything that has arrived.
     void pause(const VmId &vm)
     {
@@ -257,6 +274,7 @@
         });
     }
 
+    std::vector<std::shared_ptr<Vm>> m_ended;
     std::mt19937 m_random;
     std::uint64_t m_steps = 0;
     std::uint64_t m_started = 0;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "recordwrites.h"
 
+#include "statementproxy/allowanceservice.h"
 #include "store/objectversion.h"
 
 #include <algorithm>
@@ -324,8 +325,10 @@
 void Coordinator::vmChanged(const VmRecord &record)
 {
     // A record of a previous incarnation: the other VMs are already in the store too.
-    if (record.vm == m_own.vm && record.incarnation != m_own.incarnation)
+    if (record.vm == m_own.vm && record.incarnation != m_own.incarnation) {
         m_isRestart = true;
+        m_upstreams.allowances().setRestarted();
+    }
     m_vms.update(record, now());
 }
 
--- a/libs/statementproxy/include/statementproxy/allowanceservice.h
+++ b/libs/statementproxy/include/statementproxy/allowanceservice.h
@@ -34,6 +34,7 @@
 
     // A VM has left in an orderly way and serves no callers any more.
     void vmLeft(const VmId &vm);
+    void setRestarted();
 
     // Takes a token for an operation. Calls decided once, possibly from inside the call. An
     // operation without a customer may always start.
--- a/libs/statementproxy/src/allowanceservice.cpp
+++ b/libs/statementproxy/src/allowanceservice.cpp
@@ -56,6 +56,11 @@
     m_vm->vmLeft(vm);
 }
 
+void AllowanceService::setRestarted()
+{
+    m_vm->setRestarted();
+}
+
 void AllowanceService::start(const CustomerId &customer, AllowanceVm::Decided decided)
 {
     // Without customers set, allowances are not enforced.
--- a/libs/statementproxy/src/statementoutcome.cpp
+++ b/libs/statementproxy/src/statementoutcome.cpp
@@ -325,6 +325,7 @@
              {"kind", toString(m_statement.kind)},
              {"group", m_route.group},
              {"route", m_route.name},
+             {"customer", m_customer},
              {"configuration", m_configuration},
              {"reason", toString(reply.failure)},
              {"message", reply.message},
