A list of customers without a valid entry lets nobody in

Change: callers are identified wherever the configuration has such a list that is not empty. Result: test faultyListLetsNobodyIn, red before.

--- a/libs/directory/include/directory/routetable.h
+++ b/libs/directory/include/directory/routetable.h
@@ -74,6 +74,10 @@
     // identified.
     std::vector<Customer> customers = {};
 
+    // Whether callers must show a customer's key. Also set where no entry of the list of customers
+    // is valid, so that a faulty list lets nobody in.
+    bool areCallersIdentified = false;
+
     // A transaction that is idle for longer may be ended.
     std::chrono::milliseconds idleTransactionTimeout{10'000};
 };
@@ -110,7 +114,7 @@
     // Whether the configuration has to be confirmed, as it has customers and there is a bound.
     bool needsConfirmation() const
     {
-        return m_confirmationBound && !m_customers.isEmpty();
+        return m_confirmationBound && areCallersIdentified();
     }
 
     // Whether a key was removed by a configuration that came into force here, and not added again.
@@ -130,6 +134,10 @@
     {
         return m_configuration;
     }
+    bool areCallersIdentified() const
+    {
+        return m_configuration.areCallersIdentified || !m_customers.isEmpty();
+    }
     const CustomerTable &customers() const
     {
         return m_customers;
--- a/libs/directory/src/identification.cpp
+++ b/libs/directory/src/identification.cpp
@@ -17,14 +17,14 @@
 bool isKnown(const RouteTable &routes, const Route &route, const KeyDigest &key)
 {
     const CustomerTable &customers = routes.customers();
-    return route.isPublic || customers.isEmpty() || customers.findByKey(key);
+    return route.isPublic || !routes.areCallersIdentified() || customers.findByKey(key);
 }
 
 Identification identify(const RouteTable &routes, const Route &route, const KeyDigest &key,
                         Instant now)
 {
     const CustomerTable &customers = routes.customers();
-    if (route.isPublic || customers.isEmpty())
+    if (route.isPublic || !routes.areCallersIdentified())
         return {};
     if (!routes.isCurrent(now))
         return {.failure = StatementFailure::Busy};
@@ -46,7 +46,7 @@
                                std::uint64_t configuration, Instant now)
 {
     const CustomerTable &customers = routes.customers();
-    if (key.isEmpty() || customers.isEmpty())
+    if (key.isEmpty() || !routes.areCallersIdentified())
         return {};
     if (!routes.isCurrent(now))
         return {.failure = StatementFailure::Busy};
