--- a/libs/coordination/include/coordination/storeaccess.h
+++ b/libs/coordination/include/coordination/storeaccess.h
@@ -54,11 +54,6 @@
         // The live VMs.
         std::function<std::vector<VmRecord>()> vms = {};
 
-        // If set, lists the live VMs only, until stopWatching. This VM then starts so, and reads
-        // the other kinds itself only if it is the reader or its standby, or finds none to follow
-        // within firstWatchDelay.
-        std::function<void()> startListingVms = {};
-
         // Starts and stops updating the mirror from the store.
         std::function<void()> startWatching = {};
         std::function<void()> stopWatching = {};
@@ -73,7 +68,7 @@
     explicit StoreAccess(Options options);
     ~StoreAccess();
 
-    // Starts by reading the store directly, or by listing the VMs.
+    // Starts by reading the store directly.
     void start();
 
     // Reads the leadership records from the followed VM or the store.
@@ -104,9 +99,6 @@
     };
 
     void update();
-    void watchIfNeeded(const std::vector<VmRecord> &vms);
-    void startWatching();
-    void stopWatching();
     std::size_t ownRank(const std::vector<VmRecord> &neighbours) const;
     bool isReader(const std::vector<VmRecord> &vms) const;
     const VmRecord *vmToFollow(const std::vector<VmRecord> &vms,
@@ -127,10 +119,6 @@
     VmId m_followed;
     Mode m_mode = Mode::Direct;
 
-    // Whether the mirror is updated from the store, and when that begins at the latest.
-    bool m_isWatching = false;
-    Instant m_watchFrom;
-
     // Whether the followed VM is not the reader of this data centre, so that following it is only
     // temporary.
     bool m_isTemporary = false;
--- a/libs/coordination/src/storeaccess.cpp
+++ b/libs/coordination/src/storeaccess.cpp
@@ -18,9 +18,6 @@
 // Time limit for a reader that does not answer but is still sending data, such as a long list.
 constexpr Duration busyReaderTimeout = std::chrono::seconds(5);
 
-// Time after the start in which a VM that is no reader searches for one that has started.
-constexpr Duration firstWatchDelay = milliseconds(1000);
-
 // Older records are not current.
 constexpr Duration maximumRecordAge = milliseconds(800);
 
@@ -50,12 +47,7 @@
 void StoreAccess::start()
 {
     m_lastStoreAnswerAt = m_options.timers.now();
-    if (m_options.startListingVms) {
-        m_watchFrom = m_lastStoreAnswerAt + firstWatchDelay;
-        m_options.startListingVms();
-    } else {
-        startWatching();
-    }
+    m_options.startWatching();
     update();
 }
 
@@ -103,7 +95,6 @@
     m_timer = m_options.timers.after(isSettled ? updateInterval : unsettledUpdateInterval,
                                      [this] { update(); });
     const std::vector<VmRecord> vms = m_options.vms();
-    watchIfNeeded(vms);
     if (vms.empty())
         return;
     const Instant now = m_options.timers.now();
@@ -125,30 +116,6 @@
         tryFollowing(*vm);
 }
 
-// While many VMs start at once, most of them get everything from the few that read the store.
-void StoreAccess::watchIfNeeded(const std::vector<VmRecord> &vms)
-{
-    if (m_mode != Mode::Direct || m_isWatching)
-        return;
-    const std::vector<VmRecord> neighbours = vmsOfDataCentre(vms);
-    const std::size_t rank = ownRank(neighbours);
-    const bool isOneOfTheReaders = rank <= standbyRank && rank < neighbours.size();
-    if (isOneOfTheReaders || m_options.timers.now() >= m_watchFrom)
-        startWatching();
-}
-
-void StoreAccess::startWatching()
-{
-    m_isWatching = true;
-    m_options.startWatching();
-}
-
-void StoreAccess::stopWatching()
-{
-    m_isWatching = false;
-    m_options.stopWatching();
-}
-
 void StoreAccess::tryFollowing(const VmRecord &vm)
 {
     m_followed = vm.vm;
@@ -194,7 +161,7 @@
     m_mode = Mode::Following;
     m_followedSince = m_options.timers.now();
     if (wasDirect)
-        stopWatching();
+        m_options.stopWatching();
     m_options.onWakeUp();
 }
 
@@ -209,7 +176,7 @@
     m_options.log.info("feed-search-started", {{"vm", m_followed}, {"reason", reason}});
     m_options.counters.counter("fescuespring_store_sought_total").add();
     if (m_mode == Mode::Direct)
-        stopWatching();
+        m_options.stopWatching();
     m_mode = Mode::Searching;
     // The reader and the standby read the store immediately; the others first search for one of
     // them.
@@ -243,7 +210,7 @@
     m_options.log.info("store-read-directly", {});
     removeFollower();
     m_mode = Mode::Direct;
-    startWatching();
+    m_options.startWatching();
 }
 
 void StoreAccess::readRecords(ReadDone done)
--- a/libs/coordination/tests/storeaccesstest.cpp
+++ b/libs/coordination/tests/storeaccesstest.cpp
@@ -44,13 +44,7 @@
                     .self = VmId(name),
                     .dataCentre = DataCentreId("north"),
                     .vms = [this] { return world.registered(); },
-                    .startListingVms = world.startFromPeers ? [this] { isListing = true; }
-                                                            : std::function<void()>(),
-                    .startWatching =
-                            [this] {
-                                isWatching = true;
-                                ++watches;
-                            },
+                    .startWatching = [this] { isWatching = true; },
                     .stopWatching = [this] { isWatching = false; },
                     .readFromStore = [this](const StoreAccess::ReadDone &done) { read(done); },
                     .onWakeUp =
@@ -93,8 +87,6 @@
         std::unique_ptr<FeedReader> feed;
         std::unique_ptr<StoreAccess> access;
         int reads = 0;
-        int watches = 0;
-        bool isListing = false;
         bool isWatching = false;
         bool canReachStore = true;
 
@@ -102,8 +94,7 @@
         std::optional<Endpoint> replacementFeed;
     };
 
-    explicit World(int count, bool useStartFromPeers = false)
-        : startFromPeers(useStartFromPeers)
+    explicit World(int count)
     {
         for (int i = 0; i < count; ++i)
             vms.push_back(std::make_unique<Vm>(*this, "vm-" + std::to_string(i)));
@@ -136,7 +127,6 @@
         return reads;
     }
 
-    const bool startFromPeers;
     EventLoop loop;
     LoopTimers timers{loop};
     Log log = std::move(Log::open({.level = LogLevel::Off}).value());
@@ -213,8 +203,6 @@
 {
     CPPUNIT_TEST_SUITE(StoreAccessTest);
     CPPUNIT_TEST(oneVmReadsForAll);
-    CPPUNIT_TEST(mostVmsStartFromPeers);
-    CPPUNIT_TEST(vmWithoutPeersStartsByItself);
     CPPUNIT_TEST(standbyReadsIfTheReaderCannot);
     CPPUNIT_TEST(recoveredReaderReadsAgain);
     CPPUNIT_TEST(readerThatIsSendingIsWaitedFor);
@@ -236,29 +224,6 @@
         }
     }
 
-    // Guards against hundreds of VMs that each list and watch everything when they start together.
-    void mostVmsStartFromPeers()
-    {
-        World world(6, true);
-        world.run(1500ms);
-        CPPUNIT_ASSERT(world.vms[0]->isWatching);
-        for (std::size_t i = 2; i < world.vms.size(); ++i) {
-            CPPUNIT_ASSERT(world.vms[i]->isListing);
-            CPPUNIT_ASSERT_EQUAL(0, world.vms[i]->watches);
-            CPPUNIT_ASSERT(world.vms[i]->access->isFollowing());
-        }
-    }
-
-    // Guards against a VM that never starts, as the VMs that it knows of do not answer.
-    void vmWithoutPeersStartsByItself()
-    {
-        World world(3, true);
-        for (const auto &vm : world.vms)
-            vm->replacementFeed = Endpoint{"127.0.0.1", 1};
-        world.run(1500ms);
-        CPPUNIT_ASSERT(world.vms[2]->isWatching);
-    }
-
     // The store rejects the reader and serves the others.
     void standbyReadsIfTheReaderCannot()
     {
--- a/libs/settings/include/settings/statementsettings.h
+++ b/libs/settings/include/settings/statementsettings.h
@@ -65,10 +65,6 @@
     // Bound on the operations of each customer; empty if their allowances are not enforced.
     std::optional<AllowanceBound> allowanceBound = {};
 
-    // Starts with what another VM of its data centre holds, and reads the store itself only if none
-    // is found. Saves most of the calls to the store when many VMs start.
-    bool startsFromPeers = false;
-
     // All VMs of the installation start for the first time, and nothing was written to the store.
     bool isFirstStart = false;
 
--- a/libs/settings/src/statementsettings.cpp
+++ b/libs/settings/src/statementsettings.cpp
@@ -62,7 +62,6 @@
                          {milliseconds(0), milliseconds(3'600'000)});
     readRevocationBound(section, settings);
     readAllowanceBound(section, settings);
-    section.boolean("startFromPeers", settings.startsFromPeers);
     section.boolean("firstStart", settings.isFirstStart);
     section.choice("databaseCapacity", settings.databaseCapacity, databaseCapacityFromString,
                    "fixed, learned");
--- a/libs/settings/tests/statementsettingstest.cpp
+++ b/libs/settings/tests/statementsettingstest.cpp
@@ -76,10 +76,6 @@
         CPPUNIT_ASSERT(byDefault.value().databaseCapacity == DatabaseCapacity::Fixed);
         const auto learned = parseStatementSettings(validSettings + "databaseCapacity: learned\n");
         CPPUNIT_ASSERT(learned.value().databaseCapacity == DatabaseCapacity::Learned);
-        CPPUNIT_ASSERT(!byDefault.value().startsFromPeers);
-        CPPUNIT_ASSERT(parseStatementSettings(validSettings + "startFromPeers: true\n")
-                               .value()
-                               .startsFromPeers);
         const auto fixed = parseStatementSettings(validSettings + "databaseCapacity: fixed\n");
         CPPUNIT_ASSERT(fixed.value().databaseCapacity == DatabaseCapacity::Fixed);
         const auto invalid = parseStatementSettings(validSettings + "databaseCapacity: guessed\n");
