--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -93,6 +93,7 @@
 departureNoticeMs: 7000
 stopGraceSeconds: 6
 firstStart: true
+${moreSettings:-}
 YAML
     FESCUESPRING_CONFIG="$work/vm-$1.yaml" start "vm-$1" "$program"
 }
@@ -113,9 +114,10 @@
     done
     reply+="(closed)"
 }
+# connect VM NAME [KEY]
 connect() {
     exec 3<> "/dev/tcp/$(vmIp "$1")/$((base + 20))" || return 1
-    printf 'CONNECT %s consumer\r\n' "$2" >&3
+    printf 'CONNECT %s %s\r\n' "$2" "${3:-consumer}" >&3
     receive
 }
 asked=0
