Review case 9: a transaction goes on for a tenant that lost the key

Cause: in an open transaction a key is only checked to be known, not to be held by the tenant for which the transaction was begun.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -29,7 +29,7 @@
     exit 0
 }
 
-for needed in "$program" "$standins/standin-estate" "$standins/duty-gate"; do
+for needed in "$program" "$standins"/{standin-estate,duty-gate,wire-tap}; do
     [ -x "$needed" ] || cannotRun "$needed is not built"
 done
 
@@ -76,6 +76,13 @@
         --database-port $((base + 10)) "$@"
     start gate "$standins/duty-gate" 127.0.0.1 $((base + 2)) 127.0.0.1 "$base" $((base + 3)) "$record"
 }
+# startTap: records what the databases are sent; call it before startVms, which then use it.
+storePort=$base
+startTap() {
+    storePort=$((base + 4))
+    start tap "$standins/wire-tap" "$record" 127.0.0.1 "$storePort" "$base" \
+        $((base + 60)) $((base + 10)) $((base + 61)) $((base + 11)) $((base + 62)) $((base + 12))
+}
 # startVm NUMBER: with settings as deploy/node.yaml gives them on the site that claim.txt names.
 startVm() {
     local ip zones=(brno-sever brno-jih olomouc)
@@ -88,7 +95,7 @@
 metrics: $ip:$((base + 22))
 peers: $ip:$((base + 23))
 relay: $ip:$((base + 24))
-store: 127.0.0.1:$base
+store: 127.0.0.1:$storePort
 promotions: 127.0.0.1:$((base + 2))
 departureNoticeMs: 7000
 stopGraceSeconds: 6
