--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 cmake -S review/standin-2 -B build-review-2 -DCMAKE_BUILD_TYPE=Release
-cmake --build build-review-2 -j8 --target standin-estate duty-gate wire-tap
+cmake --build build-review-2 -j8 --target standin-estate duty-gate wire-tap sync-tap slow-estate
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -29,7 +29,7 @@
     exit 0
 }
 
-for needed in "$program" "$standins"/{standin-estate,duty-gate,wire-tap}; do
+for needed in "$program" "$standins"/{standin-estate,slow-estate,duty-gate,wire-tap,sync-tap}; do
     [ -x "$needed" ] || cannotRun "$needed is not built"
 done
 
