--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,55 +1,85 @@
 #!/usr/bin/env bash
-# A stale holder of the promotion duty calls the platform with a lower fence number than the platform
-# has seen: it was frozen while it opened a connection to the duty address, and sends the call on that
-# connection when it wakes. With TROUBLE=0 the duty address stays reachable and nobody is frozen.
+# A service with SyncReplicas 1. The primary goes dark for about two seconds; a replica is paused, chosen
+# and ordered to be promoted, while the other one, paused as well, restarts. A restart ends the pause: the
+# primary, which is back, and that replica acknowledge commits which the promoted database does not
+# have. With TROUBLE=0 the replica does not restart.
 cd "$(dirname "$0")/../.." || exit 2
 case=review/6
 . review/lib-2.sh
+promotionMs=1000
 
-startEstate
+start estate "$standins/slow-estate" "$base" $((base + 1)) $((base + 10)) "$promotionMs"
+start gate "$standins/duty-gate" 127.0.0.1 $((base + 2)) 127.0.0.1 "$base" $((base + 3)) "$record"
+storePort=$((base + 4))
+start tap "$standins/sync-tap" "$record" 127.0.0.1 $((base + 5)) "$storePort" "$base" \
+    $((base + 60)) $((base + 10)) $((base + 61)) $((base + 11)) $((base + 62)) $((base + 12))
+tap() {
+    exec 8<> "/dev/tcp/127.0.0.1/$((base + 5))" || return 1
+    echo "$1" >&8
+    exec 8>&-
+}
 sleep 0.5
 startVms 3
 writes 1 before || cannotRun "the first write was not acknowledged: $reply"
 
-# holderOf: the VM that ordered a promotion last.
-holderOf() { grep -l promotion-ordered "$work"/vm-*.log | xargs -r ls -t | head -n 1 | sed 's/.*vm-\([0-9]*\).*/\1/'; }
-ordersOf() { grep -c promotion-ordered "$work/vm-$1.log"; }
-
-began=$(nowMs)
-if [ "$trouble" != 0 ]; then gate cut; fi
-sleep 0.2
-note "the primary group0-db0 is to be replaced: it reports draining"
-control 'drain?database=group0-db0'
-
+# writer VM: writes one item after the other, each in a session of its own.
+writer() {
+    local n=0
+    while [ ! -e "$work/stop" ]; do
+        n=$((n + 1))
+        connect "$1" group0-primary 2> /dev/null || { sleep 0.05; continue; }
+        printf 'QUERY w%s-%s WRITE k%s-%s v%s\r\n' "$1" "$n" "$1" "$n" "$n" >&3 2> /dev/null
+        limit=3 receive
+        echo "$(nowMs) write w$1-$n 'WRITE k$1-$n v$n' answered '$reply'" >> "$work/writes-$1"
+        exec 3>&- 2> /dev/null
+        sleep 0.03
+    done
+}
+for vm in 1 2 3; do writer "$vm" 2> /dev/null & done
+sleep 2
+note "the primary group0-db0 goes dark"
+tap "dark 0"
+ordered() { grep -h promotion-ordered "$work"/vm-*.log | tail -n 1; }
+waitFor 8 eval '[ -n "$(ordered)" ]' || cannotRun "no promotion was ordered"
+order=$(ordered)
+case "$order" in
+*database=group0-db1*) other=group0-db2 ;;
+*database=group0-db2*) other=group0-db1 ;;
+*) cannotRun "another database was chosen: $order" ;;
+esac
+note "ordered: ${order#* }"
+note "the primary is back"
+tap "light 0"
 if [ "$trouble" != 0 ]; then
-    while [ $(($(nowMs) - began)) -lt 3400 ]; do sleep 0.05; done
-    holder=$(holderOf)
-    [ -n "$holder" ] || cannotRun "no VM has ordered a promotion"
-    before=$(ordersOf "$holder")
-    waitFor 2 eval '[ "$(ordersOf "$holder")" -gt "$before" ]' || cannotRun "no further order"
-    kill -STOP "${pidOf[vm-$holder]}"
-    frozen=$(nowMs)
-    note "front-$holder freezes (it has just ordered a promotion), $((frozen - began)) ms after the cut"
-    while [ $(($(nowMs) - began)) -lt 5500 ]; do sleep 0.02; done
-    gate heal
-    while [ $(($(nowMs) - frozen)) -lt 4000 ]; do sleep 0.02; done
-    note "front-$holder wakes"
-    kill -CONT "${pidOf[vm-$holder]}"
+    note "the replica $other, which was not chosen, crashes and restarts"
+    control "crash?database=$other"
+    control "restart?database=$other"
 fi
-sleep 4
-note "state of the databases: $(state | tr '\n' ' ')"
+waitFor 5 eval 'state | grep -q "terms=2"' || cannotRun "no database was promoted"
+note "promoted: $(state)"
+sleep 3
+touch "$work/stop"
+sleep 3.5
+cat "$work"/writes-* | sort -n >> "$record"
 for vm in 1 2 3; do
-    grep -hE 'duty-taken|duty-released|promotion-ordered|promotion-answered|leadership-change' "$work/vm-$vm.log" |
+    grep -hE 'leadership-change|promotion-|duty-|leadership-read' "$work/vm-$vm.log" |
         sed "s/^/log of front-$vm: /" >> "$record"
 done
-
-calls=$(grep -c ' call holder=' "$record")
-[ "$calls" -gt 0 ] || cannotRun "no promotion was ordered"
-# The rule: no call with a lower fence number than the platform has seen.
-stale=$(awk '$2 == "call" { split($4, t, "="); if (t[2] + 0 < seen) print; else seen = t[2] + 0 }' "$record")
-note "$calls calls of POST /promotion arrived"
-if [ -n "$stale" ]; then
-    note "arrived with a lower fence number than one before it: $stale"
-    verdict 1
-fi
+# Each acknowledged item is read from the new primary.
+lost=0 read=0
+connect 1 group0-primary || cannotRun "no session"
+while read -r item value signature; do
+    read=$((read + 1))
+    printf 'QUERY read-%s READ %s\r\n' "$read" "$item" >&3
+    receive
+    [[ $reply == *COMPLETE* ]] || cannotRun "item $item cannot be read: $reply"
+    if [[ $reply != "ROW $value "* ]]; then
+        lost=$((lost + 1))
+        note "acknowledged but not at the new primary: $item $value ($signature), read: $reply"
+    fi
+done < <(sed -n "s/.*'WRITE \([^ ]*\) \([^ ]*\)' answered 'COMPLETE \([^ ]*\) READY.*/\1 \2 \3/p" "$work"/writes-*)
+release
+[ "$read" -gt 20 ] || cannotRun "only $read writes were acknowledged"
+note "$read writes were acknowledged, $lost of them are lost"
+[ "$lost" -gt 0 ] && verdict 1
 verdict 0
