--- a/review/standin-2/slowestate.cpp
+++ b/review/standin-2/slowestate.cpp
@@ -1,4 +1,5 @@
-// The project's stand-in for the platform and its databases, with a promotion that takes a given time.
+// The project's stand-in for the platform and its databases, with a promotion that takes a given
+// time.
 //
 // slow-estate PORT CONTROL-PORT DATABASE-PORT PROMOTION-MS
 // POST /control/crash?database=ID, likewise restart; GET /control/state.
@@ -50,12 +51,12 @@
     const auto estate = Estate::start(loop, options);
     if (!estate)
         return 2;
-    const auto port =
-            HttpServer::listen(loop, {.endpoint = {"127.0.0.1", portOf(argv[2])},
-                                      .handler = [&estate](HttpConnectionId, const HttpRequest &request,
-                                                           const HttpResponder &respond) {
-                                          respond(control(*estate.value(), request));
-                                      }});
+    const auto port = HttpServer::listen(
+            loop, {.endpoint = {"127.0.0.1", portOf(argv[2])},
+                   .handler = [&estate](HttpConnectionId, const HttpRequest &request,
+                                        const HttpResponder &respond) {
+                       respond(control(*estate.value(), request));
+                   }});
     if (!port)
         return 2;
     loop.onStopSignal([&loop] { loop.stop(); });
--- a/review/standin-2/synctap.cpp
+++ b/review/standin-2/synctap.cpp
@@ -1,8 +1,9 @@
-// Stands between the VMs on one side and the store and the databases of slow-estate on the other, and
-// makes the databases acknowledge a commit once one replica has received it (SyncReplicas 1): an answer
-// whose position no other database has received yet is held back. In answers of the store, the ports of
-// the databases are replaced by those of this program, and SyncReplicas 0 by 1. A database can be dark:
-// it answers nothing, and when it is back, the connections of before are reset.
+// Stands between the VMs on one side and the store and the databases of slow-estate on the other,
+// and makes the databases acknowledge a commit once one replica has received it (SyncReplicas 1):
+// an answer whose position no other database has received yet is held back. In answers of the
+// store, the ports of the databases are replaced by those of this program, and SyncReplicas 0 by 1.
+// A database can be dark: it answers nothing, and when it is back, the connections of before are
+// reset.
 //
 // sync-tap RECORD IP CONTROL-PORT STORE-PORT STORE-UPSTREAM [DATABASE-PORT DATABASE-UPSTREAM]...
 // A connection to the control port sends one line: dark N or light N; databases count from 0.
@@ -214,7 +215,8 @@
     reset(client);
 }
 
-void serveStore(int upstreamPort, int client, const std::vector<std::pair<std::string, std::string>> &words)
+void serveStore(int upstreamPort, int client,
+                const std::vector<std::pair<std::string, std::string>> &words)
 {
     const int server = connectTo(upstreamPort);
     std::vector<char> buffer(1 << 20);
@@ -297,8 +299,9 @@
         char line[32] = {};
         int number = -1;
         char word[16] = {};
-        if (recv(fd, line, sizeof line - 1, 0) > 0 && std::sscanf(line, "%15s %d", word, &number) == 2
-            && number >= 0 && number < static_cast<int>(databaseCount)) {
+        if (recv(fd, line, sizeof line - 1, 0) > 0
+            && std::sscanf(line, "%15s %d", word, &number) == 2 && number >= 0
+            && number < static_cast<int>(databaseCount)) {
             Database &database = databases[static_cast<std::size_t>(number)];
             database.isDark = std::string(word) == "dark";
             if (!database.isDark)
--- a/review/standin-2/wiretap.cpp
+++ b/review/standin-2/wiretap.cpp
@@ -1,6 +1,6 @@
-// Stands between the VMs on one side and the store and the databases of standin-estate on the other, and
-// records what the databases are sent. In answers of the store, the ports of the databases are replaced
-// by those at which this program listens. Nothing else is changed.
+// Stands between the VMs on one side and the store and the databases of standin-estate on the
+// other, and records what the databases are sent. In answers of the store, the ports of the
+// databases are replaced by those at which this program listens. Nothing else is changed.
 //
 // wire-tap RECORD IP STORE-PORT STORE-UPSTREAM [DATABASE-PORT DATABASE-UPSTREAM]...
 // A port and its upstream have the same number of digits.
