Review case 10: stale reads on the primary route by a malformed entry

Cause: an entry of another writer with missing fields is taken for a database, and names the primary until a leadership record exists.

--- a/review/standin-2/slowestate.cpp
+++ b/review/standin-2/slowestate.cpp
@@ -26,6 +26,10 @@
                         + " terms=" + std::to_string(estate.terms("group0").size()) + '\n',
                 .contentType = "text/plain"};
     }
+    if (path == "/control/entry") {
+        estate.writeEntry(queryValue(request.target, "name"), request.body);
+        return {.body = "{}"};
+    }
     const bool isDone = path == "/control/crash"     ? estate.crash(database)
                         : path == "/control/restart" ? estate.restart(database)
                                                      : false;
@@ -41,13 +45,15 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 5)
+    if (argc < 5 || argc > 6)
         return 2;
     EventLoop loop;
     EstateOptions options;
     options.storePort = portOf(argv[1]);
     options.databasePort = portOf(argv[3]);
     options.promotionTime = std::chrono::milliseconds(std::atoi(argv[4]));
+    if (argc == 6)
+        options.replicaLag = std::chrono::milliseconds(std::atoi(argv[5]));
     const auto estate = Estate::start(loop, options);
     if (!estate)
         return 2;
