--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,12 +4,10 @@
 # primary, which is back, and that replica acknowledge commits which the promoted database does not
 # have. With TROUBLE=0 the replica does not restart.
 cd "$(dirname "$0")/../.." || exit 2
-case=review/6
+record=review/6/record.txt
 . review/lib-2.sh
-promotionMs=1000
 
-start estate "$standins/slow-estate" "$base" $((base + 1)) $((base + 10)) "$promotionMs"
-start gate "$standins/duty-gate" 127.0.0.1 $((base + 2)) 127.0.0.1 "$base" $((base + 3)) "$record"
+startSlowEstate
 storePort=$((base + 4))
 start tap "$standins/sync-tap" "$record" 127.0.0.1 $((base + 5)) "$storePort" "$base" \
     $((base + 60)) $((base + 10)) $((base + 61)) $((base + 11)) $((base + 62)) $((base + 12))
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,14 +3,9 @@
 # RevokeMs after its ack, requests with the removed key run, and so do requests with a key that no
 # manifest ever held. With TROUBLE=0 the new manifest takes the key away, but keeps the tenant.
 cd "$(dirname "$0")/../.." || exit 2
-case=review/7
+record=review/7/record.txt
 . review/lib-2.sh
 revokeMs=5000
-moreSettings="revokeMs: $revokeMs
-allowanceWindowSeconds: 5
-databaseCapacity: learned
-allowanceExcess: 0.1
-allowanceTolerance: 20"
 
 tenants() {
     note "the operator writes a manifest with Tenants $1"
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,13 +1,12 @@
 # Functions for the scripts of review/6 to review/10: standin-estate, duty-gate and VMs on loopback,
-# started with the command of the deploy file. Source it from the project's root with `case` set to
-# the case's folder. All that was started is ended at the end, by pid.
+# started with the command of the deploy file. Source it from the project's root with `record` set to
+# the record.txt of the case's folder. All that was started is ended at the end, by pid.
 set -u -o pipefail
 
 program=target/bin/fescuestatementd
 standins=build-review-2/bin
 trouble="${TROUBLE:-1}"
 work=$(mktemp -d)
-record="$case/record.txt"
 : > "$record"
 declare -A pidOf=()
 
@@ -76,6 +75,12 @@
         --database-port $((base + 10)) "$@"
     start gate "$standins/duty-gate" 127.0.0.1 $((base + 2)) 127.0.0.1 "$base" $((base + 3)) "$record"
 }
+# startSlowEstate: the store and three databases with the figures of cfdg-pos-grown: a promotion takes
+# 1,000 ms, replicas are 90 ms behind, and a draining database serves for 10 s.
+startSlowEstate() {
+    start estate "$standins/slow-estate" "$base" $((base + 1)) $((base + 10)) 1000 90 10000
+    start gate "$standins/duty-gate" 127.0.0.1 $((base + 2)) 127.0.0.1 "$base" $((base + 3)) "$record"
+}
 # startTap: records what the databases are sent; call it before startVms, which then use it.
 storePort=$base
 startTap() {
@@ -83,9 +88,9 @@
     start tap "$standins/wire-tap" "$record" 127.0.0.1 "$storePort" "$base" \
         $((base + 60)) $((base + 10)) $((base + 61)) $((base + 11)) $((base + 62)) $((base + 12))
 }
-# startVm NUMBER: with settings as deploy/node.yaml gives them on the site that claim.txt names.
+# startVm NUMBER: with settings as deploy/node.yaml gives them on cfdg-pos-grown.
 startVm() {
-    local ip zones=(brno-sever brno-jih olomouc)
+    local ip zones=(tt-south-a tt-south-b tt-south-c)
     ip=$(vmIp "$1")
     cat > "$work/vm-$1.yaml" << YAML
 vm: front-$1
@@ -97,10 +102,14 @@
 relay: $ip:$((base + 24))
 store: 127.0.0.1:$storePort
 promotions: 127.0.0.1:$((base + 2))
-departureNoticeMs: 7000
+departureNoticeMs: 10000
 stopGraceSeconds: 6
+revokeMs: 5000
+allowanceWindowSeconds: 5
+databaseCapacity: learned
+allowanceExcess: 0.1
+allowanceTolerance: 20
 firstStart: true
-${moreSettings:-}
 YAML
     FESCUESPRING_CONFIG="$work/vm-$1.yaml" start "vm-$1" "$program"
 }
--- a/review/standin-2/slowestate.cpp
+++ b/review/standin-2/slowestate.cpp
@@ -2,7 +2,7 @@
 // time.
 //
 // slow-estate PORT CONTROL-PORT DATABASE-PORT PROMOTION-MS
-// POST /control/crash?database=ID, likewise restart; GET /control/state.
+// POST /control/crash?database=ID, likewise restart and drain; GET /control/state.
 
 #include "net/eventloop.h"
 #include "net/httpserver.h"
@@ -32,6 +32,7 @@
     }
     const bool isDone = path == "/control/crash"     ? estate.crash(database)
                         : path == "/control/restart" ? estate.restart(database)
+                        : path == "/control/drain"   ? estate.drain(database)
                                                      : false;
     return {.status = isDone ? 200 : 404, .body = "{}"};
 }
@@ -45,15 +46,18 @@
 
 int main(int argc, char **argv)
 {
-    if (argc < 5 || argc > 6)
+    if (argc < 5 || argc > 7)
         return 2;
     EventLoop loop;
     EstateOptions options;
     options.storePort = portOf(argv[1]);
     options.databasePort = portOf(argv[3]);
+    options.dataCentres = {"tt-south-a", "tt-south-b", "tt-south-c"};
     options.promotionTime = std::chrono::milliseconds(std::atoi(argv[4]));
-    if (argc == 6)
+    if (argc >= 6)
         options.replicaLag = std::chrono::milliseconds(std::atoi(argv[5]));
+    if (argc == 7)
+        options.drainTime = std::chrono::milliseconds(std::atoi(argv[6]));
     const auto estate = Estate::start(loop, options);
     if (!estate)
         return 2;
