--- a/review/standin-3/estate.py
+++ b/review/standin-3/estate.py
@@ -339,6 +339,7 @@
                 if wrong:
                     self.writer.write(f"ERROR WRONGNODE {self.db.id}\r\n".encode())
                     return
+                self.caller = words[2] if len(words) > 2 else ""
                 await asyncio.sleep(0.002)
                 self.ready()
             elif words[0] == "RELEASE":
@@ -418,9 +419,11 @@
             self.error("READONLY")
             return
         if verb == "READ":
-            db.estate.note("read", database=db.id, id=ident, position=db.position())
+            db.estate.note("read", database=db.id, id=ident, caller=self.caller,
+                           position=db.position())
             self.complete([db.value(rest[0])], self.signature())
         elif verb == "WRITE":
+            db.estate.note("write", database=db.id, id=ident, caller=self.caller)
             if self.state == "T" and self.read_only or db.role != "primary":
                 if self.state == "T":
                     self.state = "E"
@@ -456,6 +459,7 @@
         self.record = record
         self.deaf = set()
         self.config_version = 0
+        self.tenants = None
         self.promotions = []  # (when it took effect, id, ids in its log)
         self.fences = []
         zones = ("north", "south", "west")
@@ -488,6 +492,8 @@
         spec = {"ConfigVersion": self.config_version, "Routes": routes,
                 "Services": [{"Name": self.service, "MaxConnections": 38,
                               "SyncReplicas": self.sync}], "Limits": {"TxIdleMs": 3000}}
+        if self.tenants is not None:
+            spec["Tenants"] = self.tenants
         self.store.write("config", "main", spec)
 
     def promotion(self, body, headers):
