--- a/review/standin-3/estate.py
+++ b/review/standin-3/estate.py
@@ -254,9 +254,14 @@
 
     def receive(self):
         leader = self.leader
-        if not (self.running and leader and leader.running) or self.paused or self.estate.is_deaf(self):
+        if not self.running or self.dark or self.paused or self.estate.is_deaf(self):
             return
-        if self.dark or leader.dark:
+        # One that did not hear of a promote follows the new primary as soon as it hears again.
+        newest = self.estate.primary
+        if self.role == "replica" and newest is not self and leader is not newest:
+            self.follow(newest)
+            leader = newest
+        if not leader or not leader.running or leader.dark:
             return
         if self.role == "primary":
             return
@@ -524,7 +529,7 @@
             if other is target or not other.running:
                 continue
             other.paused, other.held = False, 0
-            if other.role != "primary":
+            if other.role != "primary" and not self.is_deaf(other):
                 other.follow(target)
 
         def replaced():
