--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 command -v python3 > /dev/null || { echo "no python3"; exit 2; }
 [ -x target/bin/fescuestatementd ] || { echo "target/bin/fescuestatementd is not built"; exit 2; }
-exec python3 "review/$(basename "$(dirname "$(readlink -f "$0")")")/case.py"
+exec python3 -B "review/$(basename "$(dirname "$(readlink -f "$0")")")/case.py"
