--- a/review/11/case.py
+++ b/review/11/case.py
@@ -42,7 +42,7 @@
 
 
 async def main():
-    record = Record(HERE)
+    record = Record()
     base = free_ports(40)
     estate = Estate(base, base + 10, sync=1, lags=(0.02, 0.02, 0.06), record=record)
     fleet = Fleet(base)
@@ -54,7 +54,7 @@
             raise CannotRun("the VMs are not ready")
         load = Load(fleet, record)
         for number, vm in enumerate((2, 3, 2, 3)):
-            load.add(vm, "main", f"WRITE item{number} v#")
+            load.add(vm, "session-log", f"WRITE item{number} v#")
         await asyncio.sleep(2)
         await hand_over(estate, record)
         if TROUBLE:
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -52,7 +52,7 @@
 
 
 async def main():
-    record = Record(HERE)
+    record = Record()
     base = free_ports(40)
     estate = Estate(base, base + 10, record=record)
     fleet = Fleet(base)
@@ -66,9 +66,9 @@
         load.gate = asyncio.Event()
         began = now()
         for vm in (1, 2, 3):
-            load.add(vm, "main", "WRITE item v#", 0.35)
-            load.add(vm, "near", "READ item", 0.35)
-            load.add(vm, "own", "READ item", 0.35)
+            load.add(vm, "session-log", "WRITE item v#", 0.35)
+            load.add(vm, "stall-live", "READ item", 0.35)
+            load.add(vm, "herd-report", "READ item", 0.35)
         await quiet_hour(load, 10)
         served, asked = load.share_served(began, now())
         record.say(f"before: {served} of {asked} requests served")
--- a/review/standin-3/case.py
+++ b/review/standin-3/case.py
@@ -1,22 +1,23 @@
 """What the cases share: the record, consumers under load, and the exit code."""
 import asyncio
-import os
 import sys
 import traceback
 
 from estate import now
 from fleet import Consumer
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# run.sh passes the path of record.txt and, for TROUBLE=0, "0": the same without the disruption.
+RECORD, TROUBLE = sys.argv[1], sys.argv[2] != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
 class Record:
     """record.txt of a case: one line for each event, with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self):
         self.began = now()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(RECORD, "w", encoding="utf-8")
+        self("start", trouble=int(TROUBLE))
 
     def __call__(self, event, **fields):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
--- a/review/standin-3/estate.py
+++ b/review/standin-3/estate.py
@@ -455,7 +455,7 @@
 
     def __init__(self, store_port, database_port, sync=0, promote_s=0.3, heartbeat_s=1.2,
                  lags=(0.0, 0.02, 0.06), record=None):
-        self.service = "pricelist"
+        self.service = "herdview-db"
         self.store_port, self.database_port = store_port, database_port
         self.sync, self.promote_s, self.heartbeat_s = sync, promote_s, heartbeat_s
         self.writers = set()
@@ -467,7 +467,7 @@
         self.tenants = None
         self.promotions = []  # (when it took effect, id, ids in its log)
         self.fences = []
-        zones = ("north", "south", "west")
+        zones = ("andong", "yeongju", "sangju")
         self.databases = [Database(self, i, f"i-{i}a7f", zones[i], lags[i]) for i in range(3)]
         self.primary = self.databases[0]
         self.primary.role = "primary"
@@ -488,14 +488,21 @@
 
     def write_config(self, extra=0):
         self.config_version += 7
-        route = lambda n, t: {"Name": n, "DatabaseName": n, "Service": self.service, "RouteType": t,
-                              "TimeoutMs": 800, "TargetLatencyMs": 150, "Priority": 1,
-                              "MaxStalenessMs": 1500}
-        routes = [route("main", "primary"), route("near", "bounded_staleness"),
-                  route("own", "read_your_writes")]
-        routes += [route(f"extra{i}", "primary") for i in range(extra)]
+        def route(name, kind, timeout, target, priority, staleness=None):
+            fields = {"Name": name, "DatabaseName": name, "Service": self.service,
+                      "RouteType": kind, "TimeoutMs": timeout, "TargetLatencyMs": target,
+                      "Priority": priority}
+            if staleness:
+                fields["MaxStalenessMs"] = staleness
+            return fields
+
+        # The routes and limits of gdwpa-herdview; its names are those of the kinds of request.
+        routes = [route("session-log", "primary", 800, 150, 1),
+                  route("stall-live", "bounded_staleness", 2000, 500, 2, 1500),
+                  route("herd-report", "read_your_writes", 800, 250, 2, 2500)]
+        routes += [route(f"extra{i}", "primary", 800, 150, 1) for i in range(extra)]
         spec = {"ConfigVersion": self.config_version, "Routes": routes,
-                "Services": [{"Name": self.service, "MaxConnections": 38,
+                "Services": [{"Name": self.service, "MaxConnections": 23,
                               "SyncReplicas": self.sync}], "Limits": {"TxIdleMs": 3000}}
         if self.tenants is not None:
             spec["Tenants"] = self.tenants
--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -1,6 +1,7 @@
 """Starts VMs as the deploy file does, and speaks the wire protocol to them as a consumer."""
 import asyncio
 import os
+import re
 import shutil
 import signal
 import socket
@@ -9,6 +10,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = "target/bin/fescuestatementd"
+ZONES = ("andong", "yeongju", "sangju")  # of gdwpa-herdview
 
 
 def free_ports(count):
@@ -38,17 +40,23 @@
         return f"127.0.0.{20 + vm}"
 
     def settings(self, vm):
-        """deploy/node.yaml, filled in as for a small deployment."""
-        ip, base = self.ip(vm), self.base
-        zone = ("north", "south", "west")[(vm - 1) % 3]
-        text = (f"vm: front-{zone}-{vm}\ndataCentre: {zone}\n"
-                f"callers: {ip}:{base + 20}\nreadiness: {ip}:{base + 21}\n"
-                f"metrics: {ip}:{base + 22}\npeers: {ip}:{base + 23}\nrelay: {ip}:{base + 24}\n"
-                f"store: 127.0.0.1:{base}\npromotions: 127.0.0.1:{base}\n"
-                "departureNoticeMs: 7000\nstopGraceSeconds: 6\n")
+        """deploy/node.yaml, filled in with the figures of the site."""
+        ip, base, zone = self.ip(vm), self.base, ZONES[(vm - 1) % len(ZONES)]
+        fields = {"NodeName": f"front-{zone}-{vm}", "Zone": zone, "Ip": ip,
+                  "ListenAddrs.Front": f"{ip}:{base + 20}",
+                  "ListenAddrs.ReadinessAddr": f"{ip}:{base + 21}",
+                  "InternalPorts.0": base + 23, "InternalPorts.1": base + 24,
+                  "platform.Address": f"127.0.0.1:{base}", "CloudApi.Address": f"127.0.0.1:{base}",
+                  "Bounds.DrainMs": 7000, "Bounds.GraceS": 6}
         if vm not in self.started:
-            text += "firstStart: true\n"
+            fields["Bootstrap"] = "true"
         self.started.add(vm)
+        with open(os.path.join(ROOT, "deploy", "node.yaml"), encoding="utf-8") as file:
+            text = file.read()
+        text = re.sub(r"\{\{#([^}]*)\}\}\n(.*?)\{\{/\1\}\}\n",
+                      lambda found: found[2] if found[1] in fields else "", text, flags=re.S)
+        text = re.sub(r"\{\{([^}]*)\}\}", lambda found: str(fields[found[1]]), text)
+        text = text.replace(":9464", f":{base + 22}")  # a free port for the metrics
         path = os.path.join(self.folder, f"vm-{vm}.yaml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
@@ -124,7 +132,7 @@
             self.close()
             return False
 
-    async def ask(self, ident, text, seconds=2.0):
+    async def ask(self, ident, text, seconds=2.5):
         try:
             self.writer.write(f"QUERY {ident} {text}\r\n".encode())
             rows, result = [], None
