The databases of a group count only once missing entries would be back

A VM that started 0.15 s after the store's return promoted the only replica that it listed, while the primary and the other replica were well and went on acknowledging.

Cause: groupSize and otherMembers count the entries that a process has seen since its start; a missing entry is held for 2.3 s, and counted for 15 s, only if it was seen before. So the VM took the primary for gone at once, and one paused replica for the majority of one.

Change: UpstreamDirectory::isComplete says whether databases can be counted: the store has answered without a gap for the 2.3 s in which a missing entry would be back. Until then a VM changes and confirms no primary, and without a lease no majority confirms anything to it. A holder of the promotion lock reads the list once from the store before its first change, as watches may lag. What a VM once had it holds and counts, so that a complete directory remains so for 15 s without the store.

Tests: red with the old rule: four of StartingVmTest, UpstreamsTest::databasesThatMayBeTheOnlyOnesSeenConfirmNothing. The other side (a database that is gone for good holds up nothing, also after two restarts and an outage) has three tests, green before and after.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -31,6 +31,10 @@
     // Reads the leadership records, from the store or from a VM that read them recently.
     std::function<void(std::function<void(const Result<DatedRecords> &)>)> readRecords = {};
 
+    // Reads the list of all databases from the store and applies it to the directory; calls back
+    // with whether it was read. May be empty: the directory is up to date.
+    std::function<void(std::function<void(bool isRead)>)> readDatabases = {};
+
     // See SuccessionPorts::requestPromotion.
     std::function<void(const PromotionCall &, std::function<void(PromotionOutcome)>)>
             requestPromotion = {};
@@ -107,6 +111,8 @@
     void confirmChangesRead(const LeadershipSnapshot &snapshot);
     void leaseHolders(const std::function<void(std::vector<VmIncarnation>)> &done);
     bool isViewCurrent() const;
+    bool areDatabasesKnown();
+    void readDatabases();
     void trackReports();
     bool isUnresponsive(const DatabaseId &database, const Upstreams::Observation &observation);
     bool canConfirm(const DatabaseId &database, const Upstreams::Observation &observation) const;
@@ -144,6 +150,10 @@
     bool m_wasRestored = false;
     bool m_isWritingOrigin = false;
 
+    // The list of databases was read from the store since the directory became complete.
+    bool m_areDatabasesKnown = false;
+    bool m_isReadingDatabases = false;
+
     // When the store was lost last, and from when on this VM is up to date again.
     Instant m_storeLostAt;
     Instant m_viewCurrentFrom;
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -80,6 +80,7 @@
             SuccessionPorts{
                     .groups = [this] { return groupsToConsider(); },
                     .databases = [this](const GroupId &group) { return candidates(group); },
+                    .areDatabasesKnown = [this] { return areDatabasesKnown(); },
                     .groupSize =
                             [this](const GroupId &group) {
                                 return m_upstreams.directory().groupSize(group, now());
@@ -203,12 +204,44 @@
     // Without a configuration it is unknown whether commits need a replica.
     if (m_isStopping || !m_configuration || !isViewCurrent())
         return;
+    if (!m_upstreams.directory().isComplete())
+        return;
     if (mayWriteOrigin())
         writeOrigin();
     else
         m_succession->tick();
 }
 
+// The entries reach a VM by watches, which may lag, and through other VMs. A VM that has just
+// started has no earlier ones to hold against what it lacks, so it reads the list once before it
+// relies on it.
+bool Coordinator::areDatabasesKnown()
+{
+    if (!m_areDatabasesKnown && m_upstreams.directory().isComplete())
+        readDatabases();
+    return m_areDatabasesKnown;
+}
+
+void Coordinator::readDatabases()
+{
+    if (!m_options.readDatabases) {
+        m_areDatabasesKnown = true;
+        return;
+    }
+    if (std::exchange(m_isReadingDatabases, true))
+        return;
+    m_options.readDatabases([this, alive = std::weak_ptr(m_alive), askedAt = now()](bool isRead) {
+        if (alive.expired())
+            return;
+        m_isReadingDatabases = false;
+        m_areDatabasesKnown = isRead;
+        m_upstreams.context().log.info("databases-read",
+                                       {{"read", isRead}, {"since-start", askedAt - m_startedAt}});
+        if (isRead)
+            considerChanges();
+    });
+}
+
 void Coordinator::leadershipChanged()
 {
     if (m_pendingPolls > 0)
@@ -235,8 +268,12 @@
     --m_pendingPolls;
     const bool pollAgain = std::exchange(m_pollAgain, false);
     updateStoreReachability(records);
-    if (records)
+    if (records) {
+        UpstreamDirectory &directory = m_upstreams.directory();
+        directory.storeAnswered(records.value().askedAt, now());
+        m_areDatabasesKnown = m_areDatabasesKnown && directory.isComplete();
         apply(records.value());
+    }
     if (pollAgain)
         poll();
 }
--- /dev/null
+++ b/libs/coordination/tests/startingvmtest.cpp
@@ -0,0 +1,146 @@
+#include "coordinationworld.h"
+
+using namespace fescuespring;
+using namespace fescuespring::coordinationtest;
+
+namespace {
+
+// The databases were in use for some time; the record names a as the primary of the group.
+struct RunningWorld : World
+{
+    RunningWorld()
+    {
+        synchronousReplicas = 1;
+        store.objects[leadershipKey(group)] = {
+                leadershipKey(group), ObjectVersion(20),
+                encodeLeadership({.group = group, .primary = DatabaseId("a"), .term = Term(1)})};
+        timers.advance(10s);
+    }
+
+    // The time until a promotion is requested, or the limit.
+    Duration timeToPromotion(Duration limit)
+    {
+        const Instant from = timers.now();
+        while (promotionRequests.empty() && timers.now() < from + limit)
+            timers.advance(10ms);
+        return timers.now() - from;
+    }
+};
+
+// The longest time from the start of a VM to the replacement of a primary that is gone: the two
+// seconds in which its entry might return, and that of a change.
+constexpr Duration longestReplacement = 4s;
+
+} // namespace
+
+// A VM that starts knows the databases of a group by their entries alone, some of which an outage
+// of the store may have removed.
+class StartingVmTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StartingVmTest);
+    CPPUNIT_TEST(onlyReplicaSeenIsNotPromoted);
+    CPPUNIT_TEST(databasesThatTheWatchHasNotShownAreRead);
+    CPPUNIT_TEST(nothingIsPromotedWhileTheListCannotBeRead);
+    CPPUNIT_TEST(outageAfterTheStartDelaysPromotions);
+    CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothing);
+    CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterTwoRestarts);
+    CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterAnOutage);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against the loss of commits that are held by databases whose entries come back up to
+    // two seconds after the store (review/11).
+    void onlyReplicaSeenIsNotPromoted()
+    {
+        RunningWorld world;
+        world.unlisted = {DatabaseId("a"), DatabaseId("c")};
+        Vm vm(world, "vm-0");
+        world.timers.advance(2s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+        world.unlisted.clear();
+        vm.readDatabases();
+        world.timers.advance(8s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+    }
+
+    // Guards against the same while the watch of the entries lags behind the store.
+    void databasesThatTheWatchHasNotShownAreRead()
+    {
+        RunningWorld world;
+        world.unlisted = {DatabaseId("a"), DatabaseId("c")};
+        Vm vm(world, "vm-0");
+        world.unlisted.clear();
+        world.timers.advance(8s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                             vm.upstreams.directory().groupSize(group, world.timers.now()));
+    }
+
+    // Guards against a list that is taken for complete because it could not be read again.
+    void nothingIsPromotedWhileTheListCannotBeRead()
+    {
+        RunningWorld world;
+        world.unlisted = {DatabaseId("a")};
+        world.isListUnreadable = true;
+        Vm vm(world, "vm-0");
+        world.timers.advance(8s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+        world.isListUnreadable = false;
+        CPPUNIT_ASSERT(world.timeToPromotion(5s) < longestReplacement - missingEntryGrace);
+    }
+
+    // Guards against a wait that counts from a start before the outage.
+    void outageAfterTheStartDelaysPromotions()
+    {
+        RunningWorld world;
+        world.unlisted = {DatabaseId("a"), DatabaseId("c")};
+        Vm vm(world, "vm-0");
+        world.timers.advance(500ms);
+        world.store.isDown = true;
+        world.timers.advance(6s);
+        world.store.isDown = false;
+        world.timers.advance(2s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+        world.unlisted.clear();
+        world.timers.advance(8s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+    }
+
+    // The other side: what is gone for good must not hold up a change beyond the two seconds.
+    void databaseThatIsGoneHoldsUpNothing()
+    {
+        RunningWorld world;
+        world.databases["a"].isSilent = true;
+        world.unlisted = {DatabaseId("a")};
+        Vm vm(world, "vm-0");
+        CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement);
+    }
+
+    void databaseThatIsGoneHoldsUpNothingAfterTwoRestarts()
+    {
+        RunningWorld world;
+        world.databases["a"].isSilent = true;
+        world.unlisted = {DatabaseId("a")};
+        for (int start = 0; start < 2; ++start) {
+            Vm stopped(world, "vm-" + std::to_string(start));
+            world.timers.advance(1s);
+        }
+        Vm vm(world, "vm-3");
+        CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement);
+    }
+
+    void databaseThatIsGoneHoldsUpNothingAfterAnOutage()
+    {
+        RunningWorld world;
+        world.databases["a"].isSilent = true;
+        world.unlisted = {DatabaseId("a")};
+        world.store.isDown = true;
+        Vm vm(world, "vm-0");
+        world.timers.advance(7s);
+        world.store.isDown = false;
+        // A read that was under way during the outage ends within a second.
+        CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement + 1s);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StartingVmTest);
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -15,6 +15,10 @@
 // outage reappear within two seconds of its end.
 inline constexpr Duration missingEntryGrace = std::chrono::milliseconds(2300);
 
+// Longest time between two answers of the store that shows that it was in reach meanwhile: entries
+// expire after a longer silence only.
+inline constexpr Duration longestAnswerGap = std::chrono::milliseconds(1200);
+
 // How long a removed database still counts towards the size of its group, unless it had announced
 // that it was leaving: it may still be running but unable to reach the store.
 inline constexpr Duration lostDatabaseRetention = std::chrono::seconds(15);
@@ -45,6 +49,14 @@
 // The known databases. An entry that vanishes is kept for missingEntryGrace, unless another
 // database of the group takes its address. A database that announced that it is leaving does not
 // return in the same incarnation, even with an older entry. Not thread-safe; reads no clock.
+//
+// A VM that has just started may have listed the entries before those that expired during an outage
+// of the store were back. Whoever counts the databases of a group asks first whether the directory
+// is complete:
+//
+//     directory.storeAnswered(records.askedAt, now);   // after each read of the store
+//     if (directory.isComplete())
+//         majority = directory.groupSize(group, now) / 2 + 1;
 class UpstreamDirectory
 {
 public:
@@ -70,6 +82,18 @@
     // Removes entries whose grace period has ended; to be called every few hundred ms.
     void expire(Instant now);
 
+    // The store answered a request that was made at askedAt, directly or through another VM.
+    void storeAnswered(Instant askedAt, Instant now);
+
+    // Whether each database that is alive and reaches the store is known, as the store has answered
+    // for missingEntryGrace since this VM first reached it. The directory then remains complete
+    // while it counts the databases that it has lost: until the store answers again after a gap
+    // longer than lostDatabaseRetention.
+    bool isComplete() const
+    {
+        return m_isComplete;
+    }
+
     const UpstreamEntry *find(const DatabaseId &database) const;
 
     // Databases of a group, ordered by name, including those in their grace period. Valid until the
@@ -95,7 +119,8 @@
     // Calls visit for each entry, ordered by name; visit must not change the directory.
     void forEach(const std::function<void(const UpstreamEntry &)> &visit) const;
 
-    // Number of databases in the group, including those lost within lostDatabaseRetention.
+    // Number of databases in the group, including those lost within lostDatabaseRetention. Too low
+    // unless the directory is complete, and so is that of otherMembers.
     std::size_t groupSize(const GroupId &group, Instant now) const;
 
     // Number of databases in the group besides one of them that may hold what was written: those of
@@ -139,6 +164,12 @@
     std::map<GroupId, std::set<DatabaseId>> m_groups;
     std::map<DatabaseId, Lost> m_lost;
     std::map<DatabaseId, Departed> m_departed;
+
+    // When the last request was made that the store answered, and since when it has answered
+    // without a gap; empty before the first answer.
+    std::optional<Instant> m_lastAskedAt;
+    Instant m_answersSince;
+    bool m_isComplete = false;
 };
 
 } // namespace fescuespring
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -126,6 +126,21 @@
     });
 }
 
+void UpstreamDirectory::storeAnswered(Instant askedAt, Instant now)
+{
+    if (m_lastAskedAt && askedAt <= *m_lastAskedAt)
+        return;
+    const Duration gap = m_lastAskedAt ? askedAt - *m_lastAskedAt : Duration::max();
+    m_lastAskedAt = askedAt;
+    // The store may have returned as late as at this answer.
+    if (gap > longestAnswerGap)
+        m_answersSince = now;
+    if (gap > lostDatabaseRetention)
+        m_isComplete = false;
+    if (askedAt >= m_answersSince + missingEntryGrace)
+        m_isComplete = true;
+}
+
 const UpstreamEntry *UpstreamDirectory::find(const DatabaseId &database) const
 {
     const auto found = m_entries.find(database);
--- a/libs/directory/tests/directorytest.cpp
+++ b/libs/directory/tests/directorytest.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(lostDatabaseCountsDuringRetention);
     CPPUNIT_TEST(databaseThatLeftMayHoldCommitsUntilItsLogIsTakenOver);
     CPPUNIT_TEST(databaseAtSameAddressReplacesLostDatabase);
+    CPPUNIT_TEST(directoryIsCompleteOnceMissingEntriesWouldBeBack);
+    CPPUNIT_TEST(gapOfTheStoreDelaysACompleteDirectory);
+    CPPUNIT_TEST(completeDirectoryRemainsSoWhileLostDatabasesCount);
     CPPUNIT_TEST(olderConfigurationIsRejected);
     CPPUNIT_TEST(leavingDatabaseStaysSoDespiteAnOlderEntry);
     CPPUNIT_TEST(departedDatabaseDoesNotReturnWithAnOlderEntry);
@@ -103,6 +106,60 @@
         CPPUNIT_ASSERT(recording.directory.find(DatabaseId("a")));
     }
 
+    // Guards against a promotion by what a VM that starts as the store returns has seen.
+    void directoryIsCompleteOnceMissingEntriesWouldBeBack()
+    {
+        RecordingDirectory recording;
+        UpstreamDirectory &directory = recording.directory;
+        directory.update(entry("a"));
+        CPPUNIT_ASSERT(!directory.isComplete());
+        // The first answer took 300 ms: the store may have returned right before it.
+        directory.storeAnswered(start, start + 300ms);
+        for (Duration age = 400ms; age < missingEntryGrace + 300ms; age += 400ms)
+            directory.storeAnswered(start + age, start + age + 5ms);
+        CPPUNIT_ASSERT(!directory.isComplete());
+        directory.storeAnswered(start + missingEntryGrace + 300ms,
+                                start + missingEntryGrace + 310ms);
+        CPPUNIT_ASSERT(directory.isComplete());
+    }
+
+    // Guards against a promotion by what was listed before an outage of the store that followed
+    // soon after the start.
+    void gapOfTheStoreDelaysACompleteDirectory()
+    {
+        RecordingDirectory recording;
+        UpstreamDirectory &directory = recording.directory;
+        directory.storeAnswered(start, start);
+        directory.storeAnswered(start + 400ms, start + 400ms);
+        const Instant returned = start + 6s;
+        for (Duration age{0}; age < missingEntryGrace; age += 400ms) {
+            directory.storeAnswered(returned + age, returned + age);
+            CPPUNIT_ASSERT(!directory.isComplete());
+        }
+        // An answer that another VM gave earlier shows nothing about the present.
+        directory.storeAnswered(returned, returned + 4s);
+        CPPUNIT_ASSERT(!directory.isComplete());
+        directory.storeAnswered(returned + missingEntryGrace, returned + 4s);
+        CPPUNIT_ASSERT(directory.isComplete());
+    }
+
+    // Guards against an outage that stops what a VM could do without the store, and against a VM
+    // that returns after so long that it no longer counts what it had lost.
+    void completeDirectoryRemainsSoWhileLostDatabasesCount()
+    {
+        RecordingDirectory recording;
+        UpstreamDirectory &directory = recording.directory;
+        for (Duration age{0}; age <= missingEntryGrace + 400ms; age += 400ms)
+            directory.storeAnswered(start + age, start + age);
+        CPPUNIT_ASSERT(directory.isComplete());
+        directory.expire(start + 1h);
+        CPPUNIT_ASSERT(directory.isComplete());
+        directory.storeAnswered(start + lostDatabaseRetention, start + lostDatabaseRetention);
+        CPPUNIT_ASSERT(directory.isComplete());
+        directory.storeAnswered(start + 1h, start + 1h);
+        CPPUNIT_ASSERT(!directory.isComplete());
+    }
+
     void returningEntryIsKept()
     {
         RecordingDirectory recording;
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -73,6 +73,11 @@
     std::function<std::vector<GroupId>()> groups;
     std::function<std::vector<SuccessionCandidate>(const GroupId &)> databases;
 
+    // Whether each database that is alive and reaches the store is known, by a list that was read
+    // from the store for this. If not, starts to read it; asked again in the next tick. May be
+    // empty: all databases are known.
+    std::function<bool()> areDatabasesKnown = {};
+
     // Number of databases in the group, including recently lost ones.
     std::function<std::size_t(const GroupId &)> groupSize;
 
@@ -160,6 +165,9 @@
 // lease is left; then it asks the databases of each group who leads, and writes the record anew.
 // Until then the VMs treat the group as one whose change is announced.
 //
+// A holder that has started recently counts the databases only once it knows all of them: those
+// that it has not seen may be well, and hold what the databases that it sees lack.
+//
 // A holder does nothing unless it has read the lock as its own within the last lease. After taking
 // the lock over, it requests no promotion and keeps no returned primary until the previous holder's
 // lease has expired and its calls have ended.
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -33,6 +33,7 @@
                                  {"term", m_record.term},
                                  {"planned", m_options.isPlanned},
                                  {"resumed", m_record.isChanging},
+                                 {"databases", m_owner->m_ports.groupSize(m_group)},
                                  {"confirmed", m_owner->m_options.view.isConfirmed(m_group)}});
     if (m_previousTerm == Term())
         requestTerms();
--- a/libs/leadership/src/leadershippromotion.cpp
+++ b/libs/leadership/src/leadershippromotion.cpp
@@ -55,6 +55,7 @@
                                  {"old-term", m_previousTerm},
                                  {"old-stopped", m_previousPosition.has_value()},
                                  {"all-read", haveAllRead()},
+                                 {"databases", m_owner->m_ports.groupSize(m_group)},
                                  {"age", now() - m_startedAt}});
     if (m_isDiscardingTerm) {
         const std::optional<LogPoint> base = knownBase();
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -135,6 +135,8 @@
                     mayTakeTime(reason, group));
         return;
     }
+    if (m_ports.areDatabasesKnown && !m_ports.areDatabasesKnown())
+        return;
     if (reason == ChangeReason::Unconfirmed)
         confirmPrimary(group);
     else
--- a/libs/statementproxy/tests/statementsessiontest.cpp
+++ b/libs/statementproxy/tests/statementsessiontest.cpp
@@ -2,6 +2,7 @@
 #include "statementproxy/allowanceservice.h"
 
 #include "leadership/promotionbounds.h"
+#include "support/completedirectory.h"
 #include "support/fakegroup.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,6 +34,7 @@
         databases["c"];
         for (const DatabaseId &database : databases.names())
             upstreams.directory().update(entry(database));
+        completeDirectory(upstreams.directory(), timers.now());
         RouteConfiguration configuration{.version = 1};
         configuration.routes = {route("strict", ReadConsistency::Primary),
                                 route("own", ReadConsistency::ReadYourWrites),
--- a/libs/statementproxy/tests/upstreamstest.cpp
+++ b/libs/statementproxy/tests/upstreamstest.cpp
@@ -1,6 +1,7 @@
 #include "statementproxy/upstreams.h"
 
 #include "store/objectversion.h"
+#include "support/completedirectory.h"
 #include "support/fakegroup.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +16,7 @@
     CPPUNIT_TEST(runningStatementEndsWithUpstreams);
     CPPUNIT_TEST(vmThatCannotConfirmThePrimaryIsIsolated);
     CPPUNIT_TEST(vmIsIsolatedDespiteARestoreOfTheStore);
+    CPPUNIT_TEST(databasesThatMayBeTheOnlyOnesSeenConfirmNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +128,38 @@
                                         timers.now());
         CPPUNIT_ASSERT(!upstreams.isIsolatedFromMost());
     }
+
+    // Guards against a majority of the databases that a VM has seen since its start: the others may
+    // be the majority, and have another primary.
+    void databasesThatMayBeTheOnlyOnesSeenConfirmNothing()
+    {
+        VirtualTimers timers;
+        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+        Counters counters;
+        FakeGroup databases(timers);
+        databases["a"].role = Role::Primary;
+        databases["b"];
+        Upstreams upstreams({.timers = timers,
+                             .log = log,
+                             .counters = counters,
+                             .connect = databases.connector()});
+        const GroupId group("herd");
+        for (const char *name : {"a", "b"}) {
+            upstreams.directory().update(
+                    {.target = {group, DatabaseId(name), {}}, .role = databases[name].role});
+        }
+        timers.advance(10s);
+        const auto isConfirmed = [&] {
+            bool result = false;
+            upstreams.confirmCommit(group, DatabaseId("a"), {Term(1), LogPosition(0)}, timers.now(),
+                                    [&result](bool confirmed) { result = confirmed; });
+            timers.advance(1s);
+            return result;
+        };
+        CPPUNIT_ASSERT(!isConfirmed());
+        completeDirectory(upstreams.directory(), timers.now());
+        CPPUNIT_ASSERT(isConfirmed());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamsTest);
