Databases that are leaving stand in the store where commits need a replica

They were held by the primary and a replica that had left as planned; a VM that started after both were gone promoted the other replica, while the VMs that had seen the replica leave waited.

Which databases left is known only to processes that ran then (m_departed).

Change: Departures records in the store, object leaving-GROUP, which databases of a group with SyncReplicas are leaving; a VM that starts counts them for 15 s, or until another database has their address, as one that saw them leave. Why this works: the announcement comes DrainMs before the end.

Tests: red without the record: two of StartingVmTest. The other side: two more.

--- a/libs/coordination/include/coordination/coordinator.h
+++ b/libs/coordination/include/coordination/coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/departures.h"
 #include "coordination/observerreports.h"
 #include "coordination/ownobject.h"
 #include "leadership/succession.h"
@@ -123,6 +124,7 @@
     void shareConnections();
     std::vector<SuccessionCandidate> candidates(const GroupId &group) const;
     std::uint32_t synchronousReplicas(const GroupId &group) const;
+    std::vector<GroupId> synchronousGroups() const;
     std::vector<GroupId> groupsToConsider();
     Instant now() const;
 
@@ -135,6 +137,7 @@
     VmNotice m_notice;
     OwnObject m_ownRecord;
     OwnObject m_ownNotice;
+    Departures m_departures;
     Instant m_lastRenewalAt;
 
     // Period in which the others see this VM as live.
--- a/libs/coordination/src/coordinator.cpp
+++ b/libs/coordination/src/coordinator.cpp
@@ -67,6 +67,15 @@
     , m_ownRecord(store, upstreams.context().timers, vmKey(m_own.vm),
                   [this](Instant sentAt, ObjectVersion version) { renewed(sentAt, version); })
     , m_ownNotice(store, upstreams.context().timers, noticeKey(m_own.vm))
+    , m_departures({.timers = upstreams.context().timers,
+                    .log = upstreams.context().log,
+                    .directory = upstreams.directory(),
+                    .store = store,
+                    .groups = [this] { return synchronousGroups(); },
+                    .rank =
+                            [this] {
+                                return m_vms.rank(m_options.vm, now());
+                            }})
     , m_startedAt(now())
 {
     const ProxyContext &context = m_upstreams.context();
@@ -206,6 +215,7 @@
         return;
     if (!m_upstreams.directory().isComplete())
         return;
+    m_departures.update();
     if (mayWriteOrigin())
         writeOrigin();
     else
@@ -336,6 +346,7 @@
     }
     m_upstreams.leadership().snapshot(snapshot.value(), records.askedAt);
     m_succession->recordsRead();
+    m_departures.read(snapshot.value().departures);
     m_records = records;
     confirmChangesRead(snapshot.value());
     if (m_options.onRecordsChanged)
@@ -445,6 +456,17 @@
     return limits == m_configuration->groups.end() ? 0 : limits->second.synchronousReplicas;
 }
 
+// Groups whose commits need a replica.
+std::vector<GroupId> Coordinator::synchronousGroups() const
+{
+    std::vector<GroupId> groups;
+    for (const auto &[group, limits] : m_configuration->groups) {
+        if (limits.synchronousReplicas > 0)
+            groups.push_back(group);
+    }
+    return groups;
+}
+
 bool Coordinator::isReportedByOthers(const DatabaseId &database) const
 {
     return m_vms.unresponsiveCount(database, now()) > 0;
--- a/libs/coordination/tests/coordinationworld.h
+++ b/libs/coordination/tests/coordinationworld.h
@@ -120,6 +120,17 @@
     std::vector<DatabaseId> promotionRequests;
     bool isFirstStart = false;
 
+    // Each database has its own address, or that of another one whose log it has taken over.
+    Endpoint endpointOf(const DatabaseId &database) const
+    {
+        const auto predecessor = predecessors.find(database);
+        const DatabaseId &first =
+                predecessor == predecessors.end() ? database : predecessor->second;
+        return {"10.0.0.1", static_cast<std::uint16_t>(8000 + first.value().front())};
+    }
+
+    std::map<DatabaseId, DatabaseId> predecessors;
+
     // Databases without an entry in the store.
     std::set<DatabaseId> unlisted;
 
@@ -223,12 +234,10 @@
     void readDatabases()
     {
         std::vector<UpstreamEntry> entries;
-        std::uint16_t port = 1;
         for (const DatabaseId &database : world.databases.names()) {
-            ++port;
             if (world.unlisted.contains(database))
                 continue;
-            entries.push_back({.target = {group, database, {"10.0.0.1", port}},
+            entries.push_back({.target = {group, database, world.endpointOf(database)},
                                .dataCentre = DataCentreId("north"),
                                .role = world.databases[database.value()].role,
                                .slots = 3});
--- a/libs/coordination/tests/startingvmtest.cpp
+++ b/libs/coordination/tests/startingvmtest.cpp
@@ -17,6 +17,27 @@
         timers.advance(10s);
     }
 
+    // A VM watches c leave as planned; afterwards b lacks what the primary and c hold.
+    void recordDeparture()
+    {
+        Vm vm(*this, "vm-0");
+        timers.advance(4s);
+        UpstreamEntry leaving = *vm.upstreams.directory().find(DatabaseId("c"));
+        leaving.isDraining = true;
+        vm.upstreams.directory().update(leaving);
+        timers.advance(1s);
+        databases["a"].received = databases["c"].received = {Term(1), LogPosition(9)};
+    }
+
+    // c has left, the primary a is lost for good, and no VM that knew them runs any more.
+    void loseTwo()
+    {
+        for (const char *name : {"a", "c"}) {
+            databases[name].isSilent = true;
+            unlisted.insert(DatabaseId(name));
+        }
+    }
+
     // The time until a promotion is requested, or the limit.
     Duration timeToPromotion(Duration limit)
     {
@@ -45,6 +66,10 @@
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothing);
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterTwoRestarts);
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterAnOutage);
+    CPPUNIT_TEST(replicaThatLeftBeforeTheStartCounts);
+    CPPUNIT_TEST(departureIsRecordedOnceAndRemoved);
+    CPPUNIT_TEST(replicaWhoseLogWasTakenOverHoldsUpNothing);
+    CPPUNIT_TEST(departureThatIsRecordedNoLongerCountsForEver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +166,63 @@
         // A read that was under way during the outage ends within a second.
         CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement + 1s);
     }
+
+    // Guards against the loss of commits that a lost primary and a replica held which left as
+    // planned before the VM started; the database that takes over its log is yet to come.
+    void replicaThatLeftBeforeTheStartCounts()
+    {
+        RunningWorld world;
+        world.recordDeparture();
+        world.loseTwo();
+        Vm vm(world, "vm-1");
+        world.timers.advance(10s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+    }
+
+    void departureIsRecordedOnceAndRemoved()
+    {
+        RunningWorld world;
+        int written = 0;
+        world.store.onWritten = [&written](const StoredObject &object) {
+            written += object.key == departureKey(group) ? 1 : 0;
+        };
+        world.recordDeparture();
+        CPPUNIT_ASSERT_EQUAL(1, written);
+        const auto recorded = [&world] {
+            return decodeDepartures(group, world.store.objects.at(departureKey(group)))
+                    .value()
+                    .databases.size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recorded());
+        world.unlisted.insert(DatabaseId("c"));
+        Vm vm(world, "vm-1");
+        world.timers.advance(lostDatabaseRetention + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, recorded());
+        CPPUNIT_ASSERT_EQUAL(2, written);
+    }
+
+    // The other side: a record must not hold up a change once the log of the database is elsewhere,
+    // nor for longer than a VM that saw it leave would wait.
+    void replicaWhoseLogWasTakenOverHoldsUpNothing()
+    {
+        RunningWorld world;
+        world.recordDeparture();
+        world.loseTwo();
+        world.predecessors[DatabaseId("d")] = DatabaseId("c");
+        world.databases["d"].received = {Term(1), LogPosition(9)};
+        Vm vm(world, "vm-1");
+        CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement);
+        CPPUNIT_ASSERT(world.promotionRequests.front() == DatabaseId("d"));
+    }
+
+    void departureThatIsRecordedNoLongerCountsForEver()
+    {
+        RunningWorld world;
+        world.recordDeparture();
+        world.loseTwo();
+        Vm vm(world, "vm-1");
+        CPPUNIT_ASSERT(world.timeToPromotion(60s) < lostDatabaseRetention + longestReplacement);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StartingVmTest);
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -94,6 +94,14 @@
         return m_isComplete;
     }
 
+    // A database of which this VM has no entry had announced that it was leaving, perhaps before
+    // this VM started: counted as one that has just left.
+    void departed(const UpstreamTarget &target, std::int64_t startedAt, Instant now);
+
+    // Whether a database that left after announcing it may hold commits that no other one has; see
+    // otherMembers.
+    bool isRecentlyDeparted(const DatabaseId &database, Instant now) const;
+
     const UpstreamEntry *find(const DatabaseId &database) const;
 
     // Databases of a group, ordered by name, including those in their grace period. Valid until the
--- a/libs/directory/src/upstreamdirectory.cpp
+++ b/libs/directory/src/upstreamdirectory.cpp
@@ -126,6 +126,27 @@
     });
 }
 
+void UpstreamDirectory::departed(const UpstreamTarget &target, std::int64_t startedAt, Instant now)
+{
+    if (m_entries.contains(target.database) || m_departed.contains(target.database))
+        return;
+    const std::vector<const UpstreamEntry *> members = group(target.group);
+    const bool isReplaced = std::ranges::any_of(members, [&target](const UpstreamEntry *entry) {
+        return entry->target.endpoint == target.endpoint;
+    });
+    m_departed[target.database] = {.group = target.group,
+                                   .endpoint = target.endpoint,
+                                   .startedAt = startedAt,
+                                   .isReplaced = isReplaced,
+                                   .goneAt = now};
+}
+
+bool UpstreamDirectory::isRecentlyDeparted(const DatabaseId &database, Instant now) const
+{
+    const auto departed = m_departed.find(database);
+    return departed != m_departed.end() && isRecentlyDeparted(departed->second, now);
+}
+
 void UpstreamDirectory::storeAnswered(Instant askedAt, Instant now)
 {
     if (m_lastAskedAt && askedAt <= *m_lastAskedAt)
--- a/libs/leadership/include/leadership/leadershiprecord.h
+++ b/libs/leadership/include/leadership/leadershiprecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "leadership/departurerecord.h"
 #include "messages/upstream.h"
 #include "store/objectstore.h"
 
@@ -55,11 +56,12 @@
     StoreEpoch epoch = {};
 };
 
-// All leadership records and the promotion lock at one moment.
+// All leadership records, those of departures and the promotion lock at one moment.
 struct LeadershipSnapshot
 {
     std::vector<LeadershipRecord> records;
     std::optional<PromotionLock> promotionLock;
+    std::vector<DepartureRecord> departures = {};
 
     // Epoch of the store at that moment.
     StoreEpoch epoch = {};
@@ -83,8 +85,7 @@
 std::string encodePromotionLock(const PromotionLock &lock);
 std::string encodeOrigin(StoreEpoch origin);
 
-// Decodes a listing of the objects. If a record, the lock or the origin is unreadable, the whole
-// snapshot is Malformed, as nothing may be concluded from part of them; objects with other names
+// Decodes a listing of the objects. If one of them is unreadable, the whole snapshot is Malformed, as nothing may be concluded from part of them; objects with other names
 // are ignored. The epoch is that of the listing.
 Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects,
                                           StoreEpoch epoch = {});
--- a/libs/leadership/src/leadershiprecord.cpp
+++ b/libs/leadership/src/leadershiprecord.cpp
@@ -140,6 +140,14 @@
             return unreadable(object);
         const std::string_view name =
                 std::string_view(object.key).substr(leadershipKeyPrefix.size());
+        if (name.starts_with(departureNamePrefix)) {
+            const GroupId group(std::string(name.substr(departureNamePrefix.size())));
+            Result<DepartureRecord> departures = decodeDepartures(group, object);
+            if (!departures)
+                return departures.error();
+            snapshot.departures.push_back(std::move(departures.value()));
+            continue;
+        }
         if (name != lockName && name != originName && !name.starts_with(groupPrefix)) {
             snapshot.ignoredKeys.push_back(object.key);
             continue;
--- a/libs/leadership/tests/leadershipviewtest.cpp
+++ b/libs/leadership/tests/leadershipviewtest.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(encodedRecordsAreDecoded);
     CPPUNIT_TEST(baseOfATermIsOptional);
     CPPUNIT_TEST(unreadableRecordFailsTheSnapshot);
+    CPPUNIT_TEST(encodedDeparturesAreDecoded);
+    CPPUNIT_TEST(unreadableDeparturesFailTheSnapshot);
     CPPUNIT_TEST(objectOfAnotherWriterIsIgnored);
     CPPUNIT_TEST(restoredRecordLacksTheChange);
     CPPUNIT_TEST(missingRecordIsEvidenceInTheOriginalStoreOnly);
@@ -188,6 +190,34 @@
         CPPUNIT_ASSERT_EQUAL(lock.incarnation, read.value().promotionLock->incarnation);
     }
 
+    void encodedDeparturesAreDecoded()
+    {
+        const DepartureRecord written{
+                .group = group,
+                .databases = {{DatabaseId("b"), {"10.0.0.2", 8000}, 17},
+                              {DatabaseId("c"), {"10.0.0.3", 65535}, 1'700'000'000'000}},
+                .version = ObjectVersion(4)};
+        const auto read =
+                decodeSnapshot({{departureKey(group), written.version, encodeDepartures(written)}});
+        CPPUNIT_ASSERT(read && read.value().departures.size() == 1);
+        const DepartureRecord &decoded = read.value().departures.front();
+        CPPUNIT_ASSERT(decoded.group == group && decoded.version == written.version);
+        CPPUNIT_ASSERT(decoded.databases == written.databases);
+    }
+
+    // Guards against a database that left and is not counted, as its record was damaged.
+    void unreadableDeparturesFailTheSnapshot()
+    {
+        for (const char *text :
+             {"", "[]", "{}", R"({"databases":7})", R"({"databases":[7]})",
+              R"({"databases":[{"database":"b","ip":"10.0.0.2","port":80}]})",
+              R"({"databases":[{"database":"b","ip":"1","port":0,"started":1}]})",
+              R"({"databases":[{"database":"b","ip":"1","port":65536,"started":1}]})"}) {
+            const auto read = decodeSnapshot({{departureKey(group), ObjectVersion(4), text}});
+            CPPUNIT_ASSERT_MESSAGE(text, !read && read.error().code == ErrorCode::Malformed);
+        }
+    }
+
     // Records of earlier versions have no base; one that another writer damaged counts as unknown.
     void baseOfATermIsOptional()
     {
