--- a/libs/coordination/tests/startingvmtest.cpp
+++ b/libs/coordination/tests/startingvmtest.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothing);
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterTwoRestarts);
     CPPUNIT_TEST(databaseThatIsGoneHoldsUpNothingAfterAnOutage);
+    CPPUNIT_TEST(firstPrimaryThatIsGoneIsReplaced);
+    CPPUNIT_TEST(firstPrimaryThatIsUnseenIsKept);
     CPPUNIT_TEST(replicaThatLeftBeforeTheStartCounts);
     CPPUNIT_TEST(departureIsRecordedOnceAndRemoved);
     CPPUNIT_TEST(replicaWhoseLogWasTakenOverHoldsUpNothing);
@@ -167,6 +169,36 @@
         CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement + 1s);
     }
 
+    // Guards against a group that nobody gives a primary, as it never had a record (review/12).
+    void firstPrimaryThatIsGoneIsReplaced()
+    {
+        RunningWorld world;
+        world.store.objects.clear();
+        world.databases["a"].isSilent = true;
+        world.unlisted = {DatabaseId("a")};
+        for (int start = 0; start < 2; ++start) {
+            Vm stopped(world, "vm-" + std::to_string(start));
+            world.timers.advance(1s);
+        }
+        Vm vm(world, "vm-3");
+        CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement);
+    }
+
+    void firstPrimaryThatIsUnseenIsKept()
+    {
+        RunningWorld world;
+        world.store.objects.clear();
+        world.unlisted = {DatabaseId("a")};
+        Vm vm(world, "vm-0");
+        world.timers.advance(2s);
+        world.unlisted.clear();
+        vm.readDatabases();
+        world.timers.advance(8s);
+        CPPUNIT_ASSERT(world.promotionRequests.empty());
+        CPPUNIT_ASSERT(
+                vm.upstreams.leadership().isLeading(group, DatabaseId("a"), world.timers.now()));
+    }
+
     // Guards against the loss of commits that a lost primary and a replica held which left as
     // planned before the VM started; the database that takes over its log is yet to come.
     void replicaThatLeftBeforeTheStartCounts()
--- a/libs/leadership/include/leadership/leadershiprecord.h
+++ b/libs/leadership/include/leadership/leadershiprecord.h
@@ -85,8 +85,9 @@
 std::string encodePromotionLock(const PromotionLock &lock);
 std::string encodeOrigin(StoreEpoch origin);
 
-// Decodes a listing of the objects. If one of them is unreadable, the whole snapshot is Malformed, as nothing may be concluded from part of them; objects with other names
-// are ignored. The epoch is that of the listing.
+// Decodes a listing of the objects. If one of them is unreadable, the whole snapshot is Malformed,
+// as nothing may be concluded from part of them; objects with other names are ignored. The epoch is
+// that of the listing.
 Result<LeadershipSnapshot> decodeSnapshot(const std::vector<StoredObject> &objects,
                                           StoreEpoch epoch = {});
 
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -165,6 +165,10 @@
 // lease is left; then it asks the databases of each group who leads, and writes the record anew.
 // Until then the VMs treat the group as one whose change is announced.
 //
+// Before its first change of primary a group has no record, and its primary is the database that
+// reports itself as such. If that is lost, a VM that starts later knows of none. The holder then
+// asks the databases in the same way, and replaces the unknown primary if none of them leads.
+//
 // A holder that has started recently counts the databases only once it knows all of them: those
 // that it has not seen may be well, and hold what the databases that it sees lack.
 //
@@ -209,7 +213,8 @@
         Lost,
         AnnouncedEarlier,
 
-        // The store was restored, and the primary has not been recorded since.
+        // The store was restored, and the primary has not been recorded since; or no primary is
+        // known.
         Unconfirmed,
     };
 
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -213,6 +213,10 @@
 
 void LeadershipChange::stopPreviousPrimary()
 {
+    if (m_record.primary.isEmpty()) {
+        queryDatabases();
+        return;
+    }
     // Demotes it at a term above its own. The new primary must reach its last log position, unless
     // none does so within catchUpTime.
     m_owner->m_ports.command(
--- a/libs/leadership/src/primaryconfirmation.cpp
+++ b/libs/leadership/src/primaryconfirmation.cpp
@@ -24,7 +24,8 @@
 
 const char *PrimaryConfirmation::reasonToEnd() const
 {
-    if (m_owner->m_options.view.isConfirmed(m_group))
+    const LeadershipView &view = m_owner->m_options.view;
+    if (view.isConfirmed(m_group) && view.primary(m_group))
         return "recorded-already";
     return now() - m_startedAt > confirmationTime ? "timeout" : nullptr;
 }
@@ -128,8 +129,9 @@
     return hasPaused;
 }
 
-// Whether the group needs another primary: the known one is lost to its observers or gone; or all
-// databases answer and none leads, as a change of primary stopped it that did not end.
+// Whether the group needs another primary: the known one is lost to its observers, gone, or none is
+// known; or all databases answer and none leads, as a change of primary stopped it that did not
+// end.
 bool PrimaryConfirmation::isLost(const Answers &answers) const
 {
     const DatabaseId known = m_owner->m_options.view.record(m_group).primary;
--- a/libs/leadership/src/primaryconfirmation.h
+++ b/libs/leadership/src/primaryconfirmation.h
@@ -8,7 +8,8 @@
 namespace fescuespring::detail {
 
 // Finds out which database leads a group whose record was lost or brought back by a restore of the
-// store, and records it. Starts a change of primary if none leads.
+// store, or which never had a record and whose primary no longer reports itself, and records it.
+// Starts a change of primary if none leads.
 //
 // A holder of the lock in an earlier epoch requests a promotion only under its lease and after a
 // majority of the group has paused. So once all leases of that epoch are over, a majority that is
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -99,13 +99,15 @@
 Succession::ChangeReason Succession::changeReason(const GroupId &group) const
 {
     const auto known = m_options.view.primary(group);
-    if (!known)
+    const std::vector<SuccessionCandidate> candidates = m_ports.databases(group);
+    if (!known && candidates.empty())
         return ChangeReason::None;
     if (!m_options.view.isConfirmed(group))
         return ChangeReason::Unconfirmed;
-    if (known->isChanging)
+    if (m_options.view.isChangeAnnounced(group))
         return ChangeReason::AnnouncedEarlier;
-    const std::vector<SuccessionCandidate> candidates = m_ports.databases(group);
+    if (!known)
+        return ChangeReason::Unconfirmed;
     for (const SuccessionCandidate &candidate : candidates) {
         if (candidate.database != known->database)
             continue;
--- a/libs/leadership/tests/successionworld.h
+++ b/libs/leadership/tests/successionworld.h
@@ -90,6 +90,9 @@
     std::set<std::string> draining;
     std::set<std::string> removed;
 
+    // The database that reports itself as the primary to the VMs that start; empty if none does.
+    DatabaseId reportedPrimary{"a"};
+
     // The observers get no answer from the primary a.
     bool isPrimaryLost = false;
 
@@ -159,7 +162,8 @@
                                   return rank;
                               }})
     {
-        view.setReportedPrimary(group, DatabaseId("a"));
+        if (!world.reportedPrimary.isEmpty())
+            view.setReportedPrimary(group, world.reportedPrimary);
         read();
         loop();
     }
