--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -133,6 +133,7 @@
 template <typename Task>
 class GroupTask;
 class LeadershipChange;
+class PausedReplicas;
 class PrimaryConfirmation;
 } // namespace detail
 
@@ -231,6 +232,7 @@
     void startChange(const GroupId &group, bool isPlanned, Term seenTerm = {},
                      bool hasNoOtherPromoter = false);
     void demotePreviousPrimaries(const GroupId &group);
+    void resumePausedReplicas(const GroupId &group);
     void changeEnded(const GroupId &group);
     Instant changeBeganAt(const GroupId &group) const;
     bool isOwnPromotionPending(const GroupId &group) const;
@@ -246,6 +248,7 @@
     std::map<GroupId, std::shared_ptr<detail::LeadershipChange>> m_changes;
     std::map<GroupId, std::shared_ptr<detail::PrimaryConfirmation>> m_confirmations;
     std::map<DatabaseId, Instant> m_demotedAt;
+    std::unique_ptr<detail::PausedReplicas> m_paused;
     bool m_isAcquiring = false;
     bool m_isReleasing = false;
 
--- a/libs/leadership/src/leadershipchange.cpp
+++ b/libs/leadership/src/leadershipchange.cpp
@@ -25,6 +25,7 @@
 void LeadershipChange::start()
 {
     m_record = m_owner->m_options.view.record(m_group);
+    m_mustNotPause = m_record.isChanging;
     m_previousTerm = std::max(
             {m_record.term, m_options.seenTerm, m_owner->m_options.view.knownTerm(m_group)});
     m_owner->m_options.log.info("leadership-change-started",
@@ -248,8 +249,8 @@
     // Replicas keep receiving until one has the whole log of the stopped primary or catchUpTime is
     // over. If the previous primary did not report its position, the replicas are paused at once,
     // as it could still send commits to some of them.
-    const bool mustPause = (!m_previousPosition || m_isCatchUpOver) && !m_isResumingReplicas;
-    m_isResumingReplicas = false;
+    const bool mustPause = (!m_previousPosition || m_isCatchUpOver) && !m_mustNotPause;
+    m_mustNotPause = false;
     query(candidates, mustPause, &LeadershipChange::evaluateAnswers);
 }
 
--- a/libs/leadership/src/leadershipchange.h
+++ b/libs/leadership/src/leadershipchange.h
@@ -97,8 +97,9 @@
     // The previous primary did not answer; the next query leaves it out.
     bool m_isPreviousUnresponsive = false;
 
-    // The next query pauses no replica, as the replicas are being resumed.
-    bool m_isResumingReplicas = false;
+    // The next query pauses no replica, as the replicas are being resumed; or as the promotion of
+    // an earlier holder may have taken effect: a pause would outlast it.
+    bool m_mustNotPause = false;
     DatabaseId m_chosen;
 
     // The last entry of its log, and whether that lacks the previous term.
--- a/libs/leadership/src/leadershipround.cpp
+++ b/libs/leadership/src/leadershipround.cpp
@@ -1,4 +1,5 @@
 #include "leadershipchange.h"
+#include "pausedreplicas.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,8 +26,10 @@
     const auto answers = std::make_shared<DatabaseAnswers>();
     for (const SuccessionCandidate &candidate : candidates) {
         Statement statement{.kind = StatementKind::Status};
-        if (mustPause && candidate.database != m_record.primary)
+        if (mustPause && candidate.database != m_record.primary) {
             statement = {.kind = StatementKind::Pause, .term = m_previousTerm.next()};
+            m_owner->m_paused->add(m_group, candidate.database, statement.term);
+        }
         m_owner->m_ports.command(
                 candidate.database, statement, commandTimeout,
                 [weak = weak_from_this(), answers, evaluate, requested = candidates.size(),
@@ -65,7 +68,7 @@
     bool hasPaused = false;
     for (const DatabaseAnswer &answer : answers)
         hasPaused |= resumeIfPaused(answer.database, answer.status, m_previousTerm, commandTimeout);
-    m_isResumingReplicas = true;
+    m_mustNotPause = true;
     return hasPaused;
 }
 
--- a/libs/leadership/src/succession.cpp
+++ b/libs/leadership/src/succession.cpp
@@ -2,6 +2,7 @@
 
 #include "leadership/promotionbounds.h"
 #include "leadershipchange.h"
+#include "pausedreplicas.h"
 #include "primaryconfirmation.h"
 #include "store/objectversion.h"
 
@@ -50,6 +51,7 @@
 Succession::Succession(SuccessionOptions options, SuccessionPorts ports)
     : m_options(std::move(options))
     , m_ports(std::move(ports))
+    , m_paused(std::make_unique<detail::PausedReplicas>(m_options, m_ports))
 {}
 
 Succession::~Succession()
@@ -127,6 +129,7 @@
         m_neededSince.erase(group);
         m_changeBeganAt.erase(group);
         demotePreviousPrimaries(group);
+        resumePausedReplicas(group);
         return;
     }
     const Instant since = m_neededSince.try_emplace(group, m_options.timers.now()).first->second;
@@ -300,6 +303,14 @@
     }
 }
 
+// A replica that a pending promotion of the group rests on must remain paused.
+void Succession::resumePausedReplicas(const GroupId &group)
+{
+    const bool isPending = isOwnPromotionPending(group) || isEarlierPromotionPending();
+    if (holdsPromotionLock() && !isPending && m_paused->resume(group))
+        m_lastNeededAt = m_options.timers.now();
+}
+
 Instant Succession::changeBeganAt(const GroupId &group) const
 {
     const auto began = m_changeBeganAt.find(group);
--- a/libs/leadership/tests/successiontest.cpp
+++ b/libs/leadership/tests/successiontest.cpp
@@ -137,13 +137,19 @@
         world.databases["b"].received = {Term(1), LogPosition(7)};
         world.databases["c"].received = {Term(1), LogPosition(9)};
         losePrimary(world);
-        world.timers.advance(2500ms);
+        const Instant lostAt = world.timers.now();
+        // From the request until the promotion has taken effect, no replica may continue to receive
+        // from the previous primary.
+        while (world.databases["c"].role == Role::Replica && world.timers.now() < lostAt + 2500ms) {
+            world.timers.advance(1ms);
+            CPPUNIT_ASSERT(world.promotionRequests.empty()
+                           || world.databases["b"].heldTerm == Term(2));
+        }
+        world.timers.advance(lostAt + 2500ms - world.timers.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.promotionRequests.size());
         CPPUNIT_ASSERT(world.promotionRequests[0].database == DatabaseId("c"));
         CPPUNIT_ASSERT(vm.record().primary == DatabaseId("c"));
         CPPUNIT_ASSERT(vm.record().term == Term(2) && !vm.record().isChanging);
-        // No replica may continue to receive from the previous primary.
-        CPPUNIT_ASSERT(world.databases["b"].heldTerm == Term(2));
     }
 
     // The other VM last reads the records just before the announcement.
--- a/libs/leadership/tests/synchronousreplicastest.cpp
+++ b/libs/leadership/tests/synchronousreplicastest.cpp
@@ -27,6 +27,26 @@
         databases["e"].received = older;
     }
 
+    // Requests the promotion of b; the holder runs no more if it is killed then.
+    void requestPromotion(Vm &vm, bool isKilled)
+    {
+        losePrimary(*this);
+        const Instant lostAt = timers.now();
+        while (promotionRequests.empty() && timers.now() < lostAt + 10s)
+            timers.advance(1ms);
+        CPPUNIT_ASSERT(isPromoted("b"));
+        vm.isFrozen = isKilled;
+    }
+
+    // The promotion takes effect, which ends all pauses. The replica c receives nothing, so that it
+    // does not learn of the new term.
+    void awaitEffect()
+    {
+        timers.advance(301ms);
+        CPPUNIT_ASSERT(databases["b"].role == Role::Primary);
+        databases["c"].heldTerm = Term();
+    }
+
     bool isPromoted(const std::string &name) const
     {
         return !promotionRequests.empty() && promotionRequests.back().database == DatabaseId(name);
@@ -52,6 +72,9 @@
     CPPUNIT_TEST(choiceIsRepeatedAfterTheWaitForLeases);
     CPPUNIT_TEST(stoppedPrimaryThatRestartsIsStoppedAgain);
     CPPUNIT_TEST(pausedReplicasDoNotResumeBeforeAnEarlierPromotionHasEnded);
+    CPPUNIT_TEST(resumedChangePausesNoReplicaAfterThePromotion);
+    CPPUNIT_TEST(pauseThatOutlastsThePromotionIsEnded);
+    CPPUNIT_TEST(replicaThatIsPausedAndOutOfReachIsResumedLater);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -292,6 +315,61 @@
         world.timers.advance(2s);
         CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term());
     }
+
+    // Guards against a replica that stays paused for good, so that no commit is acknowledged any
+    // more: the next holder paused it when the promotion had taken effect (review/13).
+    void resumedChangePausesNoReplicaAfterThePromotion()
+    {
+        SynchronousWorld world;
+        Vm killed(world, "one", 0);
+        world.requestPromotion(killed, true);
+        // The killed holder does not observe what it requested.
+        world.databases["b"].isSilent = true;
+        world.awaitEffect();
+        world.timers.advance(leadershipLease);
+        world.databases["b"].isSilent = false;
+        Vm vm(world, "two", 0);
+        const Instant from = world.timers.now();
+        while (vm.record().primary != DatabaseId("b") && world.timers.now() < from + 10s) {
+            world.timers.advance(1ms);
+            CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term());
+        }
+        CPPUNIT_ASSERT(vm.record().primary == DatabaseId("b"));
+    }
+
+    // Guards against the same where the promoted database did not answer at first.
+    void pauseThatOutlastsThePromotionIsEnded()
+    {
+        SynchronousWorld world;
+        Vm vm(world, "one", 0);
+        world.requestPromotion(vm, false);
+        world.databases["b"].isSilent = true;
+        world.awaitEffect();
+        world.timers.advance(2500ms);
+        CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term(2));
+        world.databases["b"].isSilent = false;
+        world.timers.advance(7s);
+        CPPUNIT_ASSERT(vm.record().primary == DatabaseId("b"));
+        CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term());
+    }
+
+    // The same where the replica is out of reach when the change ends.
+    void replicaThatIsPausedAndOutOfReachIsResumedLater()
+    {
+        SynchronousWorld world;
+        Vm vm(world, "one", 0);
+        world.requestPromotion(vm, false);
+        world.databases["b"].isSilent = true;
+        world.awaitEffect();
+        world.timers.advance(2500ms);
+        world.databases["c"].isSilent = true;
+        world.databases["b"].isSilent = false;
+        world.timers.advance(9s);
+        CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term(2));
+        world.databases["c"].isSilent = false;
+        world.timers.advance(2s);
+        CPPUNIT_ASSERT(world.databases["c"].heldTerm == Term());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SynchronousReplicasTest);
