A primary that was leaving before a VM started is used for the time of a change only

Cause: a VM counts from when it reads that a database is leaving. One that starts 5 s after that sent statements to it until 10.5 s after it, beyond the 7 s of its notice, if no change of primary had come meanwhile. Change: a database that is first seen while it is leaving is used for 3 s, the longest change, in place of 5.5 s. Test: UpstreamsTest::primaryThatWasLeavingBeforeTheStartIsUsedBriefly, red with the old rule. Measured: the tests of statementproxy and coordination are green.

--- a/libs/statementproxy/include/statementproxy/upstreams.h
+++ b/libs/statementproxy/include/statementproxy/upstreams.h
@@ -286,6 +286,7 @@
     };
 
     void entryChanged(const UpstreamEntry &entry, bool isNewIncarnation);
+    Instant drainingSince(bool isFirstSeen) const;
     void entryGone(const UpstreamEntry &entry);
     struct DatabasePools;
     struct Command;
--- a/libs/statementproxy/src/upstreams.cpp
+++ b/libs/statementproxy/src/upstreams.cpp
@@ -145,7 +145,15 @@
     if (!entry.isDraining)
         pools->own->warmUp();
     else if (!pools->drainingSince)
-        pools->drainingSince = m_context.timers.now();
+        pools->drainingSince = drainingSince(isNewIncarnation);
+}
+
+// A database that is first seen while it is leaving may have announced that long ago: it is used
+// for as long as a change of primary takes.
+Instant Upstreams::drainingSince(bool isFirstSeen) const
+{
+    const Instant now = m_context.timers.now();
+    return isFirstSeen ? now - (maximumDrainingUse - longestChange) : now;
 }
 
 void Upstreams::entryGone(const UpstreamEntry &entry)
--- a/libs/statementproxy/tests/upstreamstest.cpp
+++ b/libs/statementproxy/tests/upstreamstest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(vmThatCannotConfirmThePrimaryIsIsolated);
     CPPUNIT_TEST(vmIsIsolatedDespiteARestoreOfTheStore);
     CPPUNIT_TEST(databasesThatMayBeTheOnlyOnesSeenConfirmNothing);
+    CPPUNIT_TEST(primaryThatWasLeavingBeforeTheStartIsUsedBriefly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +161,35 @@
         completeDirectory(upstreams.directory(), timers.now());
         CPPUNIT_ASSERT(isConfirmed());
     }
+
+    // Guards against statements to a database long after it announced that it leaves, by a VM that
+    // has started since and counts from when it read that.
+    void primaryThatWasLeavingBeforeTheStartIsUsedBriefly()
+    {
+        VirtualTimers timers;
+        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+        Counters counters;
+        FakeGroup databases(timers);
+        databases["a"].role = Role::Primary;
+        const GroupId group("herd");
+        const auto usedFor = [&](bool isSeenBefore) {
+            Upstreams upstreams({.timers = timers,
+                                 .log = log,
+                                 .counters = counters,
+                                 .connect = databases.connector()});
+            UpstreamEntry entry{.target = {group, DatabaseId("a"), {}}, .role = Role::Primary};
+            if (isSeenBefore)
+                upstreams.directory().update(entry);
+            entry.isDraining = true;
+            upstreams.directory().update(entry);
+            const Instant from = timers.now();
+            while (upstreams.usablePrimary(group) && timers.now() < from + 10s)
+                timers.advance(100ms);
+            return timers.now() - from;
+        };
+        CPPUNIT_ASSERT(usedFor(true) > 5s && usedFor(true) < 6s);
+        CPPUNIT_ASSERT(usedFor(false) > 2s && usedFor(false) <= 3200ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamsTest);
