--- a/libs/statementproxy/tests/upstreamstest.cpp
+++ b/libs/statementproxy/tests/upstreamstest.cpp
@@ -10,6 +10,36 @@
 using namespace fescuespring;
 using namespace std::chrono_literals;
 
+namespace {
+
+const GroupId group("herd");
+
+// A VM's connections to a group whose primary is a, in virtual time.
+struct Vm
+{
+    Vm()
+    {
+        databases["a"].role = Role::Primary;
+    }
+
+    // Lists a database in the directory.
+    void list(const std::string &name, bool isDraining = false)
+    {
+        upstreams.directory().update({.target = {group, DatabaseId(name), {}},
+                                      .isDraining = isDraining,
+                                      .role = databases[name].role});
+    }
+
+    VirtualTimers timers;
+    Log log = std::move(Log::open({.level = LogLevel::Off}).value());
+    Counters counters;
+    FakeGroup databases{timers};
+    Upstreams upstreams{
+            {.timers = timers, .log = log, .counters = counters, .connect = databases.connector()}};
+};
+
+} // namespace
+
 class UpstreamsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UpstreamsTest);
@@ -54,20 +84,11 @@
     // neither the store nor the other databases show that it still leads.
     void vmThatCannotConfirmThePrimaryIsIsolated()
     {
-        VirtualTimers timers;
-        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
-        Counters counters;
-        FakeGroup databases(timers);
-        databases["a"].role = Role::Primary;
-        Upstreams upstreams({.timers = timers,
-                             .log = log,
-                             .counters = counters,
-                             .connect = databases.connector()});
-        const GroupId group("herd");
-        for (const DatabaseId &database : databases.names()) {
-            upstreams.directory().update(
-                    {.target = {group, database, {}}, .role = databases[database.value()].role});
-        }
+        Vm vm;
+        VirtualTimers &timers = vm.timers;
+        FakeGroup &databases = vm.databases;
+        Upstreams &upstreams = vm.upstreams;
+        vm.list("a");
         for (const DatabaseId &database : databases.names())
             upstreams.requestStatus(database, [](const auto &) {});
         timers.advance(100ms);
@@ -97,19 +118,12 @@
     // one that is being replaced.
     void vmIsIsolatedDespiteARestoreOfTheStore()
     {
-        VirtualTimers timers;
-        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
-        Counters counters;
-        FakeGroup databases(timers);
-        databases["a"].role = Role::Primary;
-        Upstreams upstreams({.timers = timers,
-                             .log = log,
-                             .counters = counters,
-                             .connect = databases.connector()});
-        const GroupId group("herd");
+        Vm vm;
+        VirtualTimers &timers = vm.timers;
+        FakeGroup &databases = vm.databases;
+        Upstreams &upstreams = vm.upstreams;
         for (const char *name : {"a", "b", "c"}) {
-            upstreams.directory().update(
-                    {.target = {group, DatabaseId(name), {}}, .role = databases[name].role});
+            vm.list(name);
             databases[name].isSilent = std::string(name) != "a";
         }
         upstreams.leadership().snapshot({.epoch = StoreEpoch(2)}, timers.now());
@@ -134,21 +148,11 @@
     // be the majority, and have another primary.
     void databasesThatMayBeTheOnlyOnesSeenConfirmNothing()
     {
-        VirtualTimers timers;
-        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
-        Counters counters;
-        FakeGroup databases(timers);
-        databases["a"].role = Role::Primary;
-        databases["b"];
-        Upstreams upstreams({.timers = timers,
-                             .log = log,
-                             .counters = counters,
-                             .connect = databases.connector()});
-        const GroupId group("herd");
-        for (const char *name : {"a", "b"}) {
-            upstreams.directory().update(
-                    {.target = {group, DatabaseId(name), {}}, .role = databases[name].role});
-        }
+        Vm vm;
+        VirtualTimers &timers = vm.timers;
+        Upstreams &upstreams = vm.upstreams;
+        vm.list("a");
+        vm.list("b");
         timers.advance(10s);
         const auto isConfirmed = [&] {
             bool result = false;
@@ -166,26 +170,15 @@
     // has started since and counts from when it read that.
     void primaryThatWasLeavingBeforeTheStartIsUsedBriefly()
     {
-        VirtualTimers timers;
-        Log log = std::move(Log::open({.level = LogLevel::Off}).value());
-        Counters counters;
-        FakeGroup databases(timers);
-        databases["a"].role = Role::Primary;
-        const GroupId group("herd");
-        const auto usedFor = [&](bool isSeenBefore) {
-            Upstreams upstreams({.timers = timers,
-                                 .log = log,
-                                 .counters = counters,
-                                 .connect = databases.connector()});
-            UpstreamEntry entry{.target = {group, DatabaseId("a"), {}}, .role = Role::Primary};
+        const auto usedFor = [](bool isSeenBefore) {
+            Vm vm;
             if (isSeenBefore)
-                upstreams.directory().update(entry);
-            entry.isDraining = true;
-            upstreams.directory().update(entry);
-            const Instant from = timers.now();
-            while (upstreams.usablePrimary(group) && timers.now() < from + 10s)
-                timers.advance(100ms);
-            return timers.now() - from;
+                vm.list("a");
+            vm.list("a", true);
+            const Instant from = vm.timers.now();
+            while (vm.upstreams.usablePrimary(group) && vm.timers.now() < from + 10s)
+                vm.timers.advance(100ms);
+            return vm.timers.now() - from;
         };
         CPPUNIT_ASSERT(usedFor(true) > 5s && usedFor(true) < 6s);
         CPPUNIT_ASSERT(usedFor(false) > 2s && usedFor(false) <= 3200ms);
