--- a/libs/coordination/src/groupdatabases.cpp
+++ b/libs/coordination/src/groupdatabases.cpp
@@ -1,4 +1,4 @@
-// What a VM knows of the groups and their databases, for the changes of primary.
+// The groups and their databases, as the changes of primary use them.
 #include "coordination/coordinator.h"
 
 #include <algorithm>
--- a/libs/coordination/tests/startingvmtest.cpp
+++ b/libs/coordination/tests/startingvmtest.cpp
@@ -54,8 +54,8 @@
 
 } // namespace
 
-// A VM that starts knows the databases of a group by their entries alone, some of which an outage
-// of the store may have removed.
+// A VM that starts has only the listed entries of the databases, some of which an outage of the
+// store may have removed.
 class StartingVmTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(StartingVmTest);
@@ -169,7 +169,7 @@
         CPPUNIT_ASSERT(world.timeToPromotion(10s) < longestReplacement + 1s);
     }
 
-    // Guards against a group that nobody gives a primary, as it never had a record (review/12).
+    // Guards against a group that remains without a primary, as it never had a record (review/12).
     void firstPrimaryThatIsGoneIsReplaced()
     {
         RunningWorld world;
--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -54,8 +54,8 @@
 // return in the same incarnation, even with an older entry. Not thread-safe; reads no clock.
 //
 // A VM that has just started may have listed the entries before those that expired during an outage
-// of the store were back. Whoever counts the databases of a group asks first whether the directory
-// is complete:
+// of the store were back. The databases of a group may be counted only if the directory is
+// complete:
 //
 //     directory.storeAnswered(records.askedAt, now);   // after each read of the store
 //     if (directory.isComplete())
@@ -88,8 +88,8 @@
     // The store answered a request that was made at askedAt, directly or through another VM.
     void storeAnswered(Instant askedAt, Instant now);
 
-    // Whether each database that is alive and reaches the store is known, as the store has answered
-    // for missingEntryGrace since this VM first reached it. The directory then remains complete
+    // Whether the directory holds each database that is alive and reaches the store, as the store
+    // has answered for missingEntryGrace since this VM first reached it. The directory then remains complete
     // while it counts the databases that it has lost: until the store answers again after a gap
     // longer than lostDatabaseRetention.
     bool isComplete() const
--- a/libs/leadership/include/leadership/succession.h
+++ b/libs/leadership/include/leadership/succession.h
@@ -73,9 +73,9 @@
     std::function<std::vector<GroupId>()> groups;
     std::function<std::vector<SuccessionCandidate>(const GroupId &)> databases;
 
-    // Whether each database that is alive and reaches the store is known, by a list that was read
-    // from the store for this. If not, starts to read it; asked again in the next tick. May be
-    // empty: all databases are known.
+    // Whether the directory holds each database that is alive and reaches the store, by a list that
+    // was read from the store for this. If not, starts to read it; called again in the next tick.
+    // May be empty: the directory holds all databases.
     std::function<bool()> areDatabasesKnown = {};
 
     // Number of databases in the group, including recently lost ones.
