--- a/libs/directory/include/directory/upstreamdirectory.h
+++ b/libs/directory/include/directory/upstreamdirectory.h
@@ -89,9 +89,9 @@
     void storeAnswered(Instant askedAt, Instant now);
 
     // Whether the directory holds each database that is alive and reaches the store, as the store
-    // has answered for missingEntryGrace since this VM first reached it. The directory then remains complete
-    // while it counts the databases that it has lost: until the store answers again after a gap
-    // longer than lostDatabaseRetention.
+    // has answered for missingEntryGrace since this VM first reached it. The directory then remains
+    // complete while it counts the databases that it has lost: until the store answers again after
+    // a gap longer than lostDatabaseRetention.
     bool isComplete() const
     {
         return m_isComplete;
